--- /dev/null
+++ b/cmd/sassafrasvalve/main.go
@@ -0,0 +1,6 @@
+// Command sassafrasvalve runs an entry and drives the fleet.
+package main
+
+import "fmt"
+
+func main() { fmt.Println("sassafrasvalve") }
--- /dev/null
+++ b/core/fleet/state.go
@@ -0,0 +1,138 @@
+package fleet
+
+import "sassafrasvalve/core/spec"
+
+// MemberPhase is the standing of an entry process.
+type MemberPhase string
+
+// The phases of a member.
+const (
+	MemberLive    MemberPhase = "Live"
+	MemberEvicted MemberPhase = "Evicted" // waits for its fence
+)
+
+// Member is an entry process.
+type Member struct {
+	ID      string // VM and Epoch joined by "#"
+	VM      string
+	Epoch   int64
+	Addr    string // IP:port of its peer server
+	Admin   string // IP:port of its operator API
+	DC      string
+	Region  string
+	Version int
+	Phase   MemberPhase
+	Voting  bool
+	Joined  int64 // offset of the Join
+	Through int64 // highest offset that it acknowledged
+	Evicted int64 `json:",omitempty"` // offset of the Evict
+}
+
+// VMPhase is the condition of a VM. Only active VMs get requests.
+type VMPhase string
+
+// The phases of a VM.
+const (
+	Active    VMPhase = "Active"
+	Draining  VMPhase = "Draining" // out of routing, not confirmed by all entries
+	Drained   VMPhase = "Drained"  // confirmed: no entry has a request on it
+	Rebooting VMPhase = "Rebooting"
+	Failed    VMPhase = "Failed"
+	Unknown   VMPhase = "Unknown"
+)
+
+// VM is a worker machine and its place in the fleet.
+type VM struct {
+	ID     string
+	Addr   string
+	DC     string
+	Rack   string
+	Region string
+
+	Pool    string
+	Phase   VMPhase
+	Gen     int64 // offset of the last record that changed the VM
+	Purpose Purpose
+	To      string
+	Wave    string
+	Acked   []string // members that confirmed the drain
+	History []Step   // newest last, bounded
+}
+
+// Step is one change of a VM, as shown by `vm explain`.
+type Step struct {
+	Offset int64
+	Kind   Kind
+	Writer string
+	Rule   string
+	Reason string
+	From   VMPhase
+	Phase  VMPhase
+	Pool   string
+}
+
+// WavePhase is the phase of a maintenance wave.
+type WavePhase string
+
+// The phases of a wave.
+const (
+	Planned WavePhase = "Planned"
+	Running WavePhase = "Running"
+	Paused  WavePhase = "Paused"
+	Stopped WavePhase = "Stopped"
+	Aborted WavePhase = "Aborted"
+	Done    WavePhase = "Done"
+)
+
+// Wave is a maintenance roll-out over pools.
+type Wave struct {
+	ID        string
+	Pools     []string
+	Batch     int
+	MaxBatch  int
+	MaxFailed int
+	Phase     WavePhase
+	Reason    string
+	Pending   []string // VMs not yet begun
+	Out       []string // VMs drained or rebooting for the wave
+	Finished  []string
+	Failed    []string
+	Gen       int64
+}
+
+// JobPhase is the phase of a deferrable job.
+type JobPhase string
+
+// The phases of a job.
+const (
+	JobQueued  JobPhase = "Queued"
+	JobRunning JobPhase = "Running"
+	JobEnded   JobPhase = "Ended"
+)
+
+// JobState is a job and its progress. The request is dropped when the job has ended.
+type JobState struct {
+	Job
+	Phase   JobPhase
+	Member  string // runs it
+	Run     int
+	Outcome JobDone
+	Offset  int64 // of the last change
+}
+
+// Config is the configuration in force.
+type Config struct {
+	Version int
+	Offset  int64
+	Writer  string
+	Fleet   spec.Fleet
+}
+
+// Result is the outcome of a record at its offset.
+type Result struct {
+	Offset   int64
+	ID       string
+	Kind     Kind
+	Accepted bool
+	Reason   string // why it was rejected or skipped
+}
