--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -134,5 +134,9 @@
 	ID       string
 	Kind     Kind
 	Accepted bool
-	Reason   string // why it was rejected or skipped
+	// Duplicate says that a record with this ID was folded before, so this one had no effect.
+	Duplicate bool
+	// Skipped says that the record is corrupt or of an unknown kind or version.
+	Skipped bool
+	Reason  string // why it was rejected or skipped
 }
