sched: Schedule requests of a pool over shared slots

Cause: the entry, the proxy and the metrics need a scheduler to build on. Ruled out: a goroutine per queued request that polls for slots (cancelled requests would hold their place); relative grants between owner and holder (a lost or repeated message would create or lose slots).

--- /dev/null
+++ b/core/slots/message.go
@@ -0,0 +1,89 @@
+package slots
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// Report is what a holder tells the owner of a pool.
+// With 12 workers and 3 classes it takes about 150 bytes as JSON.
+type Report struct {
+	Pool    string
+	From    string   // member ID of the holder
+	Seq     uint64   // grows with each report of the holder
+	Ack     uint64   `json:",omitempty"` // newest reply of this owner that is in force
+	List    uint32   // fingerprint of the holder's worker list
+	Workers []string `json:",omitempty"` // the list itself, sent when the owner asks for it
+	Held    Counts   // per worker: slots that the holder may have in use
+	Use     Counts   // per worker: slots in use
+	Run     Counts   // per class: requests in progress
+	Wait    Counts   // per class: requests queued
+}
+
+// Reply is what the owner answers. Its limits are absolute, so that a repeated
+// or late reply does no harm. With 12 workers it takes about 80 bytes as JSON.
+type Reply struct {
+	Pool   string
+	Seq    uint64 // report that it answers
+	Limits Counts `json:",omitempty"` // per worker, in the order of the holder's list
+	Recall int    `json:",omitempty"` // slots to give back as they become free
+	Run    Counts `json:",omitempty"` // per class: requests in progress at all entries
+	Press  Counts `json:",omitempty"` // per class: requests queued at all entries
+	Names  bool   `json:",omitempty"` // the owner needs the holder's worker list
+	Stale  bool   `json:",omitempty"` // not the owner, holder not a member, or an old report
+}
+
+// Counts is a list of small numbers. Its text form has one base-36 digit per
+// number, and numbers from 36 up in parentheses: "88(120)7".
+type Counts []int
+
+// MarshalText encodes the numbers. It returns an error for a negative one.
+func (c Counts) MarshalText() ([]byte, error) {
+	b := make([]byte, 0, len(c))
+	for _, n := range c {
+		switch {
+		case n < 0:
+			return nil, fmt.Errorf("count %d is negative", n)
+		case n < 36:
+			b = strconv.AppendInt(b, int64(n), 36)
+		default:
+			b = append(b, '(')
+			b = strconv.AppendInt(b, int64(n), 10)
+			b = append(b, ')')
+		}
+	}
+	return b, nil
+}
+
+// UnmarshalText decodes the text form. It returns an error for any other text.
+func (c *Counts) UnmarshalText(b []byte) error {
+	out := make(Counts, 0, len(b))
+	for i := 0; i < len(b); i++ {
+		base, from, to := 36, i, i+1
+		if b[i] == '(' {
+			base, from, to = 10, i+1, i+1
+			for to < len(b) && b[to] != ')' {
+				to++
+			}
+			if to == len(b) {
+				return fmt.Errorf("counts %q lack a closing parenthesis", b)
+			}
+			i = to
+		}
+		n, err := strconv.ParseUint(string(b[from:to]), base, 31)
+		if err != nil {
+			return fmt.Errorf("counts %q: %w", b, err)
+		}
+		out = append(out, int(n))
+	}
+	*c = out
+	return nil
+}
+
+// at returns the number at i, or 0 beyond the end.
+func (c Counts) at(i int) int {
+	if i < 0 || i >= len(c) {
+		return 0
+	}
+	return c[i]
+}
--- /dev/null
+++ b/core/slots/target.go
@@ -0,0 +1,131 @@
+package slots
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// targets is how many slots each holder should have by all demand.
+type targets struct {
+	holder map[*peer]int
+	have   map[*peer]int
+}
+
+// needed returns how many slots the holders other than p lack beyond those that are free.
+func (t targets) needed(p *peer, free []int) int {
+	n := 0
+	for q, want := range t.holder {
+		if q != p {
+			n += max(0, want-t.have[q])
+		}
+	}
+	for _, f := range free {
+		n -= max(0, f)
+	}
+	return max(0, n)
+}
+
+// targets divides the slots of the holders that report: per class over the
+// pool (guaranteed shares first, then by rank), then over the holders by demand.
+func (o *Owner) targets(now time.Time) targets {
+	var peers []*peer
+	total := len(o.view.Workers) * o.view.Slots
+	for _, m := range o.members {
+		p := o.peers[m]
+		if now.Sub(p.at) <= o.policy.TTL {
+			peers = append(peers, p)
+			continue
+		}
+		for w := range o.view.Workers {
+			total -= o.claim(now, p, w, false)
+		}
+	}
+	t := targets{holder: make(map[*peer]int, len(peers)), have: make(map[*peer]int, len(peers))}
+	if len(peers) == 0 {
+		return t
+	}
+	left := total
+	for c, n := range o.allot(total, peers) {
+		weights := make([]float64, len(peers))
+		for i, p := range peers {
+			weights[i] = float64(Counts(p.run).at(c) + Counts(p.wait).at(c))
+		}
+		for i, k := range divide(n, weights) {
+			t.holder[peers[i]] += k
+		}
+		left -= n
+	}
+	// Idle slots are spread evenly, so that new arrivals find one at any entry.
+	even := make([]float64, len(peers))
+	for i := range even {
+		even[i] = 1
+	}
+	for i, k := range divide(max(0, left), even) {
+		t.holder[peers[i]] += k
+	}
+	for _, p := range peers {
+		t.have[p] = sum(p.held)
+	}
+	return t
+}
+
+// allot returns how many of total slots each class should have in use.
+func (o *Owner) allot(total int, peers []*peer) []int {
+	n := len(o.view.Classes)
+	demand, out, order := make([]int, n), make([]int, n), make([]int, n)
+	for c := range n {
+		order[c] = c
+		for _, p := range peers {
+			demand[c] += Counts(p.run).at(c) + Counts(p.wait).at(c)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(o.view.Classes[a].Rank, o.view.Classes[b].Rank)
+	})
+	left := total
+	give := func(c, upTo int) {
+		k := max(0, min(upTo-out[c], left))
+		out[c] += k
+		left -= k
+	}
+	for _, c := range order {
+		give(c, min(demand[c], int(math.Ceil(o.view.Classes[c].Share*float64(total)))))
+	}
+	for _, c := range order {
+		top := total
+		if f := o.view.Classes[c].Ceiling; f > 0 {
+			top = int(math.Ceil(f * float64(total)))
+		}
+		give(c, min(demand[c], top))
+	}
+	return out
+}
+
+// divide splits n in proportion to weights, by largest remainder.
+func divide(n int, weights []float64) []int {
+	out := make([]int, len(weights))
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	if total == 0 || n <= 0 {
+		return out
+	}
+	rest := make([]float64, len(weights))
+	order := make([]int, len(weights))
+	left := n
+	for i, w := range weights {
+		exact := float64(n) * w / total
+		out[i] = int(exact)
+		rest[i] = exact - float64(out[i])
+		left -= out[i]
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rest[b], rest[a]) })
+	for _, i := range order[:left] {
+		out[i]++
+	}
+	return out
+}
--- /dev/null
+++ b/core/slots/view.go
@@ -0,0 +1,118 @@
+// Package slots shares the slots of a pool's workers between entries. A Holder
+// uses slots at one entry; the Owner of the pool lends them.
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Defaults of a Policy.
+const (
+	DefaultTTL  = 1500 * time.Millisecond
+	DefaultSlow = 250 * time.Millisecond
+	DefaultFast = 50 * time.Millisecond
+	DefaultGap  = 10 * time.Millisecond
+)
+
+// Policy holds the settings of slot sharing. All entries use the same.
+type Policy struct {
+	TTL      time.Duration // life of a lease after the report that it answers
+	Slow     time.Duration // period of reports while nothing waits
+	Fast     time.Duration // period of reports while there is backlog
+	Gap      time.Duration // shortest time between two reports
+	NoRecall bool          // slots in use are never recalled
+}
+
+func (p Policy) withDefaults() Policy {
+	if p.TTL <= 0 {
+		p.TTL = DefaultTTL
+	}
+	if p.Slow <= 0 {
+		p.Slow = DefaultSlow
+	}
+	if p.Fast <= 0 {
+		p.Fast = DefaultFast
+	}
+	if p.Gap <= 0 {
+		p.Gap = DefaultGap
+	}
+	return p
+}
+
+// Class is what slot sharing needs to know of a class of work.
+type Class struct {
+	Name    string
+	Rank    int
+	Share   float64 // guaranteed fraction of the slots
+	Ceiling float64 // largest fraction of the slots; 0 means 1
+}
+
+// View is the part of the folded state that slot sharing rests on.
+type View struct {
+	Self        string   // this member; it changes when the entry joins again
+	Members     []string // live members of the region
+	Workers     []string // routable VMs of the pool
+	Slots       int      // per worker, over all entries
+	Connections int      // per worker, over all entries
+	Classes     []Class
+}
+
+// normal returns a copy with sorted members and workers.
+func (v View) normal() View {
+	v.Members = slices.Clone(v.Members)
+	v.Workers = slices.Clone(v.Workers)
+	v.Classes = slices.Clone(v.Classes)
+	slices.Sort(v.Members)
+	slices.Sort(v.Workers)
+	return v
+}
+
+// Home returns how many slots of each worker belong to member at home,
+// in the order of Workers. It returns zeros for an unknown member.
+func (v View) Home(member string) []int {
+	out := make([]int, len(v.Workers))
+	me, ok := slices.BinarySearch(v.Members, member)
+	if !ok {
+		return out
+	}
+	n := uint64(len(v.Members))
+	for w, vm := range v.Workers {
+		first := xxhash.Sum64String(vm) % n
+		// Slot i belongs to member index (first+i) mod n.
+		offset := (uint64(me) + n - first) % n
+		if uint64(v.Slots) > offset {
+			out[w] = int((uint64(v.Slots) - offset + n - 1) / n)
+		}
+	}
+	return out
+}
+
+// connectionCap returns how many connections, and so requests, one entry may have per worker.
+func (v View) connectionCap() int {
+	if v.Connections <= 0 || len(v.Members) == 0 {
+		return v.Slots
+	}
+	return max(1, v.Connections/len(v.Members))
+}
+
+// fingerprint identifies a worker list in reports.
+func fingerprint(workers []string) uint32 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, w := range workers {
+		_, _ = d.WriteString(w)
+		_, _ = d.Write([]byte{0})
+	}
+	return uint32(d.Sum64())
+}
+
+func sum(xs []int) int {
+	n := 0
+	for _, x := range xs {
+		n += x
+	}
+	return n
+}
--- /dev/null
+++ b/io/sched/pool_test.go
@@ -0,0 +1,156 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/retry"
+	"sassafrasvalve/core/slots"
+	"sassafrasvalve/core/spec"
+)
+
+// fabric carries reports between the sets of a test and loses some.
+type fabric struct {
+	sets map[string]*Set
+	lose func() bool
+}
+
+func (f *fabric) Exchange(ctx context.Context, owner string, reports []slots.Report) ([]slots.Reply, error) {
+	if f.lose != nil && f.lose() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return f.sets[owner].HandleReports(reports), nil
+}
+
+var testClasses = []spec.Class{
+	{Name: "hold", Rank: 0, Share: 0.5, MaxWait: spec.Duration(2500 * time.Millisecond)},
+	{Name: "list", Rank: 1, Share: 0.2, MaxWait: spec.Duration(5 * time.Second)},
+}
+
+func testView(self string, members []string, workers int) View {
+	v := View{Self: self, Members: members, Classes: testClasses, Tenants: []spec.Tenant{{Name: "slow", Rate: 2, Burst: 2}}}
+	for i := range workers {
+		v.Workers = append(v.Workers, Worker{VM: fmt.Sprint("w", i), Addr: fmt.Sprintf("10.0.0.%d:80", i), DC: "a"})
+	}
+	return v
+}
+
+// entries starts n entries with a pool of the given number of workers.
+func entries(t *testing.T, n, workers int, lose func() bool) []*Pool {
+	t.Helper()
+	f := &fabric{sets: map[string]*Set{}, lose: lose}
+	members := make([]string, 0, n)
+	for i := range n {
+		members = append(members, fmt.Sprint("e", i))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	pools := make([]*Pool, 0, n)
+	for _, m := range members {
+		p := New(Config{Name: "p"})
+		f.sets[m] = NewSet(SetConfig{Exchanger: f, Pools: []*Pool{p}, Self: func() string { return m }})
+		pools = append(pools, p)
+	}
+	for i, m := range members {
+		pools[i].SetView(testView(m, members, workers))
+		wg.Go(func() { f.sets[m].Run(ctx) })
+	}
+	return pools
+}
+
+// Guards against more requests on a worker than it has slots, against lost
+// wake-ups and against races, with lost messages and cancelled callers.
+func TestPoolKeepsSlotsUnderConcurrentCallers(t *testing.T) {
+	var lost atomic.Int64
+	pools := entries(t, 3, 2, func() bool { return lost.Add(1)%20 == 0 })
+	var mu sync.Mutex
+	use := map[string]int{}
+	var wg sync.WaitGroup
+	var ran atomic.Int64
+	for i := range 150 {
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(uint64(i), 1))
+			for range 4 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+r.IntN(1500))*time.Millisecond)
+				g, err := pools[i%3].Acquire(ctx, Request{Class: testClasses[i%2].Name, Tenant: "t"})
+				if err == nil {
+					mu.Lock()
+					use[g.VM]++
+					over := use[g.VM] > 8
+					mu.Unlock()
+					if over {
+						t.Errorf("more than 8 requests on %s", g.VM)
+					}
+					time.Sleep(time.Duration(1+r.IntN(20)) * time.Millisecond)
+					mu.Lock()
+					use[g.VM]--
+					mu.Unlock()
+					g.Done(Outcome{Verdict: retry.Ran, Status: 200})
+					g.Done(Outcome{Verdict: retry.Ran, Status: 200})
+					ran.Add(1)
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	assert.Assert(t, ran.Load() > 300, "only %d of 600 ran", ran.Load())
+	for _, p := range pools {
+		assert.Equal(t, p.InFlight("w0")+p.InFlight("w1"), 0)
+		s := p.Status()
+		assert.Equal(t, s.Counts.Started, s.Counts.Done)
+	}
+}
+
+// Guards against a worker that leaves the view and still gets work, and against
+// a drain acknowledgement while a request is in progress there.
+func TestWorkerOutOfViewGetsNoWork(t *testing.T) {
+	p := entries(t, 1, 2, nil)[0]
+	g, err := p.Acquire(t.Context(), Request{Class: "hold", Exclude: []string{"w1"}})
+	assert.NilError(t, err)
+	assert.Equal(t, g.VM, "w0")
+	v := testView("e0", []string{"e0"}, 2)
+	v.Workers = v.Workers[1:]
+	p.SetView(v)
+	for range 8 {
+		h, err := p.Acquire(t.Context(), Request{Class: "hold"})
+		assert.NilError(t, err)
+		assert.Equal(t, h.VM, "w1")
+	}
+	assert.Assert(t, p.Busy("w0"))
+	g.Done(Outcome{Verdict: retry.Ran})
+	assert.Assert(t, !p.Busy("w0"))
+}
+
+// Guards against wrong statuses of refusals and against queueing without any worker.
+func TestRefusals(t *testing.T) {
+	p := entries(t, 1, 1, nil)[0]
+	status := func(r Request) int {
+		g, err := p.Acquire(t.Context(), r)
+		var refusal *Refusal
+		if errors.As(err, &refusal) {
+			assert.Assert(t, refusal.RetryAt.After(time.Now()))
+			return refusal.Status
+		}
+		assert.NilError(t, err)
+		g.Done(Outcome{Verdict: retry.Ran})
+		return 0
+	}
+	assert.Equal(t, status(Request{Class: "hold", Tenant: "slow"}), 0)
+	assert.Equal(t, status(Request{Class: "hold", Tenant: "slow"}), 0)
+	assert.Equal(t, status(Request{Class: "hold", Tenant: "slow"}), http.StatusTooManyRequests)
+	assert.Equal(t, status(Request{Class: "none"}), http.StatusServiceUnavailable)
+	p.SetView(testView("e0", []string{"e0"}, 0))
+	assert.Equal(t, status(Request{Class: "hold"}), http.StatusServiceUnavailable)
+}
