admin: Add the types of the operator API and its client

Cause: the server, the command line and the daemon are written against the same types.

Change: api.go holds paths, requests and answers; client.go the typed client. A write carries the ID that the client chose and is sent to the next entry with the same ID after a lost answer. It is unknown only if an entry may have appended the record and none could say; a connection that was never established counts as not sent.

--- /dev/null
+++ b/io/admin/client.go
@@ -0,0 +1,320 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/core/spec"
+)
+
+// DefaultTimeout bounds one request to one entry. An entry needs up to 3 s
+// to append a record and fold it.
+const DefaultTimeout = 10 * time.Second
+
+// minWriteTries is how often a write is sent at least while its outcome is unknown,
+// so that a single entry is asked again after a lost answer.
+const minWriteTries = 2
+
+// ClientConfig is what a Client needs.
+type ClientConfig struct {
+	Entries []string      // base URLs such as http://10.0.0.1:7082, tried in turn
+	Timeout time.Duration // of one request to one entry; 0 means DefaultTimeout
+}
+
+// Client asks entries over the operator API. It is safe for concurrent use.
+type Client struct {
+	entries []string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// NewClient returns a client of cfg.Entries.
+// It takes no proxy from the environment and follows no redirect.
+func NewClient(cfg ClientConfig) *Client {
+	c := &Client{timeout: cfg.Timeout}
+	if c.timeout <= 0 {
+		c.timeout = DefaultTimeout
+	}
+	for _, e := range cfg.Entries {
+		c.entries = append(c.entries, strings.TrimRight(e, "/"))
+	}
+	c.http = &http.Client{
+		Transport: &http.Transport{Proxy: nil, DisableCompression: true, MaxIdleConnsPerHost: 1},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+	return c
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (ConfigStatus, error) {
+	return get[ConfigStatus](ctx, c, PathConfig)
+}
+
+// Record returns the outcome of a record.
+func (c *Client) Record(ctx context.Context, id string) (RecordStatus, error) {
+	return get[RecordStatus](ctx, c, withID(PathRecord, id))
+}
+
+// VMs returns every VM.
+func (c *Client) VMs(ctx context.Context) (VMList, error) { return get[VMList](ctx, c, PathVMs) }
+
+// VM returns a VM with its history.
+func (c *Client) VM(ctx context.Context, id string) (VMDetail, error) {
+	return get[VMDetail](ctx, c, withID(PathVM, id))
+}
+
+// Pools returns every pool.
+func (c *Client) Pools(ctx context.Context) (PoolList, error) {
+	return get[PoolList](ctx, c, PathPools)
+}
+
+// Services returns every service with its budget.
+func (c *Client) Services(ctx context.Context) (ServiceList, error) {
+	return get[ServiceList](ctx, c, PathServices)
+}
+
+// Waves returns every wave.
+func (c *Client) Waves(ctx context.Context) (WaveList, error) {
+	return get[WaveList](ctx, c, PathWaves)
+}
+
+// Members returns every member.
+func (c *Client) Members(ctx context.Context) (MemberList, error) {
+	return get[MemberList](ctx, c, PathMembers)
+}
+
+// Job returns a deferrable job.
+func (c *Client) Job(ctx context.Context, id string) (JobStatus, error) {
+	return get[JobStatus](ctx, c, withID(PathJob, id))
+}
+
+// Apply asks for a new configuration. See write for the errors.
+func (c *Client) Apply(ctx context.Context, req ApplyRequest) (Decision, error) {
+	return c.write(ctx, PathConfig, req.ID, req)
+}
+
+// Drain takes a VM out of routing. See write for the errors.
+func (c *Client) Drain(ctx context.Context, vm string, req VMRequest) (Decision, error) {
+	return c.write(ctx, withID(PathVMDrain, vm), req.ID, req)
+}
+
+// Move drains a VM and puts it into the pool req.To. See write for the errors.
+func (c *Client) Move(ctx context.Context, vm string, req VMRequest) (Decision, error) {
+	return c.write(ctx, withID(PathVMMove, vm), req.ID, req)
+}
+
+// Activate returns a VM to routing. See write for the errors.
+func (c *Client) Activate(ctx context.Context, vm string, req VMRequest) (Decision, error) {
+	return c.write(ctx, withID(PathVMActivate, vm), req.ID, req)
+}
+
+// PlanWave plans a wave. See write for the errors.
+func (c *Client) PlanWave(ctx context.Context, req WavePlanRequest) (Decision, error) {
+	return c.write(ctx, PathWaves, req.ID, req)
+}
+
+// ChangeWave starts, pauses, resumes or aborts a wave. See write for the errors.
+func (c *Client) ChangeWave(ctx context.Context, wave string, action fleet.WaveAction, req WaveRequest) (Decision, error) {
+	paths := map[fleet.WaveAction]string{
+		fleet.WaveStart: PathWaveStart, fleet.WavePause: PathWavePause,
+		fleet.WaveResume: PathWaveResume, fleet.WaveAbort: PathWaveAbort,
+	}
+	path, ok := paths[action]
+	if !ok {
+		return Decision{ID: req.ID}, fmt.Errorf("wave action %q is not one that an operator may ask for", action)
+	}
+	return c.write(ctx, withID(path, wave), req.ID, req)
+}
+
+// UnreachableError says that no entry answered and that none can have acted.
+type UnreachableError struct {
+	Causes []error // one per attempt
+}
+
+// Error lists what each entry did.
+func (e *UnreachableError) Error() string {
+	if len(e.Causes) == 0 {
+		return "no entry is reachable: none is given"
+	}
+	return "no entry is reachable: " + errors.Join(e.Causes...).Error()
+}
+
+// Unwrap returns the causes.
+func (e *UnreachableError) Unwrap() []error { return e.Causes }
+
+// AnswerError is an entry's answer other than 200.
+type AnswerError struct {
+	Entry    string
+	Status   int
+	Message  string
+	Problems []spec.Problem
+}
+
+// Error returns the entry, its status and its message.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("%s answered %d %s: %s", e.Entry, e.Status, http.StatusText(e.Status), e.Message)
+}
+
+// refused says that the entry appended nothing for the request.
+func (e *AnswerError) refused() bool {
+	return e.Status >= 400 && e.Status < 500 || e.Status == http.StatusServiceUnavailable
+}
+
+// elsewhere says that another entry may do better.
+func (e *AnswerError) elsewhere() bool { return e.Status >= 500 }
+
+// get asks the entries in turn. It returns an *AnswerError for a definite refusal,
+// an *UnreachableError if no entry answered.
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var out T
+	var causes []error
+	var last *AnswerError
+	for _, entry := range c.entries {
+		err := c.do(ctx, entry, http.MethodGet, path, nil, &out)
+		if err == nil {
+			return out, nil
+		}
+		if errors.As(err, &last) && !last.elsewhere() {
+			return out, last
+		}
+		causes = append(causes, err)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if last != nil {
+		return out, last
+	}
+	return out, &UnreachableError{Causes: causes}
+}
+
+// write sends a request that appends a record with the given ID, to one entry after
+// the other until the outcome is known. The Decision is valid if the error is nil;
+// its outcome is Unknown if an entry may have appended the record and none could say.
+// It returns an *AnswerError if the request was refused and nothing was appended,
+// and an *UnreachableError if no entry received it.
+func (c *Client) write(ctx context.Context, path, id string, req any) (Decision, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return Decision{ID: id}, fmt.Errorf("encode the request: %w", err)
+	}
+	w := writeTries{id: id}
+	for try := 0; try < len(c.entries) || (w.ambiguous && try < minWriteTries); try++ {
+		if try > 0 && ctx.Err() != nil {
+			break
+		}
+		var d Decision
+		entry := c.entries[try%len(c.entries)]
+		err := c.do(ctx, entry, http.MethodPost, path, body, &d)
+		if w.settled(d, err) {
+			return d, nil
+		}
+		if w.refusal != nil && !w.refusal.elsewhere() && !w.ambiguous {
+			return Decision{ID: id}, w.refusal
+		}
+	}
+	return w.result()
+}
+
+// writeTries collects what became of the attempts of one write.
+type writeTries struct {
+	id        string
+	ambiguous bool // an attempt may have appended the record
+	refusal   *AnswerError
+	causes    []error
+}
+
+// settled notes the result of an attempt and says whether the outcome is known.
+func (w *writeTries) settled(d Decision, err error) bool {
+	var answer *AnswerError
+	switch {
+	case err == nil && d.ID == w.id && (d.Outcome == Accepted || d.Outcome == Rejected):
+		return true
+	case err == nil:
+		w.ambiguous = true
+		w.causes = append(w.causes, fmt.Errorf("an entry answered with the outcome %q: %s", d.Outcome, d.Reason))
+	case errors.As(err, &answer) && answer.refused():
+		w.refusal = answer
+		w.causes = append(w.causes, err)
+	case notSent(err):
+		w.causes = append(w.causes, err)
+	default:
+		w.ambiguous = true
+		w.causes = append(w.causes, err)
+	}
+	return false
+}
+
+// result is the outcome when no attempt settled it.
+func (w *writeTries) result() (Decision, error) {
+	switch {
+	case w.ambiguous:
+		return Decision{ID: w.id, Outcome: Unknown, Reason: errors.Join(w.causes...).Error()}, nil
+	case w.refusal != nil:
+		return Decision{ID: w.id}, w.refusal
+	default:
+		return Decision{ID: w.id}, &UnreachableError{Causes: w.causes}
+	}
+}
+
+// notSent says that the connection was never established, so the entry saw nothing.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// do makes one request to one entry and decodes a 200 answer into out.
+func (c *Client) do(ctx context.Context, entry, method, path string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, entry+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("address %q: %w", entry, err)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	if err != nil {
+		return fmt.Errorf("%s: the answer broke off: %w", entry, err)
+	}
+	if len(data) > MaxBody {
+		return fmt.Errorf("%s: the answer is larger than %d bytes", entry, MaxBody)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return answerError(entry, resp.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("%s: the answer is not the expected JSON: %w", entry, err)
+	}
+	return nil
+}
+
+// answerError decodes an answer other than 200.
+func answerError(entry string, status int, data []byte) *AnswerError {
+	var b ErrorBody
+	if json.Unmarshal(data, &b) != nil || b.Message == "" {
+		b.Message = strings.TrimSpace(string(data[:min(len(data), 200)]))
+	}
+	return &AnswerError{Entry: entry, Status: status, Message: b.Message, Problems: b.Problems}
+}
+
+// withID puts the escaped ID into a path.
+func withID(path, id string) string { return strings.Replace(path, "{id}", url.PathEscape(id), 1) }
