spec: Validate configurations, fill in defaults and compare them

Cause: the fold, the command line and the configuration folder need one judgement of a configuration.

Change: Validate returns all problems ordered by path; Problem.Related names the other values involved, so that a caller can show where they were set.

Conclusion: a configuration without problems can be kept in full as far as its own numbers tell; the number of VMs per data centre is not in it, so MaxUnavailablePerDC is checked by range only.

--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -84,8 +84,9 @@
 
 // Problem is one fault in a configuration.
 type Problem struct {
-	Path    string // element at fault, such as `Services["holds"].Budget.MinAvailable`
-	Message string // what is wrong and what to do
+	Path    string   // element at fault, such as `Services["holds"].Budget.MinAvailable`
+	Message string   // what is wrong and what to do
+	Related []string `json:",omitempty"` // paths of the other values involved
 }
 
 // Error returns the problem on one line.
--- /dev/null
+++ b/core/spec/spec_test.go
@@ -0,0 +1,103 @@
+package spec
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// Guards against a fault in a configuration that goes unreported, is reported at another
+// place or in another order. Each line of testdata/faults.txt is a sound fleet with one
+// change; the golden file holds its problems.
+func TestValidate(t *testing.T) {
+	script, err := os.ReadFile("testdata/faults.txt")
+	assert.NilError(t, err)
+	var out strings.Builder
+	for line := range strings.Lines(string(script)) {
+		var change Fleet
+		assert.NilError(t, json.Unmarshal([]byte(line), &change), line)
+		f := sound()
+		f.Pools = orSound(change.Pools, f.Pools)
+		f.Services = orSound(change.Services, f.Services)
+		f.Classes = orSound(change.Classes, f.Classes)
+		f.Tenants = orSound(change.Tenants, f.Tenants)
+		fmt.Fprintf(&out, "%s", line)
+		for _, p := range Validate(f) {
+			fmt.Fprintf(&out, "\t%v %s\n", p, p.Related)
+		}
+	}
+	golden.Assert(t, out.String(), "faults.golden")
+}
+
+// orSound returns the changed list, or the sound one if the line has none.
+func orSound[T any](changed, sound []T) []T {
+	if changed == nil {
+		return sound
+	}
+	return changed
+}
+
+// sound returns a configuration without problems.
+func sound() Fleet {
+	return Fleet{
+		Pools:    []Pool{{Name: "work", Size: 4}, {Name: "spare", Size: 1, Spare: true}},
+		Services: []Service{{Name: "s", Pool: "work", Budget: Budget{MinAvailable: 3, MaxUnavailable: 1}}},
+		Classes: []Class{
+			{Name: "urgent", Share: 0.6}, {Name: "late", Rank: 9, Share: 0.3, Deferrable: true, FinishBy: "Sat 06:00"},
+		},
+		Tenants: []Tenant{{Name: "t", Rate: 0.5}},
+	}
+}
+
+// Guards against a deadline in the past or a week late, in particular at the moment itself
+// and for a caller whose clock is not in UTC.
+func TestNextFinish(t *testing.T) {
+	c := Class{Deferrable: true, FinishBy: "Sat 06:00"}
+	for now, want := range map[string]string{
+		"2026-12-04T23:59:00Z":      "2026-12-05T06:00:00Z",
+		"2026-12-05T05:59:59Z":      "2026-12-05T06:00:00Z",
+		"2026-12-05T06:00:00Z":      "2026-12-12T06:00:00Z",
+		"2026-12-05T07:30:00+02:00": "2026-12-05T06:00:00Z",
+		"2026-12-31T00:00:00Z":      "2027-01-02T06:00:00Z",
+	} {
+		at, err := time.Parse(time.RFC3339, now)
+		assert.NilError(t, err)
+		assert.Equal(t, NextFinish(c, at).Format(time.RFC3339), want, now)
+	}
+	assert.Assert(t, NextFinish(Class{FinishBy: "Sat 06:00"}, time.Now()).IsZero())
+	assert.Assert(t, NextFinish(Class{Deferrable: true, FinishBy: "Sat 6"}, time.Now()).IsZero())
+}
+
+// Guards against a diff that reports defaults written out or a new order as changes,
+// and against one that misses a field.
+func TestDiff(t *testing.T) {
+	a := sound()
+	b := Normalize(a)
+	b.Pools[0], b.Pools[1] = b.Pools[1], b.Pools[0]
+	assert.Equal(t, len(Diff(a, b)), 0)
+	b.Pools = b.Pools[1:]
+	b.Services[0].Budget.MaxUnavailable = 2
+	b.Classes[0].MaxWait = Duration(2500 * time.Millisecond)
+	b.Tenants = append(b.Tenants, Tenant{Name: "n", Weight: 3})
+	assert.DeepEqual(t, Diff(a, b), []Change{
+		{Path: `Pools["spare"]`, Kind: Removed, Old: "Size=1 Spare=true Slots=8 Connections=64"},
+		{Path: `Services["s"].Budget.MaxUnavailable`, Kind: Changed, Old: "1", New: "2"},
+		{Path: `Classes["urgent"].MaxWait`, Kind: Changed, Old: "0s", New: "2.5s"},
+		{Path: `Tenants["n"]`, Kind: Added, New: "Weight=3"},
+	})
+}
+
+// Guards against a tenant with a rate below one a second that could never send a request,
+// and against defaults that reach into the caller's slices.
+func TestNormalize(t *testing.T) {
+	f := sound()
+	n := Normalize(f)
+	assert.Equal(t, n.Tenants[0].Burst, 1)
+	assert.DeepEqual(t, f, sound())
+}
