proxy, entry, worker: Add the thin request path

Cause: an entry could not yet carry a request from a caller to a worker.

Ruled out: httputil.ReverseProxy and http.Client, which retry, follow redirects or hide whether a byte was written; httptrace.WroteHeaders, which fires when the header is in a buffer and not when it is written.

Change: io/proxy sends one attempt over http.Transport.

--- /dev/null
+++ b/fake/worker/server.go
@@ -0,0 +1,219 @@
+// Package worker is a stand-in for an upstream: it counts what ran on it and misbehaves on request.
+package worker
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"sassafrasvalve/core/spec"
+)
+
+// Config sets up a worker. Zero fields take defaults.
+type Config struct {
+	Addr        string // IP:port to listen on; empty for a free loopback port
+	Name        string // VM name in answers
+	Slots       int    // requests in progress; 0 means spec.DefaultSlots
+	Connections int    // open connections; 0 means spec.DefaultConnections
+	Enforce     bool   // requests above Slots are refused as not run instead of only counted
+	Seed        uint64 // of the random share of failures
+}
+
+// Counts are the observations of a worker since it was created. Reboots do not reset them.
+type Counts struct {
+	Name            string
+	Keys            map[string]int // completed starts by tenant/service/idempotency key
+	IDs             map[string]int // completed starts by request ID
+	Ran             int
+	Refused         int
+	InUse           int
+	MaxInUse        int
+	OverSlots       int // starts above the number of slots
+	Connections     int
+	MaxConnections  int
+	OverConnections int // connections opened above the allowed number
+	Boots           int
+	Draining        bool
+}
+
+// Server is a worker. Create it with Start.
+type Server struct {
+	cfg  Config
+	addr string
+
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	fault Fault
+	count Counts
+	http  *http.Server
+	stop  chan struct{} // closed when the present boot ends
+	done  chan struct{} // closed when its accept loop has ended
+}
+
+// Start starts a worker. It returns an error if it cannot listen.
+func Start(cfg Config) (*Server, error) {
+	cfg.Addr = cmp.Or(cfg.Addr, "127.0.0.1:0")
+	cfg.Slots = cmp.Or(cfg.Slots, spec.DefaultSlots)
+	cfg.Connections = cmp.Or(cfg.Connections, spec.DefaultConnections)
+	s := &Server{
+		cfg:   cfg,
+		rnd:   rand.New(rand.NewPCG(cfg.Seed, 1)), //nolint:gosec // reproducible failures
+		count: Counts{Name: cfg.Name, Keys: map[string]int{}, IDs: map[string]int{}},
+	}
+	if err := s.boot(cfg.Addr); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Run starts a worker and serves until ctx ends. It returns an error if it cannot listen.
+func Run(ctx context.Context, cfg Config) error {
+	s, err := Start(cfg)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	s.Close()
+	return nil
+}
+
+// Addr returns the IP:port of the worker.
+func (s *Server) Addr() string { return s.addr }
+
+// Counts returns a copy of the observations.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.count
+	c.Keys, c.IDs = maps.Clone(c.Keys), maps.Clone(c.IDs)
+	return c
+}
+
+// SetFault replaces the faults that apply to requests without a fault header.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Drain makes the worker refuse new requests as not run, or ends that.
+func (s *Server) Drain(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count.Draining = on
+}
+
+// Close breaks all connections and stops listening.
+func (s *Server) Close() {
+	s.mu.Lock()
+	srv, stop, done := s.http, s.stop, s.done
+	s.http = nil
+	s.mu.Unlock()
+	if srv == nil {
+		return
+	}
+	close(stop)
+	_ = srv.Close()
+	<-done
+}
+
+// Reboot breaks all connections, stays down for the given time and listens again on the same address.
+// The worker is no longer draining then. It returns an error if it cannot listen.
+func (s *Server) Reboot(down time.Duration) error {
+	s.Close()
+	time.Sleep(down)
+	return s.boot(s.addr)
+}
+
+func (s *Server) boot(addr string) error {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return fmt.Errorf("worker %q: %w", s.cfg.Name, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addr = ln.Addr().String()
+	s.stop, s.done = make(chan struct{}), make(chan struct{})
+	s.count.Boots++
+	s.count.Connections, s.count.Draining = 0, false
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /fault", s.postFault)
+	mux.HandleFunc("GET /ran", s.getRan)
+	mux.HandleFunc("POST /drain", func(http.ResponseWriter, *http.Request) { s.Drain(true) })
+	mux.HandleFunc("POST /undrain", func(http.ResponseWriter, *http.Request) { s.Drain(false) })
+	mux.HandleFunc("POST /reboot", s.postReboot)
+	mux.HandleFunc("/", s.serve)
+	s.http = &http.Server{Handler: mux, ConnState: s.connState(s.count.Boots), ReadHeaderTimeout: 10 * time.Second}
+	go s.run(s.http, ln, s.done)
+	return nil
+}
+
+func (s *Server) run(srv *http.Server, ln net.Listener, done chan struct{}) {
+	defer close(done)
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		fmt.Println("worker stopped:", err)
+	}
+}
+
+// connState counts open connections of one boot.
+func (s *Server) connState(boot int) func(net.Conn, http.ConnState) {
+	return func(_ net.Conn, state http.ConnState) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.count.Boots != boot {
+			return
+		}
+		switch state {
+		case http.StateNew:
+			s.count.Connections++
+			s.count.MaxConnections = max(s.count.MaxConnections, s.count.Connections)
+			if s.count.Connections > s.cfg.Connections {
+				s.count.OverConnections++
+			}
+		case http.StateClosed, http.StateHijacked:
+			s.count.Connections--
+		default:
+		}
+	}
+}
+
+func (s *Server) postFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16)).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFault(f)
+}
+
+func (s *Server) getRan(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Counts())
+}
+
+// postReboot answers before the worker goes down. Query: down, as a duration such as "500ms".
+func (s *Server) postReboot(w http.ResponseWriter, r *http.Request) {
+	down, err := time.ParseDuration(cmp.Or(r.URL.Query().Get("down"), "1s"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+	go s.rebootLater(down)
+}
+
+func (s *Server) rebootLater(down time.Duration) {
+	time.Sleep(10 * time.Millisecond) // lets the answer leave
+	if err := s.Reboot(down); err != nil {
+		fmt.Println("reboot:", err)
+	}
+}
--- /dev/null
+++ b/io/entry/handle.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/dedup"
+	"sassafrasvalve/core/retry"
+	"sassafrasvalve/io/proxy"
+	"sassafrasvalve/io/sched"
+)
+
+func isOwnPath(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/-/") }
+
+// handle serves one request of a caller.
+func (s *Server) handle(rw http.ResponseWriter, r *http.Request) {
+	w := newOutput(rw, s.cfg.BodyIdle)
+	_ = w.rc.EnableFullDuplex() // a worker may answer while the body still arrives
+	id := newID()
+	w.Header().Set(proxy.HeaderRequestID, id)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	in := newInput(rw, r, s.cfg.BodyIdle)
+	defer in.end()
+	q, ref := s.parse(r, id)
+	if ref == nil {
+		ref = s.admit(r, q, in)
+	}
+	if ref != nil {
+		s.finishRefused(w, r, q, id, ref)
+		return
+	}
+	x := &exchange{s: s, w: w, r: r, q: q, in: in}
+	if q.class.Deferrable && r.Method == http.MethodPost {
+		x.submit()
+		return
+	}
+	x.serve()
+}
+
+// newID returns a UUIDv7, whose order in time helps to find a request in logs.
+func newID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+// admit makes the checks that come before any wait.
+func (s *Server) admit(r *http.Request, q *request, in *input) *refusal {
+	if err := s.check(); err != nil {
+		return unavailable(s.now(), "lease", "this entry may not start work: "+err.Error())
+	}
+	if q.class.Deferrable && r.Method == http.MethodPost && (in.length < 0 || in.length > maxJobBody) {
+		return bad(http.StatusRequestEntityTooLarge, "job-size", "a deferrable request needs a Content-Length of at most %d", maxJobBody)
+	}
+	if err := in.hold(); err != nil {
+		return bad(http.StatusBadRequest, "body", "%v", err)
+	}
+	if s.poisoned(r, q, in) {
+		return &refusal{
+			status: http.StatusUnprocessableEntity, verdict: retry.NotRun, reason: "poison",
+			text: "this request failed on several workers that served others; it is not tried again for a while",
+		}
+	}
+	return nil
+}
+
+func (s *Server) finishRefused(w *output, r *http.Request, q *request, id string, ref *refusal) {
+	s.refuse(w, id, ref)
+	o := Observation{Verdict: ref.verdict, Status: ref.status, Reason: ref.reason}
+	if q != nil {
+		o.Service, o.Class, o.Tenant = q.service.Name, q.class.Name, q.tenant
+		o.Total = s.now().Sub(q.arrived)
+	}
+	s.observe(o)
+	s.cfg.Log.Debug("request refused", zap.String("id", id), zap.String("path", r.URL.Path),
+		zap.String("reason", ref.reason), zap.String("detail", ref.text))
+}
+
+func (s *Server) observe(o Observation) {
+	if s.cfg.Observer != nil {
+		s.cfg.Observer.Observe(o)
+	}
+}
+
+func fingerprint(r *http.Request, in *input) dedup.Fingerprint {
+	var body []byte
+	if in.whole {
+		body = in.held
+	}
+	return dedup.NewFingerprint(r.Method, r.URL.EscapedPath(), r.URL.RawQuery, in.length, body)
+}
+
+// poisonKey identifies a request for the detection of requests that can never run.
+// It includes the tenant, so that no tenant can keep others from being served.
+// A body that is not held as a whole gives no key: two different bodies would look the same.
+func poisonKey(r *http.Request, q *request, in *input) string {
+	if !in.whole {
+		return ""
+	}
+	f, _ := fingerprint(r, in).MarshalText()
+	return q.service.Name + "/" + q.tenant + "/" + string(f)
+}
+
+func (s *Server) poisoned(r *http.Request, q *request, in *input) bool {
+	key := poisonKey(r, q, in)
+	if key == "" {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Known(s.now(), key)
+}
+
+// reportPoison takes the outcome of an attempt and returns whether the request can never run.
+func (s *Server) reportPoison(key, vm string, failed bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Report(s.now(), vm, key, failed)
+}
+
+// errDeadline ends an attempt whose answer comes too late for the caller.
+var errDeadline = errors.New("the deadline has passed")
+
+// callerGone says whether the caller closed the connection.
+func callerGone(r *http.Request) bool { return errors.Is(context.Cause(r.Context()), context.Canceled) }
+
+func asRefusal(err error) (*sched.Refusal, bool) {
+	var ref *sched.Refusal
+	ok := errors.As(err, &ref)
+	return ref, ok
+}
--- /dev/null
+++ b/io/entry/job.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
+
+	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/core/retry"
+	"sassafrasvalve/io/proxy"
+)
+
+const jobPath = "/-/jobs/"
+
+// JobState is the state of a deferrable request.
+type JobState string
+
+// The states of a job.
+const (
+	JobQueued  JobState = "Queued"
+	JobRunning JobState = "Running"
+	JobDone    JobState = "Done"
+)
+
+// JobStatus is what a caller learns about a job.
+type JobStatus struct {
+	ID       string
+	State    JobState
+	Verdict  *retry.Verdict `json:",omitempty"` // once it is done
+	Status   int            `json:",omitempty"` // HTTP status of the worker's answer
+	Runs     int
+	Deadline time.Time
+}
+
+// unknownJob is the body of a 404. It carries no verdict: a job that is not known here may have run.
+type unknownJob struct {
+	ID     string
+	Detail string
+}
+
+// submit hands a deferrable request over to be run later.
+func (x *exchange) submit() {
+	if x.s.cfg.Jobs == nil {
+		x.refuse(unavailable(x.s.now(), "jobs", "this entry accepts no deferrable requests"))
+		return
+	}
+	if err := x.in.holdAll(); err != nil {
+		x.refuse(bad(http.StatusBadRequest, "body", "%v", err))
+		return
+	}
+	job := x.job()
+	if ref := x.claim(); ref != nil {
+		if ref.stored && ref.status == http.StatusAccepted {
+			x.accepted(job)
+			return
+		}
+		if ref.stored {
+			ref.job = job.ID
+		}
+		x.refuse(ref)
+		return
+	}
+	err := x.s.cfg.Jobs.Submit(x.r.Context(), job)
+	if err == nil {
+		x.accepted(job)
+		return
+	}
+	ref := unavailable(x.s.now(), "jobs", "the job was not accepted: "+err.Error())
+	if errors.Is(err, ErrOutcomeUnknown) || callerGone(x.r) {
+		ref.verdict, ref.job = retry.MayHaveRun, job.ID
+	} else if given, ok := asRefusal(err); ok {
+		ref.status, ref.retryAt = given.Status, given.RetryAt
+	}
+	x.refuse(ref)
+}
+
+// job returns the job of the request. The ID of a job with an idempotency key follows from
+// the key, so that a repeated request names the same job whatever became of the first.
+func (x *exchange) job() fleet.Job {
+	q := x.q
+	id := q.id
+	if q.key != "" {
+		id = uuid.NewSHA1(uuid.NameSpaceURL, []byte(q.tenant+"\x00"+q.service.Name+"\x00"+q.key)).String()
+	}
+	h := x.r.Header.Clone()
+	proxy.StripHop(h)
+	h.Del("Expect")
+	return fleet.Job{
+		ID: id, Service: q.service.Name, Class: q.class.Name, Tenant: q.tenant,
+		Idempotent: q.class.Idempotent, Deadline: q.deadline,
+		Request: fleet.JobRequest{Method: x.r.Method, Path: x.r.URL.RequestURI(), Header: h, Body: x.in.held},
+	}
+}
+
+// accepted answers 202. It carries no verdict, since the job is still to run.
+func (x *exchange) accepted(job fleet.Job) {
+	x.finish(retry.Ran, http.StatusAccepted)
+	h := x.w.Header()
+	h.Set("Location", jobPath+job.ID)
+	h.Set("Content-Type", "application/json")
+	x.w.WriteHeader(http.StatusAccepted)
+	_ = json.NewEncoder(x.w).Encode(JobStatus{ID: job.ID, State: JobQueued, Deadline: job.Deadline})
+}
+
+// getJob answers with the state of a job.
+func (s *Server) getJob(ctx iris.Context) {
+	id := ctx.Params().Get("id")
+	ctx.Header("Cache-Control", "no-store")
+	if s.cfg.Jobs != nil {
+		if st, ok := s.cfg.Jobs.Status(ctx.Request().Context(), id); ok {
+			_ = ctx.JSON(st)
+			return
+		}
+	}
+	ctx.StatusCode(http.StatusNotFound)
+	_ = ctx.JSON(unknownJob{ID: id, Detail: "no such job is known here; it may have been forgotten after its end"})
+}
--- /dev/null
+++ b/io/proxy/header.go
@@ -0,0 +1,104 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"sassafrasvalve/core/retry"
+)
+
+// HeaderPrefix begins all headers that this program defines.
+const HeaderPrefix = "Sassafrasvalve-"
+
+// HeaderRequestID carries the request's ID to the worker and to the caller.
+// A worker may repeat it in its answer; an answer with another ID is refused.
+const HeaderRequestID = HeaderPrefix + "Request-Id"
+
+// hopByHop lists the fields that concern one connection only (RFC 9110, section 7.6.1),
+// with the older ones that some peers still send.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// StripHop removes the fields that concern one connection only, those listed in Connection included.
+func StripHop(h http.Header) {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// StripOwn removes the headers that this program sets itself, so that
+// no peer can place its own copies in a message that passes through.
+func StripOwn(h http.Header) {
+	for name := range h {
+		switch {
+		case name == retry.HeaderVerdict, name == retry.HeaderNotRun, name == HeaderRequestID,
+			len(name) >= len(HeaderPrefix) && strings.EqualFold(name[:len(HeaderPrefix)], HeaderPrefix):
+			delete(h, name)
+		}
+	}
+}
+
+// requestHeader returns the header fields that the worker gets.
+func (f *Forwarder) requestHeader(a *Attempt) http.Header {
+	in := a.In
+	h := in.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	trailers := acceptsTrailers(h)
+	StripHop(h)
+	for _, name := range []string{retry.HeaderVerdict, retry.HeaderNotRun, "Content-Length"} {
+		h.Del(name)
+	}
+	h.Set(HeaderRequestID, a.ID)
+	if trailers {
+		h.Set("Te", "trailers")
+	}
+	h.Add("Via", fmt.Sprintf("%d.%d %s", in.ProtoMajor, in.ProtoMinor, f.cfg.Name))
+	if ip, _, err := net.SplitHostPort(in.RemoteAddr); err == nil {
+		if prior := h["X-Forwarded-For"]; len(prior) > 0 {
+			ip = strings.Join(prior, ", ") + ", " + ip
+		}
+		h.Set("X-Forwarded-For", ip)
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // keeps the transport from adding its own
+	}
+	if a.Length == 0 {
+		h.Del("Expect")
+		if _, ok := in.Header["Content-Length"]; ok || hasBody(in.Method) {
+			// The transport leaves Content-Length to its own framing, which would be chunked
+			// for a body of unknown length. The field is written as given under this spelling.
+			h["content-length"] = []string{"0"}
+		}
+	}
+	return h
+}
+
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+func acceptsTrailers(h http.Header) bool {
+	for _, v := range h["Te"] {
+		for part := range strings.SplitSeq(v, ",") {
+			name, _, _ := strings.Cut(part, ";")
+			if strings.EqualFold(textproto.TrimString(name), "trailers") {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/proxy/send_test.go
@@ -0,0 +1,270 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/retry"
+	"sassafrasvalve/fake/worker"
+)
+
+// send sends an attempt whose response is recorded.
+func send(f *Forwarder, addr, id, method, target, body string, header http.Header) (*Result, *httptest.ResponseRecorder) {
+	return sendCtx(context.Background(), f, Attempt{Addr: addr, ID: id}, method, target, body, header)
+}
+
+func sendCtx(ctx context.Context, f *Forwarder, a Attempt, method, target, body string, header http.Header) (*Result, *httptest.ResponseRecorder) {
+	a.In = httptest.NewRequest(method, target, strings.NewReader(body))
+	if header != nil {
+		a.In.Header = header
+	}
+	a.Body, a.Length = strings.NewReader(body), int64(len(body))
+	res := f.Send(ctx, a)
+	rec := httptest.NewRecorder()
+	if res.Err == nil {
+		res.CopyTo(rec)
+	}
+	return res, rec
+}
+
+func startWorker(t *testing.T, cfg worker.Config) *worker.Server {
+	t.Helper()
+	w, err := worker.Start(cfg)
+	assert.NilError(t, err)
+	t.Cleanup(w.Close)
+	return w
+}
+
+func startForwarder(t *testing.T, cfg Config) *Forwarder {
+	t.Helper()
+	f := New(cfg)
+	t.Cleanup(f.Close)
+	return f
+}
+
+// closing is an upstream that answers the first request of a connection and closes it on the second.
+type closing struct {
+	ln   net.Listener
+	seen atomic.Int64
+}
+
+func startClosing(t *testing.T) *closing {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	u := &closing{ln: ln}
+	t.Cleanup(func() { _ = ln.Close() })
+	go u.run()
+	return u
+}
+
+func (u *closing) run() {
+	for {
+		c, err := u.ln.Accept()
+		if err != nil {
+			return
+		}
+		go u.serve(c)
+	}
+}
+
+func (u *closing) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		u.seen.Add(1)
+		if n == 1 {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// Guards against the transport's silent replay of a request on a reused connection that closes before
+// the response: the upstream must see each attempt once.
+func TestNoSilentReplayOnReusedConnection(t *testing.T) {
+	for name, c := range map[string]struct{ method, body, key string }{
+		"POST without body":                   {"POST", "", ""},
+		"POST without body, key":              {"POST", "", "Idempotency-Key"},
+		"POST without body, X key":            {"POST", "", "X-Idempotency-Key"},
+		"POST with body and key":              {"POST", "hold lane 4", "Idempotency-Key"},
+		"GET":                                 {"GET", "", ""},
+		"DELETE without body, key":            {"DELETE", "", "Idempotency-Key"},
+		"HEAD with key on a reused connectio": {"HEAD", "", "Idempotency-Key"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startClosing(t)
+			f := startForwarder(t, Config{})
+			h := http.Header{}
+			if c.key != "" {
+				h.Set(c.key, "k1")
+			}
+			first, _ := send(f, u.ln.Addr().String(), "a", "POST", "/", "", http.Header{})
+			assert.Equal(t, first.Verdict, retry.Ran)
+			second, _ := send(f, u.ln.Addr().String(), "b", c.method, "/", c.body, h)
+			assert.Equal(t, second.Verdict, retry.MayHaveRun)
+			time.Sleep(20 * time.Millisecond)
+			assert.Equal(t, u.seen.Load(), int64(2))
+		})
+	}
+}
+
+// Guards against a false not-run or a false may-have-run where nothing was sent.
+func TestNotRunIsProvedWhenNothingWasSent(t *testing.T) {
+	w := startWorker(t, worker.Config{})
+	f := startForwarder(t, Config{})
+	lapsed := errors.New("lease lapsed")
+	for range 2 { // on a fresh connection and after one was used
+		res, _ := sendCtx(context.Background(), f, Attempt{Addr: w.Addr(), ID: "a", Check: func() error { return lapsed }}, "POST", "/", "x", nil)
+		assert.Equal(t, res.Verdict, retry.NotRun)
+		assert.ErrorIs(t, res.Err, lapsed)
+		assert.Equal(t, w.Counts().Ran, 0)
+		_, _ = send(f, w.Addr(), "ok", "GET", "/", "", nil)
+		w = startWorker(t, worker.Config{})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	res, _ := sendCtx(ctx, f, Attempt{Addr: w.Addr(), ID: "b"}, "POST", "/", "x", nil)
+	assert.Equal(t, res.Verdict, retry.NotRun)
+	addr := w.Addr()
+	w.Close()
+	res, _ = send(f, addr, "c", "POST", "/", "x", nil)
+	assert.Equal(t, res.Verdict, retry.NotRun)
+	assert.Equal(t, w.Counts().Ran, 0)
+}
+
+// Guards against passing on a response that is truncated, of the wrong length, unverifiable or another request's.
+func TestVerdictsOfBadResponses(t *testing.T) {
+	w := startWorker(t, worker.Config{})
+	f := startForwarder(t, Config{})
+	for kind, want := range map[worker.Kind]struct {
+		verdict retry.Verdict
+		early   bool // no response reaches the caller
+	}{
+		worker.KindTruncate:   {retry.MayHaveRun, false},
+		worker.KindTruncChunk: {retry.MayHaveRun, false},
+		worker.KindShort:      {retry.MayHaveRun, false},
+		worker.KindUnframed:   {retry.MayHaveRun, true},
+		worker.KindSwitch:     {retry.MayHaveRun, true},
+		worker.KindClose:      {retry.MayHaveRun, true},
+		worker.KindCrossed:    {retry.MayHaveRun, true},
+		worker.KindRefuse:     {retry.NotRun, true},
+		worker.KindBadRefusal: {retry.Ran, false},
+		worker.KindFail:       {retry.Ran, false},
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			res, rec := send(f, w.Addr(), "id", "POST", "/", "x", http.Header{worker.HeaderFault: {string(kind)}})
+			assert.Equal(t, res.Verdict, want.verdict, "%v", res.Err)
+			assert.Equal(t, res.Err != nil, want.verdict != retry.Ran)
+			assert.Equal(t, rec.Body.Len() == 0, want.early)
+		})
+	}
+}
+
+// Guards against an answer crossing over to the next request of a connection on which
+// a worker wrote more than one response or more than its length said.
+func TestLeftoverBytesNeverAnswerTheNextRequest(t *testing.T) {
+	w := startWorker(t, worker.Config{})
+	for _, kind := range []worker.Kind{worker.KindDouble, worker.KindLong, worker.KindLateDouble} {
+		f := startForwarder(t, Config{Connections: 1})
+		for range 100 {
+			res, _ := send(f, w.Addr(), "first", "GET", "/", "", http.Header{worker.HeaderFault: {string(kind)}})
+			assert.Equal(t, res.Verdict, retry.Ran)
+			if kind == worker.KindLateDouble {
+				time.Sleep(25 * time.Millisecond) // the late answer arrives on an idle connection
+			}
+			before := w.Counts().IDs["second"]
+			res, rec := send(f, w.Addr(), "second", "GET", "/", "", nil)
+			if res.Verdict == retry.Ran {
+				assert.Equal(t, rec.Header().Get("X-Second"), "")
+				assert.Assert(t, strings.Contains(rec.Body.String(), `"ID":"second"`), rec.Body.String())
+			}
+			if res.Verdict == retry.NotRun {
+				assert.Equal(t, w.Counts().IDs["second"], before)
+			}
+			if kind == worker.KindLateDouble && w.Counts().Ran > 210 {
+				break
+			}
+		}
+	}
+}
+
+// Guards against more connections to a worker than allowed, and against waiting dials that outlive their attempt.
+func TestConnectionsStayWithinTheLimit(t *testing.T) {
+	w := startWorker(t, worker.Config{Slots: 100})
+	f := startForwarder(t, Config{Connections: 6})
+	burst := func(n int) {
+		done := make(chan retry.Verdict, n)
+		for range n {
+			go func() {
+				res, _ := send(f, w.Addr(), "x", "POST", "/", "x", http.Header{worker.HeaderLatency: {"10ms"}})
+				done <- res.Verdict
+			}()
+		}
+		for range n {
+			assert.Equal(t, <-done, retry.Ran)
+		}
+	}
+	burst(40)
+	assert.Assert(t, w.Counts().MaxConnections <= 6, "%d", w.Counts().MaxConnections)
+	f.SetConnections(2)
+	burst(10)
+	assert.Assert(t, f.Open(w.Addr()) <= 2, "%d", f.Open(w.Addr()))
+}
+
+// Guards against a cancelled attempt leaving its connection to the next request, whose
+// answer would then be the late one.
+func TestCancelledAttemptClosesItsConnection(t *testing.T) {
+	w := startWorker(t, worker.Config{})
+	f := startForwarder(t, Config{})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	res, _ := sendCtx(ctx, f, Attempt{Addr: w.Addr(), ID: "late"}, "POST", "/", "x", http.Header{worker.HeaderLatency: {"1s"}})
+	assert.Equal(t, res.Verdict, retry.MayHaveRun)
+	assert.Equal(t, f.Open(w.Addr()), 0)
+}
+
+// Guards against a proxy from the environment, added encodings and followed redirects.
+func TestTransportAddsNothing(t *testing.T) {
+	t.Setenv("HTTP_PROXY", "http://127.0.0.1:1")
+	got := make(chan *http.Request, 1)
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got <- r
+		w.Header().Set("Location", "/elsewhere")
+		w.Header().Set("Content-Encoding", "gzip")
+		w.WriteHeader(http.StatusFound)
+		_, _ = w.Write([]byte("not really gzip"))
+	}))
+	defer up.Close()
+	h := http.Header{
+		"Connection": {"close, X-Drop"}, "X-Drop": {"1"}, "Keep-Alive": {"1"}, "Te": {"gzip, trailers;q=0.5"}, "Upgrade": {"h2c"},
+		"Proxy-Authorization": {"secret"}, "X-Forwarded-For": {"10.1.1.1"}, "Via": {"1.0 edge"}, "Sassafrasvalve-Verdict": {"ran"},
+	}
+	res, rec := send(startForwarder(t, Config{}), up.Listener.Addr().String(), "id7", "POST", "/a%2Fb//c?x=1&y=%20", "", h)
+	assert.Equal(t, res.Verdict, retry.Ran)
+	assert.Equal(t, rec.Code, http.StatusFound)
+	assert.Equal(t, rec.Body.String(), "not really gzip")
+	r := <-got
+	assert.Equal(t, r.RequestURI, "/a%2Fb//c?x=1&y=%20")
+	assert.DeepEqual(t, r.Header, http.Header{
+		"Te": {"trailers"}, "Via": {"1.0 edge", "1.1 sassafrasvalve"}, "X-Forwarded-For": {"10.1.1.1, 192.0.2.1"},
+		"Content-Length": {"0"}, "Sassafrasvalve-Request-Id": {"id7"},
+	})
+	assert.Equal(t, len(r.TransferEncoding), 0)
+}
