config: Read the configuration folder and the settings

Cause: operators keep the configuration as several small files that refine one another, and must see every fault with its file and line before anything is sent.

Ruled out: decoding with the strict mode of the TOML library, because it stops at the first wrong type, does not merge files by element and gives no position for a merged value.

Reading goes on after syntax errors, wrong types and unknown keys. A mistyped key is reported and taken for the one it most likely stands for, and problems that follow from a value that could not be read are left out, so that the report holds causes only.

--- a/core/near/near.go
+++ b/core/near/near.go
@@ -10,26 +10,39 @@
 const maxLength = 64
 
 // Best returns the candidate closest to word, or "" if none is close.
-// Letter case counts for nothing. Up to a third of the word may differ.
+// Letter case counts for nothing. Up to a third of the word may differ, or one word
+// begins with the other.
 // Among equally close candidates the first in alphabetical order is returned.
 func Best(word string, candidates []string) string {
 	w := []rune(strings.ToLower(word))
 	if len(w) > maxLength {
 		return ""
 	}
-	best, bestDistance := "", max(1, len(w)/3)+1
+	best, bestDistance := "", max(1, (len(w)+1)/3)+1
 	for _, c := range slices.Sorted(slices.Values(candidates)) {
 		r := []rune(strings.ToLower(c))
 		if len(r) > maxLength || len(r) <= 1 {
 			continue
 		}
-		if d := distance(w, r); d < bestDistance {
+		d := distance(w, r)
+		if isPrefix(w, r) || isPrefix(r, w) {
+			d = min(d, 1)
+		}
+		if d < bestDistance {
 			best, bestDistance = c, d
 		}
 	}
 	return best
 }
 
+// minPrefix is the length in runes from which a word counts as the beginning of another.
+const minPrefix = 3
+
+// isPrefix says whether a is a beginning of b that is long enough to tell.
+func isPrefix(a, b []rune) bool {
+	return len(a) >= minPrefix && strings.HasPrefix(string(b), string(a))
+}
+
 // Hint returns a sentence that proposes the closest candidate, or the known ones if none is close.
 func Hint(word string, candidates []string) string {
 	if c := Best(word, candidates); c != "" {
--- a/core/spec/validate.go
+++ b/core/spec/validate.go
@@ -21,6 +21,7 @@
 	MaxWeight      = 1000           // of a tenant
 	MaxRate        = 100000         // requests a second of a tenant
 	MaxBurst       = 1000000        // requests of a tenant
+	MaxElements    = 1000           // of each kind; the target is 29 pools and 25 tenants
 	MaxNameLength  = 63             // bytes; names appear in headers and metrics
 )
 
@@ -88,6 +89,9 @@
 
 // names checks the form of the names of a kind and that each is used once.
 func (c *checker) names(kind string, names []string) {
+	if len(names) > MaxElements {
+		c.add(kind, fmt.Sprintf("%d elements are too many: configure at most %d", len(names), MaxElements))
+	}
 	seen := map[string]bool{}
 	for _, n := range names {
 		switch {
@@ -195,7 +199,7 @@
 		case s.Pool == "":
 			e.bad("Pool", "the service is placed on no pool: set Pool")
 		case !ok:
-			e.bad("Pool", fmt.Sprintf("pool %q does not exist: %s", s.Pool, near.Hint(s.Pool, pools)))
+			e.bad("Pool", fmt.Sprintf("pool %q does not exist: %s", s.Pool, near.Hint(s.Pool, pools)), KindPools)
 		}
 		if e.budgetRanges(s.Budget) && ok && pool.Size > 0 {
 			e.budget(s.Budget, pool)
@@ -215,18 +219,18 @@
 // A service that cannot spare a VM could never be maintained.
 func (e element) budget(b Budget, p Pool) {
 	related := []string{PathOf(KindPools, p.Name, "Size")}
+	if b.MinAvailable > p.Size {
+		e.bad("Budget.MinAvailable", fmt.Sprintf("%d VMs can never be active: pool %q has %d; set MinAvailable to at most %d or enlarge the pool",
+			b.MinAvailable, p.Name, p.Size, p.Size-1), related...)
+	}
 	if b.MaxUnavailable > 0 {
 		related = append(related, e.at("Budget.MaxUnavailable"))
 	}
-	switch {
-	case b.MinAvailable > p.Size:
-		e.bad("Budget.MinAvailable", fmt.Sprintf("%d VMs can never be active: pool %q has %d; set MinAvailable to at most %d or enlarge the pool",
-			b.MinAvailable, p.Name, p.Size, p.Size-1), related...)
-	case b.MinAvailable == p.Size:
+	if b.MinAvailable == p.Size {
 		e.bad("Budget.MinAvailable", fmt.Sprintf("no VM of the %d in pool %q can ever be drained%s: set MinAvailable to at most %d or enlarge the pool",
 			p.Size, p.Name, b.despite(), p.Size-1), related...)
 	}
-	if b.MinAvailablePercent > 0 && (b.MinAvailablePercent*p.Size+99)/100 >= p.Size {
+	if b.MinAvailablePercent > 0 && (Budget{MinAvailablePercent: b.MinAvailablePercent}).Room(p.Size) < 1 {
 		e.bad("Budget.MinAvailablePercent", fmt.Sprintf("%d%% of the %d VMs in pool %q, rounded up, is all of them, so none can ever be drained%s: "+
 			"set at most %d or enlarge the pool", b.MinAvailablePercent, p.Size, p.Name, b.despite(), 100*(p.Size-1)/p.Size), related...)
 	}
@@ -250,7 +254,7 @@
 			sum += k.Share
 			related = append(related, PathOf(KindClasses, k.Name, "Share"))
 		}
-		c.rank(k, c.fleet.Classes[:i])
+		c.rank(k, c.fleet.Classes[:min(i, MaxElements)])
 	}
 	if sum > 1+shareTolerance {
 		c.add(KindClasses, fmt.Sprintf("the shares add up to %.4g, more than the whole: lower them to at most 1 together", sum), related...)
@@ -280,7 +284,8 @@
 		slots := p.Size * p.Slots
 		if slots > 0 && k.Ceiling*float64(slots) < 1 && len(e.fleet.ServicesOn(p.Name)) > 0 {
 			e.bad("Ceiling", fmt.Sprintf("%v of the %d slots of pool %q is less than one, so the class never runs there: raise Ceiling to at least %.2g",
-				k.Ceiling, slots, p.Name, math.Ceil(100/float64(slots))/100), PathOf(KindPools, p.Name, "Size"))
+				k.Ceiling, slots, p.Name, math.Ceil(100/float64(slots))/100),
+				PathOf(KindPools, p.Name, "Size"), PathOf(KindPools, p.Name, "Slots"))
 		}
 	}
 }
@@ -310,14 +315,17 @@
 		if o.Rank != k.Rank || o.Name == k.Name {
 			continue
 		}
-		path, other := PathOf(KindClasses, k.Name, "Rank"), PathOf(KindClasses, o.Name, "Rank")
+		path := PathOf(KindClasses, k.Name, "Rank")
+		others := func(field string) []string {
+			return []string{PathOf(KindClasses, o.Name, "Rank"), PathOf(KindClasses, o.Name, field), PathOf(KindClasses, k.Name, field)}
+		}
 		switch {
 		case o.Deferrable != k.Deferrable:
 			c.add(path, fmt.Sprintf("rank %d is also that of class %q, but only one of them is deferrable: "+
-				"give the deferrable class a larger rank", k.Rank, o.Name), other)
+				"give the deferrable class a larger rank", k.Rank, o.Name), others("Deferrable")...)
 		case o.Share == 0 && k.Share == 0:
 			c.add(path, fmt.Sprintf("rank %d is also that of class %q and neither has a share, so nothing decides which goes first: "+
-				"give them different ranks or a share", k.Rank, o.Name), other)
+				"give them different ranks or a share", k.Rank, o.Name), others("Share")...)
 		}
 	}
 }
--- /dev/null
+++ b/io/config/scan.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"slices"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// maxSyntaxErrors bounds the syntax errors reported of one file. Each one costs
+// a restart of the parser, and one unclosed quote may cause many.
+const maxSyntaxErrors = 20
+
+// scanner steps through the statements of a TOML file. After a syntax error
+// it goes on at the next line, so that all errors are found at once.
+type scanner struct {
+	file   string
+	data   []byte
+	breaks []int // offsets of the newlines
+	parser unstable.Parser
+	base   int // offset of the parser's input in data
+	errors int
+}
+
+// newScanner returns a scanner of a file's content.
+func newScanner(file string, data []byte) *scanner {
+	s := &scanner{file: file, data: data}
+	for i, c := range data {
+		if c == '\n' {
+			s.breaks = append(s.breaks, i)
+		}
+	}
+	s.parser.Reset(data)
+	return s
+}
+
+// next returns the next statement, or a syntax error and its line. It returns neither at the end.
+func (s *scanner) next() (*unstable.Node, int, error) {
+	if s.parser.NextExpression() {
+		return s.parser.Expression(), 0, nil
+	}
+	err := s.parser.Error()
+	if err == nil {
+		return nil, 0, nil
+	}
+	offset := s.base
+	if perr := (*unstable.ParserError)(nil); errors.As(err, &perr) {
+		offset += int(s.parser.Range(perr.Highlight).Offset)
+	}
+	line := s.line(offset)
+	s.restart(offset)
+	return nil, line, err
+}
+
+// restart moves the parser to the line after offset.
+func (s *scanner) restart(offset int) {
+	s.errors++
+	end := bytes.IndexByte(s.data[offset:], '\n')
+	if end < 0 || s.errors >= maxSyntaxErrors {
+		s.base = len(s.data)
+	} else {
+		s.base = offset + end + 1
+	}
+	s.parser.Reset(s.data[s.base:])
+}
+
+// line returns the line of an offset in the file.
+func (s *scanner) line(offset int) int {
+	i, _ := slices.BinarySearch(s.breaks, offset)
+	return i + 1
+}
+
+// place returns the place of a node that has a position.
+func (s *scanner) place(n *unstable.Node) Place {
+	return Place{File: s.file, Line: s.line(s.base + int(n.Raw.Offset))}
+}
