cmds: Add the command line

Cause: operators check, compare and apply the configuration, and show and change the fleet, against any entry.

Change: commands of the page with urfave/cli; exit codes 0 ok, 1 failed or rejected, 2 usage or invalid configuration, 3 unknown outcome, 4 no entry reachable. The daemon and the demo are handed in as Runners. Texts from the log reach the terminal without control characters.

Checks that can fail: nine single changes (no second try at a single entry, a refusal after a lost answer taken as final, a decision without the record's ID accepted, an unreachable entry taken as unknown, unescaped IDs, the first instead of the furthest answer when settling, silent entries waited for, control characters let through, another exit code) each made a script fail; two of them were first written so that they did not compile and were repeated.

Conclusion: every command has a script against a stand-in entry; none has run against a real one yet.

--- a/cmd/sassafrasvalve/main.go
+++ b/cmd/sassafrasvalve/main.go
@@ -1,6 +1,12 @@
 // Command sassafrasvalve runs an entry and drives the fleet.
 package main
 
-import "fmt"
+import (
+	"os"
 
-func main() { fmt.Println("sassafrasvalve") }
+	"sassafrasvalve/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Main(os.Args, cmds.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, cmds.Runners{}))
+}
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -67,6 +68,42 @@
 	return get[RecordStatus](ctx, c, withID(PathRecord, id))
 }
 
+// Settle asks the entries in turn until one knows the outcome of a record.
+// If none does, it returns the answer of the one that has folded most of the log.
+func (c *Client) Settle(ctx context.Context, id string) (RecordStatus, error) {
+	var best RecordStatus
+	var causes []error
+	answered := false
+	for _, entry := range c.entries {
+		var r RecordStatus
+		if err := c.do(ctx, entry, http.MethodGet, withID(PathRecord, id), nil, &r); err != nil {
+			causes = append(causes, err)
+			continue
+		}
+		if r.Outcome == Accepted || r.Outcome == Rejected {
+			return r, nil
+		}
+		if !answered || r.Through > best.Through {
+			best, answered = r, true
+		}
+	}
+	if !answered {
+		return best, settleError(causes)
+	}
+	best.ID, best.Outcome = id, Unknown
+	return best, nil
+}
+
+// settleError returns the last answer of an entry, or that none was reached.
+func settleError(causes []error) error {
+	for _, err := range slices.Backward(causes) {
+		if answer := (*AnswerError)(nil); errors.As(err, &answer) {
+			return answer
+		}
+	}
+	return &UnreachableError{Causes: causes}
+}
+
 // VMs returns every VM.
 func (c *Client) VMs(ctx context.Context) (VMList, error) { return get[VMList](ctx, c, PathVMs) }
 
