bench: Add the experiment driver and the first policies

Cause: the sharing policy has to be chosen by measurement. Ruled out: a tick model (it hides message delays below the tick) and a run of real processes (noise of the machine is larger than the differences). Change: a discrete-event driver over slots.Owner, slots.Holder and admit.Queue with arrivals, run times, message delays, losses and failures; svbench load.

--- /dev/null
+++ b/bench/policy.go
@@ -0,0 +1,49 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"sassafrasvalve/core/slots"
+)
+
+// Kind is the way in which slots are divided.
+type Kind int
+
+// The kinds of policies.
+const (
+	KindLeases  Kind = iota // slots.Owner and slots.Holder
+	KindStatic              // home slots only
+	KindCentral             // one queue per pool, without delay
+	KindRandom              // each entry sends at once to a random worker, which queues
+)
+
+// Policy is a way to divide slots, with its settings.
+type Policy struct {
+	Name  string
+	Kind  Kind
+	Slots slots.Policy
+}
+
+// Policies returns the reference policies and each version of our own.
+func Policies() []Policy {
+	return []Policy{
+		{Name: "fifo", Kind: KindRandom},
+		{Name: "static", Kind: KindStatic},
+		{Name: "central", Kind: KindCentral},
+		{Name: "demand", Slots: slots.Policy{NoRecall: true}},
+		{Name: "slow", Slots: slots.Policy{Fast: 250 * time.Millisecond}},
+		{Name: "recall", Slots: slots.Policy{}},
+	}
+}
+
+func policy(name string) (Policy, error) {
+	var names []string
+	for _, p := range Policies() {
+		if p.Name == name {
+			return p, nil
+		}
+		names = append(names, p.Name)
+	}
+	return Policy{}, fmt.Errorf("policy %q does not exist; there are %v", name, names)
+}
--- /dev/null
+++ b/bench/random.go
@@ -0,0 +1,59 @@
+package bench
+
+import "time"
+
+// randomEngine is the reference without any sharing: each entry sends a
+// request at once to a random worker, which queues what exceeds its slots.
+type randomEngine struct {
+	w       *world
+	waiting []int // per pool
+}
+
+func newRandomEngine(w *world) *randomEngine {
+	e := &randomEngine{w: w, waiting: make([]int, len(w.pools))}
+	for i, p := range w.pools {
+		p.queued = func() int { return e.waiting[i] }
+	}
+	return e
+}
+
+func (e *randomEngine) arrive(_ int, r *request) {
+	p := e.w.pools[r.pool]
+	k := p.byName[p.view[e.w.rng.IntN(len(p.view))]]
+	begin := func() {
+		e.w.stats.started(e.w.now, r)
+		p.run(k, r, func(ok bool) { e.ended(p, k, r, ok) })
+		p.account()
+	}
+	if k.use < e.w.fleet.Slots || k.lost {
+		begin()
+		return
+	}
+	e.waiting[r.pool]++
+	k.queue = append(k.queue, begin)
+	p.account()
+}
+
+func (e *randomEngine) ended(p *pool, k *worker, r *request, ok bool) {
+	if len(k.queue) > 0 && k.use < e.w.fleet.Slots {
+		begin := k.queue[0]
+		k.queue = k.queue[1:]
+		e.waiting[r.pool]--
+		begin()
+	}
+	p.account()
+	if ok {
+		e.w.stats.ended(e.w.now, r, outcomeDone)
+		return
+	}
+	r.tried = append(r.tried, k.name)
+	if len(r.tried) >= maxAttempts {
+		e.w.stats.ended(e.w.now, r, outcomeFailed)
+		return
+	}
+	e.arrive(0, r)
+}
+
+func (e *randomEngine) viewChanged()              {}
+func (e *randomEngine) lose(int)                  {}
+func (e *randomEngine) freeze(int, time.Duration) {}
--- /dev/null
+++ b/cmd/svbench/main.go
@@ -0,0 +1,68 @@
+// Command svbench runs the experiments of package bench.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"sassafrasvalve/bench"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "svbench",
+		Usage: "run experiments with the decision code on a simulated clock",
+		Commands: []*cli.Command{{
+			Name:  "load",
+			Usage: "measure admission and slot sharing under load and failures",
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: "fleet", Value: "all", Usage: "fleets, separated by commas"},
+				&cli.StringFlag{Name: "scenario", Value: "all", Usage: "scenarios, separated by commas"},
+				&cli.StringFlag{Name: "policy", Value: "all", Usage: "policies, separated by commas"},
+				&cli.StringFlag{Name: "spread", Value: "all", Usage: "spread of arrivals over entries: even, skewed"},
+				&cli.IntFlag{Name: "seeds", Value: 5, Usage: "runs per combination"},
+				&cli.IntFlag{Name: "parallel", Value: 3, Usage: "runs at once"},
+				&cli.BoolFlag{Name: "tenants", Usage: "show a line per tenant"},
+				&cli.StringFlag{Name: "csv", Usage: "write all rows to this file"},
+			},
+			Action: load,
+		}},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "svbench:", err)
+		os.Exit(1)
+	}
+}
+
+func load(_ context.Context, cmd *cli.Command) error {
+	rs, err := bench.Load(bench.Options{
+		Fleets: bench.Split(cmd.String("fleet")), Scenarios: bench.Split(cmd.String("scenario")),
+		Policies: bench.Split(cmd.String("policy")), Spreads: bench.Split(cmd.String("spread")),
+		Seeds: cmd.Int("seeds"), Parallel: cmd.Int("parallel"),
+	})
+	if err != nil {
+		return err
+	}
+	if path := cmd.String("csv"); path != "" {
+		if err := writeCSV(path, rs); err != nil {
+			return err
+		}
+	}
+	return bench.WriteTable(os.Stdout, rs, cmd.Bool("tenants"))
+}
+
+func writeCSV(path string, rs []bench.Result) (err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if cerr := f.Close(); err == nil {
+			err = cerr
+		}
+	}()
+	return bench.WriteCSV(f, rs)
+}
--- a/core/slots/view.go
+++ b/core/slots/view.go
@@ -17,6 +17,12 @@
 	DefaultGap  = 10 * time.Millisecond
 )
 
+// Times of the transport that carries reports.
+const (
+	BatchWindow     = 15 * time.Millisecond  // reports due this soon travel with an earlier one
+	ExchangeTimeout = 250 * time.Millisecond // a lost reply delays the next report by no more
+)
+
 // Policy holds the settings of slot sharing. All entries use the same.
 type Policy struct {
 	TTL      time.Duration // life of a lease after the report that it answers
--- a/io/sched/set.go
+++ b/io/sched/set.go
@@ -15,12 +15,7 @@
 	Exchange(ctx context.Context, owner string, reports []slots.Report) ([]slots.Reply, error)
 }
 
-// Times of the exchange.
-const (
-	examinePeriod   = 100 * time.Millisecond // queued requests are examined at least this often
-	batchWindow     = 15 * time.Millisecond  // reports due this soon travel with an earlier one
-	exchangeTimeout = 250 * time.Millisecond // a lost reply delays the next report by no more
-)
+const examinePeriod = 100 * time.Millisecond // queued requests are examined at least this often
 
 // SetConfig is the settings of a Set.
 type SetConfig struct {
@@ -200,7 +195,7 @@
 	var reports []slots.Report
 	var from []*Pool
 	for _, p := range pools {
-		if due, _ := p.tick(now); due.After(now.Add(batchWindow)) {
+		if due, _ := p.tick(now); due.After(now.Add(slots.BatchWindow)) {
 			continue
 		}
 		if r, ok := p.report(now, l.owner); ok {
@@ -210,7 +205,7 @@
 	if len(reports) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, slots.ExchangeTimeout)
 	defer cancel()
 	replies, err := s.cfg.Exchanger.Exchange(ctx, l.owner, reports)
 	if err != nil {
