slots: Keep half of the idle slots with the owner

Cause: at mean load urgent p99 is 0.100 s although slots are idle: they are lent to entries that do not need them and must be taken back first. Change: Policy.Lend; slots are lent ahead of demand to where requests arrive; NoReserve keeps the earlier version.

--- a/bench/policy.go
+++ b/bench/policy.go
@@ -31,9 +31,10 @@
 		{Name: "fifo", Kind: KindRandom},
 		{Name: "static", Kind: KindStatic},
 		{Name: "central", Kind: KindCentral},
-		{Name: "demand", Slots: slots.Policy{NoRecall: true}},
-		{Name: "slow", Slots: slots.Policy{Fast: 250 * time.Millisecond}},
-		{Name: "recall", Slots: slots.Policy{}},
+		{Name: "demand", Slots: slots.Policy{NoRecall: true, NoReserve: true}},
+		{Name: "slow", Slots: slots.Policy{Fast: 250 * time.Millisecond, NoReserve: true}},
+		{Name: "recall", Slots: slots.Policy{NoReserve: true}},
+		{Name: "reserve", Slots: slots.Policy{}},
 	}
 }
 
--- a/core/slots/owner.go
+++ b/core/slots/owner.go
@@ -251,7 +251,12 @@
 	case have < want:
 		o.raise(limits, free, want-have)
 	case have > want:
-		recall = o.lower(p, limits, min(have-want, t.needed(p, free)))
+		needed := t.needed(p, free)
+		if o.policy.NoReserve {
+			recall = o.lower(p, limits, min(have-want, needed))
+		} else {
+			recall = min(o.lower(p, limits, have-want), needed)
+		}
 	}
 	if o.policy.NoRecall {
 		recall = 0
--- a/core/slots/target.go
+++ b/core/slots/target.go
@@ -57,12 +57,7 @@
 		}
 		left -= n
 	}
-	// Idle slots are spread evenly, so that new arrivals find one at any entry.
-	even := make([]float64, len(peers))
-	for i := range even {
-		even[i] = 1
-	}
-	for i, k := range divide(max(0, left), even) {
+	for i, k := range o.ahead(max(0, left), peers) {
 		t.holder[peers[i]] += k
 	}
 	for _, p := range peers {
@@ -71,6 +66,22 @@
 	return t
 }
 
+// ahead divides idle slots that are lent ahead of demand. The others stay with
+// the owner for the first entry that runs out of slots.
+func (o *Owner) ahead(idle int, peers []*peer) []int {
+	weights := make([]float64, len(peers))
+	for i, p := range peers {
+		weights[i] = 1
+		if !o.policy.NoReserve {
+			weights[i] += float64(sum(p.run) + sum(p.wait))
+		}
+	}
+	if !o.policy.NoReserve {
+		idle = int(o.policy.Lend * float64(idle))
+	}
+	return divide(idle, weights)
+}
+
 // allot returns how many of total slots each class should have in use.
 func (o *Owner) allot(total int, peers []*peer) []int {
 	n := len(o.view.Classes)
--- a/core/slots/view.go
+++ b/core/slots/view.go
@@ -15,6 +15,7 @@
 	DefaultSlow = 250 * time.Millisecond
 	DefaultFast = 50 * time.Millisecond
 	DefaultGap  = 10 * time.Millisecond
+	DefaultLend = 0.5
 )
 
 // Times of the transport that carries reports.
@@ -25,11 +26,13 @@
 
 // Policy holds the settings of slot sharing. All entries use the same.
 type Policy struct {
-	TTL      time.Duration // life of a lease after the report that it answers
-	Slow     time.Duration // period of reports while nothing waits
-	Fast     time.Duration // period of reports while there is backlog
-	Gap      time.Duration // shortest time between two reports
-	NoRecall bool          // slots in use are never recalled
+	TTL       time.Duration // life of a lease after the report that it answers
+	Slow      time.Duration // period of reports while nothing waits
+	Fast      time.Duration // period of reports while there is backlog
+	Gap       time.Duration // shortest time between two reports
+	NoRecall  bool          // slots in use are never recalled
+	NoReserve bool          // all idle slots are lent, evenly, and taken back only when needed
+	Lend      float64       // part of the idle slots that is lent ahead of demand; the owner keeps the others at hand
 }
 
 func (p Policy) withDefaults() Policy {
@@ -42,6 +45,9 @@
 	if p.Fast <= 0 {
 		p.Fast = DefaultFast
 	}
+	if p.Lend <= 0 {
+		p.Lend = DefaultLend
+	}
 	if p.Gap <= 0 {
 		p.Gap = DefaultGap
 	}
