--- a/core/fleet/budget.go
+++ b/core/fleet/budget.go
@@ -58,7 +58,7 @@
 	slack int
 }
 
-func bounds(b spec.Budget, c poolCount, dc string) []bound {
+func bounds(b spec.Budget, c poolCount) []bound {
 	var out []bound
 	if b.MinAvailable > 0 {
 		out = append(out, bound{fmt.Sprintf("MinAvailable %d", b.MinAvailable), c.active - b.MinAvailable})
@@ -70,23 +70,33 @@
 	if b.MaxUnavailable > 0 {
 		out = append(out, bound{fmt.Sprintf("MaxUnavailable %d", b.MaxUnavailable), b.MaxUnavailable - (c.total - c.active)})
 	}
-	if b.MaxUnavailablePerDC > 0 && dc != "" {
-		name := fmt.Sprintf("MaxUnavailablePerDC %d in %s", b.MaxUnavailablePerDC, dc)
-		out = append(out, bound{name, b.MaxUnavailablePerDC - c.outDC[dc]})
+	return out
+}
+
+func dcBounds(b spec.Budget, c poolCount) []bound {
+	var out []bound
+	for _, dc := range sortedKeys(c.outDC) {
+		if b.MaxUnavailablePerDC > 0 {
+			name := fmt.Sprintf("MaxUnavailablePerDC %d in %s", b.MaxUnavailablePerDC, dc)
+			out = append(out, bound{name, b.MaxUnavailablePerDC - c.outDC[dc]})
+		}
 	}
 	return out
 }
 
-// checkChange returns an error if a voluntary change of the pool makes a budget worse and broken.
-// A change that leaves a broken bound as it is passes, so that VMs can return after failures.
-func (s *State) checkChange(pool, dc string, before, after poolCount) error {
+// checkChange returns an error if a voluntary change takes an active VM from the pool and a budget
+// is broken after it, even in another data centre: after a large failure voluntary acts stop.
+// A change that takes none always passes, so that VMs can return after failures.
+func (s *State) checkChange(pool string, before, after poolCount) error {
+	if after.active >= before.active {
+		return nil
+	}
 	for _, svc := range s.Config.Fleet.Services {
 		if svc.Pool != pool {
 			continue
 		}
-		was := bounds(svc.Budget, before, dc)
-		for i, b := range bounds(svc.Budget, after, dc) {
-			if b.slack < 0 && b.slack < was[i].slack {
+		for _, b := range append(bounds(svc.Budget, after), dcBounds(svc.Budget, after)...) {
+			if b.slack < 0 {
 				return fmt.Errorf("budget of service %q: %s would be broken, %d of %d VMs active",
 					svc.Name, b.name, after.active, after.total)
 			}
@@ -99,11 +109,11 @@
 func (s *State) checkDrainBudget(vm *VM, move bool) error {
 	before := s.count(vm.Pool)
 	gone := before.without(vm)
-	if err := s.checkChange(vm.Pool, vm.DC, before, gone.with(vm, false)); err != nil {
+	if err := s.checkChange(vm.Pool, before, gone.with(vm, false)); err != nil {
 		return err
 	}
 	if move {
-		return s.checkChange(vm.Pool, vm.DC, before, gone)
+		return s.checkChange(vm.Pool, before, gone)
 	}
 	return nil
 }
@@ -113,10 +123,10 @@
 		return nil
 	}
 	source, target := s.count(vm.Pool), s.count(to)
-	if err := s.checkChange(vm.Pool, vm.DC, source, source.without(vm)); err != nil {
+	if err := s.checkChange(vm.Pool, source, source.without(vm)); err != nil {
 		return err
 	}
-	return s.checkChange(to, vm.DC, target, target.with(vm, true))
+	return s.checkChange(to, target, target.with(vm, true))
 }
 
 // CanDrain reports whether a voluntary drain of the VM would be accepted now, or why not.
@@ -180,12 +190,20 @@
 		Total: c.total, Available: c.active, Unavailable: c.total - c.active,
 	}
 	st.AllowedNow = c.active
-	for _, b := range bounds(svc.Budget, c, "") {
+	for _, b := range bounds(svc.Budget, c) {
 		st.AllowedNow = min(st.AllowedNow, max(b.slack, 0))
 		if b.slack < 0 {
 			st.Broken = append(st.Broken, b.name)
 		}
 	}
+	for _, b := range dcBounds(svc.Budget, c) {
+		if b.slack < 0 {
+			st.Broken = append(st.Broken, b.name)
+		}
+	}
+	if len(st.Broken) > 0 {
+		st.AllowedNow = 0
+	}
 	st.addDCs(s.activeByDC(svc.Pool), c)
 	return st
 }
@@ -197,9 +215,6 @@
 		allowed := min(active[dc], st.AllowedNow)
 		if limit := st.Budget.MaxUnavailablePerDC; limit > 0 {
 			allowed = min(allowed, max(limit-c.outDC[dc], 0))
-			if c.outDC[dc] > limit {
-				st.Broken = append(st.Broken, fmt.Sprintf("MaxUnavailablePerDC %d in %s", limit, dc))
-			}
 		}
 		sum += allowed
 		st.DCs = append(st.DCs, DCBudget{DC: dc, Unavailable: c.outDC[dc], AllowedNow: allowed})
