--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
 )
 
 // Guards against a fault in a configuration that goes unreported, is reported at another
@@ -101,3 +102,43 @@
 	assert.Equal(t, n.Tenants[0].Burst, 1)
 	assert.DeepEqual(t, f, sound())
 }
+
+// Guards against a configuration that passes although a service could never spare a VM
+// for maintenance, a class could never start, or the shares promise more than the slots.
+func TestValidKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		if len(Validate(f)) > 0 {
+			return
+		}
+		n, sum := Normalize(f), 0.0
+		for _, s := range n.Services {
+			p, ok := n.Pool(s.Pool)
+			assert.Assert(t, ok && s.Budget.Room(p.Size) >= 1, "%+v on %+v", s, p)
+			for _, c := range n.Classes {
+				assert.Assert(t, c.Ceiling*float64(p.Size*p.Slots) >= 1, "%+v on %+v", c, p)
+			}
+		}
+		for _, c := range n.Classes {
+			sum += c.Share
+		}
+		assert.Assert(t, sum <= 1+shareTolerance)
+		assert.Equal(t, len(Diff(f, n)), 0)
+	})
+}
+
+// drawFleet draws a small configuration, often a valid one.
+func drawFleet(t *rapid.T) Fleet {
+	count, fraction := rapid.IntRange(0, 6), rapid.SampledFrom([]float64{0, 0.05, 0.2, 0.5, 0.6})
+	f := Fleet{Pools: []Pool{{Name: "work", Size: count.Draw(t, "size"), Slots: count.Draw(t, "slots")}}}
+	f.Services = []Service{{Name: "s", Pool: "work", Budget: Budget{
+		MinAvailable: count.Draw(t, "min"), MaxUnavailable: count.Draw(t, "max"),
+		MinAvailablePercent: rapid.SampledFrom([]int{0, 40, 75, 90}).Draw(t, "percent"),
+	}}}
+	for i := range 2 {
+		f.Classes = append(f.Classes, Class{
+			Name: fmt.Sprint("c", i), Rank: i, Share: fraction.Draw(t, "share"), Ceiling: fraction.Draw(t, "ceiling"),
+		})
+	}
+	return f
+}
