admin: Tell a request that was never sent from one with a lost answer

Cause: a connection that is not established before the timeout, as to a frozen VM, gives the same error as a late answer. The command line called the outcome of such a write unknown.

Change: the client traces whether it got a connection. The examples have the settings of every entry, and the test wants them to name one another. The faults that spec.Validate is tested with are read from the golden file itself, which held them already.

Trial on a listener with a full backlog: config apply ended with code 3 before and 4 after. It is not among the tests, because filling a backlog depends on the system. Checks that can fail: the trace turned round, a duplicate name accepted and an entry missing from the list of the others each made a test fail.

--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -14,13 +14,16 @@
 )
 
 // Guards against a fault in a configuration that goes unreported, is reported at another
-// place or in another order. Each line of testdata/faults.txt is a sound fleet with one
-// change; the golden file holds its problems.
+// place or in another order. Each line of the golden file that begins with a brace is a
+// change to a sound fleet; the lines after it are its problems.
 func TestValidate(t *testing.T) {
-	script, err := os.ReadFile("testdata/faults.txt")
+	script, err := os.ReadFile("testdata/faults.golden")
 	assert.NilError(t, err)
 	var out strings.Builder
 	for line := range strings.Lines(string(script)) {
+		if !strings.HasPrefix(line, "{") {
+			continue
+		}
 		var change Fleet
 		assert.NilError(t, json.Unmarshal([]byte(line), &change), line)
 		f := sound()
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -7,11 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"sassafrasvalve/core/fleet"
@@ -276,6 +277,7 @@
 // settled notes the result of an attempt and says whether the outcome is known.
 func (w *writeTries) settled(d Decision, err error) bool {
 	var answer *AnswerError
+	var unsent *unsentError
 	switch {
 	case err == nil && d.ID == w.id && (d.Outcome == Accepted || d.Outcome == Rejected):
 		return true
@@ -285,7 +287,7 @@
 	case errors.As(err, &answer) && answer.refused():
 		w.refusal = answer
 		w.causes = append(w.causes, err)
-	case notSent(err):
+	case errors.As(err, &unsent):
 		w.causes = append(w.causes, err)
 	default:
 		w.ambiguous = true
@@ -306,12 +308,17 @@
 	}
 }
 
-// notSent says that the connection was never established, so the entry saw nothing.
-func notSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+// unsentError says that no connection was established, so the entry saw nothing.
+type unsentError struct {
+	err error
 }
 
+// Error returns the cause.
+func (e *unsentError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *unsentError) Unwrap() error { return e.err }
+
 // do makes one request to one entry and decodes a 200 answer into out.
 func (c *Client) do(ctx context.Context, entry, method, path string, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -323,7 +330,13 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.http.Do(req)
+	// A timeout hides whether the connection was established, so it is traced.
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil && !connected.Load() {
+		return &unsentError{err}
+	}
 	if err != nil {
 		return err
 	}
--- a/io/config/config_test.go
+++ b/io/config/config_test.go
@@ -78,17 +78,35 @@
 		spare, ok := f.SpareFor("")
 		assert.Assert(t, ok)
 		assert.DeepEqual(t, spare, pool)
-		s, problems := LoadSettings(filepath.Join(dir, "entry-1.toml"))
-		assert.Equal(t, Report(problems), "0 problems\n")
-		for _, p := range s.Peers {
-			assert.Assert(t, p != s.Peer)
-		}
+		checkEntries(t, dir)
 	}
 	f, _ := LoadFleet(filepath.Join("..", "..", "examples", "kegelbaan", "fleet"))
 	holds, _ := f.Service("lane-holds")
 	assert.DeepEqual(t, holds.Budget, spec.Budget{MinAvailable: 10, MaxUnavailable: 2, MaxUnavailablePerDC: 1})
 }
 
+// checkEntries checks that the settings of a fleet's entries load and name one another.
+func checkEntries(t *testing.T, dir string) {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join(dir, "entry-*.toml"))
+	assert.NilError(t, err)
+	assert.Assert(t, len(paths) >= 6)
+	listed := map[string]int{}
+	for _, path := range paths {
+		s, problems := LoadSettings(path)
+		assert.Equal(t, Report(problems), "0 problems\n")
+		assert.Equal(t, s.VM+".toml", filepath.Base(path))
+		listed[s.Peer] += 0
+		for _, p := range s.Peers {
+			listed[p]++
+		}
+	}
+	assert.Equal(t, len(listed), len(paths))
+	for addr, n := range listed {
+		assert.Equal(t, n, len(paths)-1, addr) // by all but the entry itself
+	}
+}
+
 // Guards against a panic, an endless loop, a place outside the file, and a file that is
 // taken although the TOML library refuses it.
 func FuzzParseFleet(f *testing.F) {
