daemon, system: Serve a request through separate processes

Cause: nothing yet joined the fold, the scheduler and the forwarder. Ruled out: a test inside one process, in which a frozen or killed entry cannot be shown.

--- a/cmd/sassafrasvalve/main.go
+++ b/cmd/sassafrasvalve/main.go
@@ -5,8 +5,10 @@
 	"os"
 
 	"sassafrasvalve/cmds"
+	"sassafrasvalve/io/daemon"
 )
 
 func main() {
-	os.Exit(cmds.Main(os.Args, cmds.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, cmds.Runners{}))
+	streams := cmds.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	os.Exit(cmds.Main(os.Args, streams, cmds.Runners{RunDaemon: daemon.Main}))
 }
--- /dev/null
+++ b/cmd/svfake/main.go
@@ -0,0 +1,93 @@
+// Command svfake runs the stand-ins of the platform and of a worker as processes of their own.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"sassafrasvalve/fake/cloud"
+	"sassafrasvalve/fake/worker"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cli.Command{
+		Name:     "svfake",
+		Usage:    "Run a stand-in of an outside system on a loopback address",
+		Commands: []*cli.Command{platform(), upstream()},
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "svfake:", err)
+		os.Exit(1)
+	}
+}
+
+func platform() *cli.Command {
+	return &cli.Command{
+		Name:  "cloud",
+		Usage: "Run the platform: log, VM list and tasks",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7000", Usage: "IP:port"},
+			&cli.StringFlag{Name: "vms", Usage: "JSON file with the listed VMs"},
+			&cli.DurationFlag{Name: "list-lag", Usage: "by which the VM list lags"},
+			&cli.DurationFlag{Name: "reboot-time", Value: 2 * time.Second, Usage: "of a VM"},
+			&cli.IntFlag{Name: "retain", Usage: "records kept in the log; 0 means the default"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of random faults"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			vms, err := readVMs(c.String("vms"))
+			if err != nil {
+				return err
+			}
+			var lc net.ListenConfig
+			ln, err := lc.Listen(ctx, "tcp", c.String("listen"))
+			if err != nil {
+				return err
+			}
+			s := cloud.New(cloud.Config{
+				Seed: c.Uint64("seed"), VMs: vms, ListLag: c.Duration("list-lag"),
+				RebootTime: c.Duration("reboot-time"), Retain: c.Int("retain"),
+			})
+			return s.Run(ctx, ln)
+		},
+	}
+}
+
+func readVMs(path string) ([]cloud.VM, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var vms []cloud.VM
+	if err := json.Unmarshal(data, &vms); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return vms, nil
+}
+
+func upstream() *cli.Command {
+	return &cli.Command{
+		Name:  "worker",
+		Usage: "Run a worker",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7100", Usage: "IP:port"},
+			&cli.StringFlag{Name: "name", Value: "worker", Usage: "VM name in answers"},
+			&cli.BoolFlag{Name: "enforce", Usage: "refuse requests above the slots instead of counting them"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return worker.Run(ctx, worker.Config{Addr: c.String("listen"), Name: c.String("name"), Enforce: c.Bool("enforce")})
+		},
+	}
+}
--- a/core/fleet/job.go
+++ b/core/fleet/job.go
@@ -13,6 +13,7 @@
 	MaxRequestBytes = 48 << 10 // path, headers and body of one request
 	MaxOpenBytes    = 32 << 20 // requests of all open jobs, to keep a daemon within 256 MB
 	MaxEndedJobs    = 10_000
+	MaxJobRuns      = 5 // runs that failed before a job ends with the last outcome
 )
 
 // Size returns the bytes that a request takes up.
@@ -71,7 +72,7 @@
 	case j.Member != d.Member || j.Run != d.Run:
 		return fmt.Errorf("job %q is in run %d by %q", d.Job, j.Run, j.Member)
 	}
-	if d.Verdict == retry.NotRun {
+	if d.Verdict == retry.NotRun || d.Again && j.Idempotent && j.Run < MaxJobRuns {
 		s.requeueJob(j)
 		return nil
 	}
--- a/core/fleet/record.go
+++ b/core/fleet/record.go
@@ -234,13 +234,15 @@
 	Run    int
 }
 
-// JobDone is the outcome of a run. NotRun returns the job to the queue.
+// JobDone is the outcome of a run. NotRun returns the job to the queue, as does
+// Again for an idempotent job with runs left.
 type JobDone struct {
 	Job     string
 	Member  string
 	Run     int
 	Verdict retry.Verdict
-	Status  int // HTTP status of the answer, 0 without one
+	Status  int  // HTTP status of the answer, 0 without one
+	Again   bool `json:",omitempty"` // the run failed and another one may succeed
 }
 
 // SnapshotChunk is one part of a snapshot of the state after offset Through.
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,212 @@
+// Package daemon wires the parts of an entry together and runs its life cycle.
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/clock"
+	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/io/config"
+	"sassafrasvalve/io/entry"
+	"sassafrasvalve/io/oplog"
+	"sassafrasvalve/io/peer"
+	"sassafrasvalve/io/proxy"
+	"sassafrasvalve/io/sched"
+)
+
+// Config is what a daemon needs.
+type Config struct {
+	Settings config.Settings
+	Log      *zap.Logger
+	Clock    clock.Clock // nil means the system's
+}
+
+// Daemon is one entry.
+type Daemon struct {
+	cfg Config
+	log *zap.Logger
+	ctx context.Context // of the background work, ends after the graceful stop
+
+	store   *Store
+	group   *group
+	pending *pendingSet
+	addrs   *addrBook
+	leaving *leavingSet
+	health  *vmHealth
+
+	client *oplog.Client
+	writer *oplog.Writer
+	reader *oplog.Reader
+	links  *links
+
+	pools     *pools
+	sched     *sched.Set
+	forwarder *proxy.Forwarder
+	entry     *entry.Server
+	jobs      *jobs
+
+	foldMu     sync.Mutex // orders the log reader and relaying peers
+	viewMu     sync.Mutex // one view is pushed at a time
+	version    int        // of the configuration last pushed
+	viewOffset int64      // folded offset of the view last pushed
+	work       sync.WaitGroup
+}
+
+// New returns a daemon that is not running yet.
+func New(cfg Config) (*Daemon, error) {
+	if cfg.Clock == nil {
+		cfg.Clock = clock.System{}
+	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	s := cfg.Settings
+	d := &Daemon{
+		cfg:     cfg,
+		log:     cfg.Log.With(zap.String("VM", s.VM)),
+		pending: newPendingSet(),
+		addrs:   &addrBook{own: s.Peer, fixed: s.Peers},
+		leaving: &leavingSet{clock: cfg.Clock},
+		health:  newVMHealth(),
+
+		viewOffset: -1,
+	}
+	d.store = NewStore(d.log, d.observe)
+	d.group = newGroup(groupConfig{
+		Member: fleet.Member{VM: s.VM, Addr: s.Peer, Admin: s.Admin, DC: s.DC, Region: s.Region},
+		Clock:  cfg.Clock, Store: d.store,
+	})
+	d.client = oplog.NewClient(oplog.Config{Base: s.Platform, ClientID: s.VM})
+	d.writer = oplog.NewWriter(oplog.WriterConfig{Client: d.client, Clock: cfg.Clock, Writer: s.VM})
+	d.buildLinks()
+	return d, d.buildPath()
+}
+
+func (d *Daemon) buildLinks() {
+	stats := peer.NewStats()
+	server := peer.NewServer(peer.ServerConfig{Listen: d.cfg.Settings.Peer, Stats: stats, Log: d.log})
+	pool := peer.NewPool(peer.PoolConfig{From: d.group.Self, Stats: stats, Log: d.log})
+	d.links = newLinks(d, server, pool)
+}
+
+func (d *Daemon) buildPath() error {
+	d.pools = newPools(poolsConfig{Clock: d.cfg.Clock, DC: d.cfg.Settings.DC, Fresh: d.group.Fresh})
+	d.sched = sched.NewSet(sched.SetConfig{Clock: d.cfg.Clock, Exchanger: d.links, Self: d.group.Self})
+	d.forwarder = proxy.New(proxy.Config{Name: d.cfg.Settings.VM})
+	d.jobs = newJobs(d)
+	srv, err := entry.New(entry.Config{
+		Scheduler: d.pools,
+		Jobs:      d.jobs,
+		Forwarder: d.forwarder,
+		Gate:      d.group,
+		Clock:     d.cfg.Clock,
+		Log:       d.log,
+		Member:    d.group.Self(),
+	})
+	d.entry = srv
+	return err
+}
+
+// observe passes the fold's results on to those who wait for them.
+func (d *Daemon) observe(r fleet.Result) {
+	switch {
+	case r.Duplicate:
+		d.writer.ObserveDuplicate(r.ID)
+	case r.ID != "":
+		d.writer.Observe(r.ID, r.Offset, r.Accepted, r.Reason)
+	}
+}
+
+// stopLimit bounds a graceful stop: the longest deadline of a request, and the hand-over.
+const stopLimit = 24 * time.Hour
+
+// leaveTimeout bounds the wait for the log when an entry leaves.
+const leaveTimeout = 5 * time.Second
+
+// Run serves until ctx ends and then stops gracefully. It returns an error if the entry cannot start.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	d.ctx = background
+	callers, err := d.listen(ctx)
+	if err != nil {
+		return err
+	}
+	d.background(func() { _ = d.links.server.Run(background) })
+	if err := d.start(ctx); err != nil {
+		return eris.Wrap(err, "stopped before there was a state to serve from")
+	}
+	d.runLoops(background)
+	failed := make(chan error, 1)
+	d.background(func() { failed <- d.entry.Serve(callers) })
+	d.log.Info("serving", zap.String("Listen", callers.Addr().String()), zap.Int64("Offset", d.store.Offset()))
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return err
+	}
+	err = d.stop(background)
+	cancel()
+	d.work.Wait()
+	return err
+}
+
+// listen opens the sockets. The peer socket comes first: it keeps a second process off this VM's identity.
+func (d *Daemon) listen(ctx context.Context) (net.Listener, error) {
+	if err := d.links.server.Listen(ctx); err != nil {
+		return nil, eris.Wrapf(err, "listen for peers on %s", d.cfg.Settings.Peer)
+	}
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", d.cfg.Settings.Listen)
+	return ln, eris.Wrapf(err, "listen for callers on %s", d.cfg.Settings.Listen)
+}
+
+func (d *Daemon) runLoops(ctx context.Context) {
+	d.reader = oplog.NewReader(oplog.ReaderConfig{Client: d.client, Sink: logSink{d}, Clock: d.cfg.Clock, From: d.store.Offset() + 1})
+	for _, loop := range []func(context.Context){
+		d.reader.Run, d.writer.Run, d.links.loop, d.sched.Run,
+		d.viewLoop, d.memberLoop, d.leaveLoop, d.snapshotLoop, d.jobs.loop,
+	} {
+		d.background(func() { loop(ctx) })
+	}
+}
+
+func (d *Daemon) background(run func()) {
+	d.work.Add(1)
+	go func() {
+		defer d.work.Done()
+		run()
+	}()
+}
+
+// stop ends the service without cutting off a request.
+func (d *Daemon) stop(ctx context.Context) error {
+	d.log.Info("stopping")
+	d.group.Stopping()
+	ctx, cancel := context.WithTimeout(ctx, stopLimit)
+	defer cancel()
+	err := d.entry.Stop(ctx, time.Duration(d.cfg.Settings.BalancerWait))
+	d.leave(ctx)
+	return eris.Wrap(err, "requests were still in progress at the stop limit")
+}
+
+func (d *Daemon) leave(ctx context.Context) {
+	r, member := d.group.Leave()
+	if !member {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if out, err := d.writer.Append(ctx, r); err != nil {
+		d.log.Warn("left without a record; the other entries will evict this one", zap.String("Outcome", string(out.Verdict)), zap.Error(err))
+	}
+}
+
+// after returns a channel that fires after the pause.
+func (d *Daemon) after(pause time.Duration) <-chan time.Time { return time.After(pause) }
--- /dev/null
+++ b/io/daemon/group.go
@@ -0,0 +1,339 @@
+package daemon
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasvalve/core/clock"
+	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/core/hash"
+	"sassafrasvalve/core/member"
+)
+
+// errNoLease is returned while the entry may not start work.
+var errNoLease = eris.New("the view lease has lapsed: this entry cannot tell which VMs it may use")
+
+// groupConfig says who this entry is.
+type groupConfig struct {
+	Member fleet.Member // without ID and Epoch, which each join chooses anew
+	Clock  clock.Clock
+	Store  *Store
+}
+
+// group is this entry's membership: its ID, its view lease and its promises.
+// It is safe for concurrent use.
+type group struct {
+	cfg groupConfig
+
+	mu     sync.Mutex
+	self   fleet.Member
+	lease  member.Lease
+	guest  member.GuestLease
+	core   *member.Group
+	read   time.Time // start of the newest fresh read of the log, direct or relayed
+	peers  map[string]peerView
+	stops  bool // a planned stop has begun
+	leaves bool // nothing is started any more
+}
+
+// peerView is what a peer last told about itself.
+type peerView struct {
+	Digest
+	At time.Time
+}
+
+func newGroup(cfg groupConfig) *group {
+	g := &group{cfg: cfg, peers: map[string]peerView{}}
+	g.renew(cfg.Clock.Now())
+	return g
+}
+
+// renew takes a new epoch, and with it a new ID and empty promises. The caller holds the lock
+// or is the constructor.
+func (g *group) renew(now time.Time) {
+	m := g.cfg.Member
+	m.Epoch = max(now.UnixMilli(), g.self.Epoch+1)
+	m.ID = fleet.MemberID(m.VM, m.Epoch)
+	m.Version = fleet.RecordVersion
+	g.self = m
+	g.lease, g.guest = member.Lease{}, member.GuestLease{}
+	g.core = member.NewGroup(member.GroupConfig{Self: m.ID, Region: m.Region, Started: now})
+}
+
+// Self returns the present member ID of this process.
+func (g *group) Self() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.self.ID
+}
+
+// Check returns an error unless work may be started now.
+func (g *group) Check() error {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaves || !g.valid(now) {
+		return errNoLease
+	}
+	return nil
+}
+
+// Fresh reports whether work may be started now.
+func (g *group) Fresh() bool { return g.Check() == nil }
+
+func (g *group) valid(now time.Time) bool { return g.lease.Valid(now) || g.guest.Valid(now) }
+
+// joined reports whether this process is a live member in its own folded view. Without the
+// log its own Join cannot be folded, and only a guest's lease lets it work.
+func (g *group) joined(st *fleet.State) bool {
+	m := st.Members[g.self.ID]
+	return m != nil && m.Phase == fleet.MemberLive
+}
+
+// Folded takes note of new records and of a fresh read that began at read, zero for none.
+// It returns the ID of an ended membership that must be replaced by a new one, or "".
+func (g *group) Folded(read time.Time) string {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if read.After(g.read) {
+		g.read = read
+	}
+	ended := ""
+	g.cfg.Store.View(func(st *fleet.State) {
+		g.core.Fold(st, now)
+		if e, ok := st.Ended[g.self.VM]; ok && e.Epoch >= g.self.Epoch {
+			ended = g.self.ID
+			return
+		}
+		m := st.Members[g.self.ID]
+		if m != nil && m.Phase == fleet.MemberEvicted {
+			ended = g.self.ID
+			return
+		}
+		if m != nil && !read.IsZero() {
+			g.lease.Renew(read)
+		}
+		g.renewByPromises(st, now)
+	})
+	if ended != "" && !g.leaves {
+		g.renew(now)
+	}
+	return ended
+}
+
+func (g *group) renewByPromises(st *fleet.State, now time.Time) {
+	if since, ok := g.core.Renewal(st, now); ok {
+		g.lease.Renew(since)
+	}
+}
+
+// Digest returns what this entry tells others. The caller fills in the worker health.
+func (g *group) Digest() Digest {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := Digest{Member: g.self.ID, ReadAge: -1, Program: fleet.RecordVersion, Serving: g.valid(now), Stopping: g.stops}
+	if !g.read.IsZero() {
+		d.ReadAge = now.Sub(g.read).Milliseconds() + 1 // rounded up: the age must never be understated
+	}
+	g.cfg.Store.View(func(st *fleet.State) { d.Offset, d.Version = st.Offset, st.Config.Version })
+	return d
+}
+
+// Pinged takes a peer's ping and returns the promise for it, nil if none is given.
+func (g *group) Pinged(d Digest) *member.Promise {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.note(d, now)
+	var out *member.Promise
+	g.cfg.Store.View(func(st *fleet.State) {
+		if p, ok := g.core.Promise(d.Member, st, now); ok {
+			out = &p
+		}
+	})
+	return out
+}
+
+func (g *group) note(d Digest, now time.Time) {
+	g.peers[d.Member] = peerView{Digest: d, At: now}
+	for id, p := range g.peers {
+		if now.Sub(p.At) > time.Minute {
+			delete(g.peers, id)
+		}
+	}
+}
+
+// Ponged takes the answer to a ping that was sent at sent. Records that the peer has and this
+// entry lacks must be folded before.
+func (g *group) Ponged(sent time.Time, pong Pong) {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.note(pong.Digest, now)
+	g.core.Heard(pong.Member, now)
+	g.cfg.Store.View(func(st *fleet.State) {
+		if pong.Promise != nil {
+			g.core.Receive(*pong.Promise, st, sent)
+		}
+		if pong.ReadAge >= 0 && st.Offset >= pong.Offset {
+			g.relayed(st, member.RelayedRead(sent, time.Duration(pong.ReadAge)*time.Millisecond))
+		}
+		if g.joined(st) {
+			g.renewByPromises(st, now)
+		}
+	})
+}
+
+func (g *group) relayed(st *fleet.State, read time.Time) {
+	if read.After(g.read) {
+		g.read = read
+	}
+	if g.joined(st) {
+		g.lease.Renew(read)
+	}
+}
+
+// Sponsor grants a guest a lease, 0 without an own lease.
+func (g *group) Sponsor(guest string) time.Duration {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	term, _ := g.core.Sponsor(guest, &g.lease, now)
+	return term
+}
+
+// Sponsored takes a sponsor's grant. A joined process needs none.
+func (g *group) Sponsored(sent time.Time, term time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.guest.Renew(sent, term)
+}
+
+// Join returns the Join that is due, if this process is no member yet.
+func (g *group) Join() (fleet.Record, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	due := false
+	g.cfg.Store.View(func(st *fleet.State) { due = st.Members[g.self.ID] == nil })
+	if !due || g.leaves {
+		return fleet.Record{}, false
+	}
+	r := fleet.Record{Kind: fleet.KindJoin, Writer: g.self.ID, Join: &fleet.Join{Member: g.self}}
+	return r, true
+}
+
+// Suspects returns the Suspect records that are due. Each must be settled.
+func (g *group) Suspects() []fleet.Record {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []fleet.Record
+	g.cfg.Store.View(func(st *fleet.State) {
+		out = g.core.Suspects(st, now)
+	})
+	return out
+}
+
+// Settle says that the Suspect of target is in the log at offset.
+func (g *group) Settle(target string, offset int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Settle(target, offset)
+}
+
+// Removals returns the Evict and Fence records that are due.
+func (g *group) Removals() []fleet.Record {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []fleet.Record
+	g.cfg.Store.View(func(st *fleet.State) { out = g.core.Evicts(st) })
+	return slices.Concat(out, g.core.Fences(now))
+}
+
+// Ack returns the acknowledgement that is due. pushed is the offset of the view that routing
+// uses: a later drain must not be acknowledged yet. inFlight tells the requests of this entry on a VM.
+func (g *group) Ack(pushed int64, inFlight func(vm string) int) (fleet.Record, bool) {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.core.MayAck(now) {
+		return fleet.Record{}, false
+	}
+	a := fleet.Ack{Member: g.self.ID}
+	due := false
+	g.cfg.Store.View(func(st *fleet.State) {
+		if st.Members[g.self.ID] == nil {
+			return
+		}
+		a.Through = min(pushed, st.Offset)
+		due = st.AckDue(g.self.ID)
+		a.VMs = slices.DeleteFunc(st.DrainsToAck(g.self.ID), func(v fleet.VMGen) bool {
+			return v.Gen > a.Through || inFlight(v.VM) > 0
+		})
+	})
+	if !due && len(a.VMs) == 0 {
+		return fleet.Record{}, false
+	}
+	return fleet.Record{Kind: fleet.KindAck, Writer: a.Member, Ack: &a}, true
+}
+
+// Acting reports whether this entry runs the controller: the first by rendezvous rank
+// among the live members of its region that were heard within member.Silence.
+func (g *group) Acting() bool {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var live []string
+	g.cfg.Store.View(func(st *fleet.State) {
+		if g.joined(st) && !st.ReadOnly() {
+			live = st.LiveMembers(g.self.Region)
+		}
+	})
+	live = slices.DeleteFunc(live, func(id string) bool {
+		return id != g.self.ID && (now.Sub(g.peers[id].At) > member.Silence || g.peers[id].Stopping || g.peers[id].Program < fleet.RecordVersion)
+	})
+	return g.lease.Valid(now) && hash.Owner("controller", live) == g.self.ID
+}
+
+// Peers returns what the peers of this region last told, with the time of it.
+func (g *group) Peers() []peerView {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]peerView, 0, len(g.peers))
+	for _, p := range g.peers {
+		out = append(out, p)
+	}
+	return out
+}
+
+// Stopping tells the peers that a planned stop has begun.
+func (g *group) Stopping() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stops = true
+}
+
+// Leave ends all new work of this entry. It returns the Leave to be written, if it is a member.
+func (g *group) Leave() (fleet.Record, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaves = true
+	is := false
+	g.cfg.Store.View(func(st *fleet.State) { is = st.Members[g.self.ID] != nil })
+	return fleet.Record{Kind: fleet.KindLeave, Writer: g.self.ID, Leave: &fleet.Leave{Member: g.self.ID}}, is
+}
+
+// Joined reports whether this process is a live member in its own view.
+func (g *group) Joined() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ok := false
+	g.cfg.Store.View(func(st *fleet.State) { ok = g.joined(st) })
+	return ok
+}
--- /dev/null
+++ b/io/daemon/loops.go
@@ -0,0 +1,162 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/core/member"
+	"sassafrasvalve/io/oplog"
+)
+
+const (
+	appendTimeout = 30 * time.Second // after which the outcome of a record is left to the fold
+	memberPeriod  = 250 * time.Millisecond
+)
+
+// submission is one record on its way to the log.
+type submission struct {
+	d    *Daemon
+	rec  fleet.Record
+	done func(oplog.Outcome)
+}
+
+func (s *submission) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	out, err := s.d.writer.Append(ctx, s.rec)
+	if err != nil {
+		s.d.log.Debug("append has no outcome", zap.String("Kind", string(s.rec.Kind)), zap.Error(err))
+	}
+	s.d.pending.End(s.rec)
+	if s.done != nil {
+		s.done(out)
+	}
+}
+
+// submit appends a record in the background unless one like it is on its way.
+func (d *Daemon) submit(rec fleet.Record, done func(oplog.Outcome)) {
+	if !d.pending.Begin(rec) {
+		return
+	}
+	s := &submission{d: d, rec: rec, done: done}
+	go s.run(d.ctx)
+}
+
+// memberLoop joins the fleet, and writes what the silence of others makes due.
+func (d *Daemon) memberLoop(ctx context.Context) {
+	tick := time.NewTicker(memberPeriod)
+	defer tick.Stop()
+	for {
+		if r, due := d.group.Join(); due {
+			d.submit(r, nil)
+		}
+		for _, r := range d.group.Suspects() {
+			d.suspect(r)
+		}
+		if d.group.Acting() {
+			for _, r := range d.group.Removals() {
+				d.submit(r, nil)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// suspect appends a Suspect until its place in the log is known: until then no promise may be given.
+func (d *Daemon) suspect(r fleet.Record) {
+	if r.ID == "" {
+		r.ID = newID()
+	}
+	d.log.Warn("peer is silent", zap.String("Member", r.Suspect.Target))
+	d.submit(r, func(out oplog.Outcome) {
+		if out.Verdict == oplog.Accepted || out.Verdict == oplog.Rejected {
+			d.group.Settle(r.Suspect.Target, out.Offset)
+			return
+		}
+		if d.ctx.Err() == nil {
+			d.suspect(r)
+		}
+	})
+}
+
+// acknowledge appends the acknowledgement that is due.
+func (d *Daemon) acknowledge() {
+	if r, due := d.group.Ack(d.pushed(), d.pools.inFlight); due {
+		d.submit(r, nil)
+	}
+}
+
+// digest returns what the peers are told.
+func (d *Daemon) digest() Digest {
+	dg := d.group.Digest()
+	dg.Leaving = d.leaving.Own()
+	dg.Ejected, dg.Dead = d.health.Report(d.cfg.Clock.Now())
+	return dg
+}
+
+// leaveLoop follows which VMs the platform takes away, so that they get no new work
+// also while the log is down.
+func (d *Daemon) leaveLoop(ctx context.Context) {
+	tick := time.NewTicker(member.Heartbeat)
+	defer tick.Stop()
+	for {
+		if d.leaving.Update(d.listLeaving(), d.group.Peers()) {
+			d.pushViews()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// snapshotLoop appends a snapshot when one is due. Entries act in turn, the acting one first.
+func (d *Daemon) snapshotLoop(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	last, seen := int64(-2), d.cfg.Clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := d.cfg.Clock.Now()
+		var due bool
+		d.store.View(func(st *fleet.State) {
+			if st.Snapshots.Through != last {
+				last, seen = st.Snapshots.Through, now
+			}
+			at, pending := st.NextSnapshotDue(seen)
+			due = pending && !now.Before(at)
+		})
+		if due && d.group.Acting() {
+			d.snapshot(ctx)
+		}
+	}
+}
+
+func (d *Daemon) snapshot(ctx context.Context) {
+	var records []fleet.Record
+	var err error
+	d.store.View(func(st *fleet.State) { records, err = st.Snapshot(newID()) })
+	if err != nil {
+		d.log.Error("cannot encode a snapshot", zap.Error(err))
+		return
+	}
+	for _, r := range records {
+		if _, err := d.writer.Append(ctx, r); err != nil {
+			d.log.Warn("snapshot is incomplete", zap.Error(err))
+			return
+		}
+	}
+	d.log.Info("snapshot appended", zap.Int64("Through", records[0].Snapshot.Through), zap.Int("Chunks", len(records)))
+}
--- /dev/null
+++ b/io/daemon/tmp.go
@@ -0,0 +1,4 @@
+package daemon
+
+func (d *Daemon) listLeaving() []string  { return nil }
+func (d *Daemon) setClaimMembers(v view) {}
--- /dev/null
+++ b/io/daemon/views.go
@@ -0,0 +1,260 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/clock"
+	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/core/route"
+	"sassafrasvalve/core/spec"
+	"sassafrasvalve/io/entry"
+	"sassafrasvalve/io/sched"
+)
+
+// chooser makes a route.Table safe for concurrent use.
+type chooser struct {
+	mu    sync.Mutex
+	table *route.Table
+}
+
+// Pick chooses a worker.
+func (c *chooser) Pick(now time.Time, cands []route.Candidate) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Pick(now, cands)
+}
+
+// Report takes the result of an attempt.
+func (c *chooser) Report(now time.Time, vm string, o route.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Report(now, vm, o)
+}
+
+func (c *chooser) setMembers(vms []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.SetMembers(vms)
+}
+
+func (c *chooser) ejected(now time.Time) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Ejected(now)
+}
+
+// pools are the schedulers of this entry, one a pool of its region. They are safe for concurrent use.
+type pools struct {
+	cfg poolsConfig
+
+	mu       sync.RWMutex
+	byName   map[string]*sched.Pool
+	choosers map[string]*chooser
+}
+
+// poolsConfig is what every scheduler of the entry shares.
+type poolsConfig struct {
+	Clock    clock.Clock
+	DC       string
+	Fresh    func() bool
+	Observer sched.Observer
+}
+
+func newPools(cfg poolsConfig) *pools {
+	return &pools{cfg: cfg, byName: map[string]*sched.Pool{}, choosers: map[string]*chooser{}}
+}
+
+// Acquire gets a slot for a request. It implements entry.Scheduler.
+func (p *pools) Acquire(ctx context.Context, r sched.Request) (entry.Grant, error) {
+	pool := p.get(r.Pool)
+	if pool == nil {
+		return entry.Grant{}, &sched.Refusal{Status: 503, Reason: "pool " + r.Pool + " is not served here", RetryAt: p.cfg.Clock.Now().Add(time.Second)}
+	}
+	g, err := pool.Acquire(ctx, r)
+	if err != nil {
+		return entry.Grant{}, err
+	}
+	return entry.Grant{VM: g.VM, Addr: g.Addr, Done: g.Done}, nil
+}
+
+func (p *pools) get(name string) *sched.Pool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.byName[name]
+}
+
+// all returns the schedulers, ordered by pool name.
+func (p *pools) all() []*sched.Pool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make([]*sched.Pool, 0, len(p.byName))
+	for _, pool := range p.byName {
+		out = append(out, pool)
+	}
+	slices.SortFunc(out, func(a, b *sched.Pool) int {
+		if a.Name() < b.Name() {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// ensure returns the scheduler of a pool, and true if it is new.
+func (p *pools) ensure(name string) (*sched.Pool, *chooser, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pool := p.byName[name]; pool != nil {
+		return pool, p.choosers[name], false
+	}
+	now := p.cfg.Clock.Now()
+	c := &chooser{table: route.NewTable(route.Config{DC: p.cfg.DC, Seed: uint64(now.UnixNano())})}
+	pool := sched.New(sched.Config{Name: name, Clock: p.cfg.Clock, Chooser: c, Observer: p.cfg.Observer, Fresh: p.cfg.Fresh})
+	p.byName[name], p.choosers[name] = pool, c
+	return pool, c, true
+}
+
+// inFlight returns the requests of this entry on a VM, in whichever pool they began.
+func (p *pools) inFlight(vm string) int {
+	n := 0
+	for _, pool := range p.all() {
+		n += pool.InFlight(vm)
+	}
+	return n
+}
+
+// ejected returns the workers that this entry gives no work for their failures.
+func (p *pools) ejected(now time.Time) []string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var out []string
+	for _, c := range p.choosers {
+		out = append(out, c.ejected(now)...)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// viewLoop puts each new state in force for routing and then acknowledges drains. Both are one
+// duty: an acknowledgement must never overtake the view that it speaks of.
+func (d *Daemon) viewLoop(ctx context.Context) {
+	tick := time.NewTicker(ackPeriod)
+	defer tick.Stop()
+	for {
+		changed := d.store.Changed()
+		d.pushViews()
+		d.acknowledge()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
+
+// ackPeriod bounds how long a drain waits after the last request on its VM has ended.
+const ackPeriod = 100 * time.Millisecond
+
+// view is the part of the state that routing rests on.
+type view struct {
+	fleet   spec.Fleet
+	version int
+	offset  int64
+	members []string
+	live    []string
+	addrs   []string
+	pools   []poolView
+}
+
+type poolView struct {
+	pool    spec.Pool
+	workers []sched.Worker
+}
+
+func (d *Daemon) readView() view {
+	region := d.cfg.Settings.Region
+	var v view
+	d.store.View(func(st *fleet.State) {
+		v.fleet, v.version, v.offset = st.Config.Fleet, st.Config.Version, st.Offset
+		for id, m := range st.Members {
+			v.addrs = append(v.addrs, m.Addr)
+			if m.Region == region {
+				v.members = append(v.members, id)
+			}
+		}
+		v.live = st.LiveMembers(region)
+		for _, p := range v.fleet.Pools {
+			if p.Region != "" && p.Region != region {
+				continue
+			}
+			pv := poolView{pool: p}
+			for _, vm := range st.RoutableVMs(region, p.Name) {
+				pv.workers = append(pv.workers, sched.Worker{VM: vm.ID, Addr: vm.Addr, DC: vm.DC})
+			}
+			v.pools = append(v.pools, pv)
+		}
+	})
+	slices.Sort(v.members)
+	slices.Sort(v.addrs)
+	return v
+}
+
+// pushViews puts the folded state in force for routing.
+func (d *Daemon) pushViews() {
+	d.viewMu.Lock()
+	defer d.viewMu.Unlock()
+	v := d.readView()
+	d.addrs.SetMembers(v.addrs)
+	leaving := d.leaving.All()
+	added := false
+	for _, pv := range v.pools {
+		pool, c, isNew := d.pools.ensure(pv.pool.Name)
+		added = added || isNew
+		workers := slices.DeleteFunc(pv.workers, func(w sched.Worker) bool { return slices.Contains(leaving, w.VM) })
+		vms := make([]string, len(workers))
+		for i, w := range workers {
+			vms[i] = w.VM
+		}
+		c.setMembers(vms)
+		pool.SetView(sched.View{
+			Self: d.group.Self(), Members: v.members, Workers: workers,
+			Slots: pv.pool.Slots, Connections: pv.pool.Connections,
+			Classes: v.fleet.Classes, Tenants: v.fleet.Tenants,
+		})
+	}
+	if added {
+		d.sched.SetPools(d.pools.all())
+	}
+	d.forwarder.SetConnections(connectionShare(v))
+	d.viewOffset = v.offset
+	if v.version != d.version {
+		d.version = v.version
+		d.log.Info("configuration in force", zap.Int("Version", v.version), zap.Int64("Offset", v.offset))
+	}
+	d.entry.SetView(v.fleet)
+	d.setClaimMembers(v)
+}
+
+// pushed returns the offset of the view that routing uses.
+func (d *Daemon) pushed() int64 {
+	d.viewMu.Lock()
+	defer d.viewMu.Unlock()
+	return d.viewOffset
+}
+
+// connectionShare returns the connections that this entry may open to each worker.
+func connectionShare(v view) int {
+	limit := spec.DefaultConnections
+	for _, pv := range v.pools {
+		if pv.pool.Connections > 0 {
+			limit = min(limit, pv.pool.Connections)
+		}
+	}
+	return max(1, limit/max(1, len(v.members)))
+}
--- /dev/null
+++ b/system/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package system
+
+const raceEnabled = true
