--- a/core/fleet/budget.go
+++ b/core/fleet/budget.go
@@ -130,7 +130,11 @@
 }
 
 // CanDrain reports whether a voluntary drain of the VM would be accepted now, or why not.
-func (s *State) CanDrain(id string) (bool, string) {
+func (s *State) CanDrain(id string) (bool, string) { return s.CanDrainAfter(id, nil) }
+
+// CanDrainAfter is like CanDrain after the drains of the VMs in out, which are
+// decided but not folded yet.
+func (s *State) CanDrainAfter(id string, out []string) (bool, string) {
 	vm := s.VMs[id]
 	if vm == nil {
 		return false, fmt.Sprintf("VM %q does not exist", id)
@@ -138,7 +142,13 @@
 	if vm.Phase != Active && vm.Phase != Failed && vm.Phase != Unknown {
 		return false, fmt.Sprintf("VM %q is %s", id, vm.Phase)
 	}
-	if err := s.checkDrainBudget(vm, false); err != nil {
+	before := s.count(vm.Pool)
+	for _, o := range out {
+		if w := s.VMs[o]; w != nil && o != id && w.Pool == vm.Pool && w.Phase == Active {
+			before = before.without(w).with(w, false)
+		}
+	}
+	if err := s.checkChange(vm.Pool, before, before.without(vm).with(vm, false)); err != nil {
 		return false, err.Error()
 	}
 	return true, ""
--- a/core/fleet/record.go
+++ b/core/fleet/record.go
@@ -159,10 +159,12 @@
 	To  string
 }
 
-// Reboot says that a drained VM is being rebooted.
+// Reboot says that a drained VM is being rebooted. Boots is the platform's count of its
+// boots before that: a higher one shows every controller that the reboot took place.
 type Reboot struct {
-	VM  string
-	Gen int64
+	VM    string
+	Gen   int64
+	Boots int `json:",omitempty"`
 }
 
 // Activate returns a drained, rebooted, failed or unknown VM to routing in its pool.
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -56,6 +56,7 @@
 	To      string
 	Wave    string
 	Acked   []string // members that confirmed the drain
+	Boots   int      `json:",omitempty"` // platform's count of boots before the last reboot
 	History []Step   // newest last, bounded
 }
 
--- a/core/fleet/vm.go
+++ b/core/fleet/vm.go
@@ -230,6 +230,7 @@
 	if w := s.Waves[vm.Wave]; w != nil && (w.Phase == Stopped || w.Phase == Aborted) {
 		return fmt.Errorf("wave %q is %s", w.ID, w.Phase)
 	}
+	vm.Boots = r.Reboot.Boots
 	s.step(vm, r, Rebooting)
 	return nil
 }
