admin: Add the server of the operator API

The daemon needs the operator API, health and metrics over HTTP.

VMDetail gains Waiting, CanDrain and Holds, shown by vm explain.

--- a/cmds/vm.go
+++ b/cmds/vm.go
@@ -94,6 +94,9 @@
 		if len(vm.Acked) > 0 {
 			fmt.Fprintf(w, "drain confirmed by %s\n", clean(strings.Join(vm.Acked, ", ")))
 		}
+		for _, h := range d.Holds {
+			fmt.Fprintf(w, "- %s\n", strings.ReplaceAll(clean(h), "\n", " "))
+		}
 		rows := rowsOf([]string{"OFFSET", "RECORD", "RULE", "WRITER", "FROM", "PHASE", "POOL", "REASON"}, vm.History, func(h fleet.Step) []string {
 			return []string{
 				strconv.FormatInt(h.Offset, 10), string(h.Kind), h.Rule, h.Writer, string(h.From), string(h.Phase), h.Pool, h.Reason,
--- a/io/admin/api.go
+++ b/io/admin/api.go
@@ -105,10 +105,13 @@
 	VMs     []fleet.VM
 }
 
-// VMDetail is a VM with its history.
+// VMDetail is a VM with its history and what holds it up.
 type VMDetail struct {
-	Through int64
-	VM      fleet.VM
+	Through  int64
+	VM       fleet.VM
+	Waiting  []string `json:",omitempty"` // members whose acknowledgement a drain waits for
+	CanDrain bool     `json:",omitempty"` // a voluntary drain would be accepted now
+	Holds    []string `json:",omitempty"` // for people: what the VM waits for, or why it cannot be drained
 }
 
 // VMRequest drains, moves or activates a VM.
@@ -176,7 +179,7 @@
 	Reason string `json:",omitempty"`
 }
 
-// WaveList is every wave, oldest first.
+// WaveList is every wave, in the order of their last change.
 type WaveList struct {
 	Through int64
 	Waves   []fleet.Wave
--- /dev/null
+++ b/io/admin/body.go
@@ -0,0 +1,42 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+)
+
+// decode reads the JSON body of a request. Unknown fields are refused: a newer client
+// that asks for more than this program knows must not get less without notice.
+func (s *Server) decode(r *http.Request, limit int64, out any) error {
+	// A browser cannot send this type to another site without asking first.
+	if kind, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || kind != "application/json" {
+		return refuse(http.StatusUnsupportedMediaType, "the body must be JSON: set Content-Type to application/json")
+	}
+	if limit > maxSmallBody {
+		select {
+		case s.large <- struct{}{}:
+			defer func() { <-s.large }()
+		case <-r.Context().Done():
+			return refuse(http.StatusServiceUnavailable, "the request was given up before its body was read")
+		}
+	}
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, limit))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(out)
+	if err == nil {
+		if _, err = dec.Token(); errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			err = errors.New("more data follows the JSON value")
+		}
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return refuse(http.StatusRequestEntityTooLarge, "the body is larger than %d bytes", limit)
+	}
+	return refuse(http.StatusBadRequest, "the body is not the expected JSON: %v", err)
+}
