daemon: Run the controller and serve operators

Cause: the planner and the operator API were not joined to the daemon. Ruled out: probing all active workers from each entry, which at 1,100 workers and one probe in 5 s takes about 60 KB/s an entry by estimate.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -12,12 +12,15 @@
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/io/admin"
 	"sassafrasvalve/io/config"
 	"sassafrasvalve/io/entry"
 	"sassafrasvalve/io/oplog"
 	"sassafrasvalve/io/peer"
 	"sassafrasvalve/io/proxy"
 	"sassafrasvalve/io/sched"
+	"sassafrasvalve/io/stats"
+	"sassafrasvalve/io/vmlist"
 )
 
 // Config is what a daemon needs.
@@ -51,6 +54,14 @@
 	entry     *entry.Server
 	jobs      *jobs
 
+	vms     *vmlist.Client
+	control *control
+	gone    *goneEntries
+
+	admin         *admin.Server
+	adminListener net.Listener
+	stats         *stats.Stats
+
 	foldMu     sync.Mutex // orders the log reader and relaying peers
 	viewMu     sync.Mutex // one view is pushed at a time
 	version    int        // of the configuration last pushed
@@ -74,6 +85,7 @@
 		addrs:   &addrBook{own: s.Peer, fixed: s.Peers},
 		leaving: &leavingSet{clock: cfg.Clock},
 		health:  newVMHealth(),
+		stats:   stats.New(),
 
 		viewOffset: -1,
 	}
@@ -84,7 +96,12 @@
 	})
 	d.client = oplog.NewClient(oplog.Config{Base: s.Platform, ClientID: s.VM})
 	d.writer = oplog.NewWriter(oplog.WriterConfig{Client: d.client, Clock: cfg.Clock, Writer: s.VM})
+	d.vms = vmlist.New(vmlist.Config{Base: s.Platform, ClientID: s.VM, Clock: cfg.Clock, Log: d.log, Period: d.listPeriod})
+	d.control, d.gone = newControl(d), newGoneEntries(d)
 	d.buildLinks()
+	d.admin = admin.NewServer(admin.ServerConfig{
+		State: d.store, Appender: appender{d}, Entries: d, Health: d, Metrics: d.stats, Clock: cfg.Clock, Log: d.log,
+	})
 	return d, d.buildPath()
 }
 
@@ -103,6 +120,7 @@
 	srv, err := entry.New(entry.Config{
 		Scheduler: d.pools,
 		Jobs:      d.jobs,
+		Observer:  observer{d.stats},
 		Forwarder: d.forwarder,
 		Gate:      d.group,
 		Clock:     d.cfg.Clock,
@@ -139,6 +157,7 @@
 		return err
 	}
 	d.background(func() { _ = d.links.server.Run(background) })
+	d.background(func() { d.serveAdmin(background) })
 	if err := d.start(ctx); err != nil {
 		return eris.Wrap(err, "stopped before there was a state to serve from")
 	}
@@ -163,6 +182,11 @@
 		return nil, eris.Wrapf(err, "listen for peers on %s", d.cfg.Settings.Peer)
 	}
 	var lc net.ListenConfig
+	admins, err := lc.Listen(ctx, "tcp", d.cfg.Settings.Admin)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for operators on %s", d.cfg.Settings.Admin)
+	}
+	d.adminListener = admins
 	ln, err := lc.Listen(ctx, "tcp", d.cfg.Settings.Listen)
 	return ln, eris.Wrapf(err, "listen for callers on %s", d.cfg.Settings.Listen)
 }
@@ -172,6 +196,7 @@
 	for _, loop := range []func(context.Context){
 		d.reader.Run, d.writer.Run, d.links.loop, d.sched.Run,
 		d.viewLoop, d.memberLoop, d.leaveLoop, d.snapshotLoop, d.jobs.loop,
+		d.vms.Run, d.control.loop, d.probeLoop,
 	} {
 		d.background(func() { loop(ctx) })
 	}
--- a/io/daemon/group.go
+++ b/io/daemon/group.go
@@ -337,3 +337,20 @@
 	g.cfg.Store.View(func(st *fleet.State) { ok = g.joined(st) })
 	return ok
 }
+
+// ReadsLog reports whether a fresh read of the log, own or relayed, began within the last lease term.
+func (g *group) ReadsLog() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.read.IsZero() && g.cfg.Clock.Now().Sub(g.read) < member.Term
+}
+
+// Peer reports whether id is a live member of this entry's region.
+func (g *group) Peer(id string) bool {
+	ok := false
+	g.cfg.Store.View(func(st *fleet.State) {
+		m := st.Members[id]
+		ok = m != nil && m.Phase == fleet.MemberLive && m.Region == g.cfg.Member.Region
+	})
+	return ok
+}
--- a/io/daemon/loops.go
+++ b/io/daemon/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -57,7 +58,7 @@
 			d.suspect(r)
 		}
 		if d.group.Acting() {
-			for _, r := range d.group.Removals() {
+			for _, r := range slices.Concat(d.group.Removals(), d.gone.Due()) {
 				d.submit(r, nil)
 			}
 		}
--- a/io/daemon/tmp.go
+++ b/io/daemon/tmp.go
@@ -1,4 +1,3 @@
 package daemon
 
-func (d *Daemon) listLeaving() []string  { return nil }
 func (d *Daemon) setClaimMembers(v view) {}
