dedup, claims, stats: Add idempotency keys between entries and the counts

Cause: a request with an idempotency key could run twice when its entry, or the entry that keeps the key, was lost, and nothing counted what was answered.

Ruled out: xxhash for the identity of a key, since callers choose the input; a grant that counts although members came or went since it was asked, since the new owner may already have been told that nothing runs.

Change: core/dedup decides for owner, executor and second holder, and io/claims carries its messages.

Figures: the state machine of core/dedup found three faults while it was written: a sole survivor that did not count its own executor's claims, a release for an unknown key that passed for proof that the key was unused, and a graceful leave that raced a join.

--- /dev/null
+++ b/core/dedup/ask.go
@@ -0,0 +1,146 @@
+package dedup
+
+import (
+	"strconv"
+	"time"
+)
+
+// Limits of a claim on its way.
+const (
+	askFor    = time.Second           // how long an unknown answer is asked again
+	askPause  = 50 * time.Millisecond // between two asks
+	mostMoved = 2                     // how often NotOwner is asked again
+	askMark   = "#"                   // separates the request ID from the number of the ask
+)
+
+// Ask is a claim on its way to a decision.
+type Ask struct {
+	claim   Claim
+	request string // ID without the number of the ask
+	tries   int
+	moved   int
+	gen     int
+	to      string
+	until   time.Time
+}
+
+// StepKind says what is to be done next for an Ask.
+type StepKind int
+
+// The kinds of steps.
+const (
+	StepDecided StepKind = iota // Decision holds
+	StepClaim                   // send Claim to To, then call Answered or Unanswered
+	StepHold                    // send Hold to To, then call Copied or Unanswered
+	StepWait                    // call Again after Pause
+)
+
+// Step is what is to be done next for an Ask.
+type Step struct {
+	Kind     StepKind
+	To       string
+	Claim    Claim
+	Hold     Hold
+	Pause    time.Duration
+	Decision Decision
+}
+
+// Ask starts a claim. Executor and Offset are filled in.
+func (m *Member) Ask(now time.Time, c Claim) (*Ask, Step) {
+	a := &Ask{claim: c, request: c.Request, until: now.Add(askFor)}
+	return a, m.Again(now, a)
+}
+
+// Again asks the owner, by the present view.
+func (m *Member) Again(now time.Time, a *Ask) Step {
+	if !m.view.live(m.view.Self) {
+		return decided(now, Unknown)
+	}
+	if m.exec.full() || len(m.finishes) >= m.exec.cfg.MaxClaims {
+		return decided(now, Full)
+	}
+	a.gen, a.to = m.gen, m.view.owner(a.claim.Key)
+	a.claim.Executor, a.claim.Offset = m.view.Self, m.view.Offset
+	// Each ask has its own ID, so that the release of one is never taken for that of the next.
+	a.claim.Request = a.request
+	if a.tries > 0 {
+		a.claim.Request += askMark + strconv.Itoa(a.tries)
+	}
+	a.tries++
+	if a.to == m.view.Self {
+		return m.Answered(now, a, m.owner.Claim(now, a.claim))
+	}
+	return Step{Kind: StepClaim, To: a.to, Claim: a.claim}
+}
+
+// Answered takes the owner's reply. A grant counts only if no member came or went since the ask: the
+// new owner may have been told meanwhile that this member runs nothing under the key.
+func (m *Member) Answered(now time.Time, a *Ask, r ClaimReply) Step {
+	if a.gen != m.gen {
+		m.release(now, a)
+		return m.pause(now, a, Unknown)
+	}
+	switch r.Answer {
+	case Granted:
+		if second := m.view.second(a.claim.Key); a.to == m.view.Self && second != "" {
+			return Step{Kind: StepHold, To: second, Hold: Hold{Held: []Held{a.held()}}}
+		}
+		return m.begin(now, a)
+	case Unknown:
+		return m.pause(now, a, Unknown)
+	case NotOwner:
+		if a.moved++; a.moved > mostMoved {
+			return decided(now, NotOwner)
+		}
+		return m.pause(now, a, NotOwner)
+	case Busy, Done, Conflict, Full:
+	}
+	return Step{Decision: Decide(now, r)}
+}
+
+// Copied takes the second holder's reply.
+func (m *Member) Copied(now time.Time, a *Ask, r HoldReply) Step {
+	switch {
+	case a.gen != m.gen:
+		m.release(now, a)
+		return m.pause(now, a, Unknown)
+	case !r.Kept:
+		m.release(now, a)
+		return decided(now, Full)
+	}
+	return m.begin(now, a)
+}
+
+// Unanswered ends an ask whose message got no reply. The claim may have been granted, so it is released.
+func (m *Member) Unanswered(now time.Time, a *Ask) Step {
+	m.release(now, a)
+	return Step{Decision: Unreachable(now)}
+}
+
+func (m *Member) begin(now time.Time, a *Ask) Step {
+	if !m.exec.Begin(a.held()) {
+		m.release(now, a)
+		return decided(now, Full)
+	}
+	return decided(now, Granted)
+}
+
+// release tells the owner that nothing was run under the claim.
+func (m *Member) release(now time.Time, a *Ask) {
+	h := a.held()
+	h.State, h.Ended = Released, now
+	m.end(now, h)
+}
+
+func (m *Member) pause(now time.Time, a *Ask, otherwise Answer) Step {
+	if !now.Before(a.until) {
+		return decided(now, otherwise)
+	}
+	return Step{Kind: StepWait, Pause: askPause}
+}
+
+func (a *Ask) held() Held {
+	return Held{Key: a.claim.Key, Fingerprint: a.claim.Fingerprint, Executor: a.claim.Executor, Request: a.claim.Request}
+}
+
+func decided(now time.Time, a Answer) Step { return Step{Decision: Decide(now, ClaimReply{Answer: a})} }
--- /dev/null
+++ b/core/dedup/member.go
@@ -0,0 +1,215 @@
+package dedup
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"sassafrasvalve/core/hash"
+)
+
+// Member is the whole part of one entry in the protocol: owner, executor and second holder.
+// It only decides; its user carries the messages. It is not safe for concurrent use.
+type Member struct {
+	owner *Owner
+	exec  *Executor
+	view  View
+	gen   int // grows with each change of the members
+
+	finishes map[sent]Held // ends that the owner has not acknowledged
+	copies   map[Key]Held  // copies that the second holder has not acknowledged
+}
+
+// sent identifies a claim of which a message is due.
+type sent struct {
+	key     Key
+	request string
+}
+
+// NewMember returns a member that knows no others.
+func NewMember(cfg Config) *Member {
+	return &Member{owner: NewOwner(cfg), exec: NewExecutor(cfg), finishes: map[sent]Held{}, copies: map[Key]Held{}}
+}
+
+// View returns the view in force.
+func (m *Member) View() View { return m.view }
+
+// SetView puts a view in force. An older view than the present one is ignored.
+func (m *Member) SetView(now time.Time, v View) {
+	if v.Offset < m.view.Offset {
+		return
+	}
+	v.Live = slices.Sorted(slices.Values(v.Live))
+	m.view = v
+	if !m.owner.SetView(now, v) {
+		return
+	}
+	m.gen++
+	m.exec.lose(now, v)
+	m.askSelf(now)
+	m.settleOwn(now)
+	m.copyOwn()
+}
+
+// askSelf answers the own rebuild request from the own tables.
+func (m *Member) askSelf(now time.Time) {
+	for {
+		q, ok := m.owner.Request(m.view.Self)
+		if !ok {
+			return
+		}
+		m.RebuildReplied(now, m.view.Self, q, m.Rebuild(q))
+	}
+}
+
+// settleOwn hands ends over that are due to this member itself after a change.
+func (m *Member) settleOwn(now time.Time) {
+	for id, h := range m.finishes {
+		if m.view.owner(h.Key) == m.view.Self && len(m.owner.Finish(now, []Held{h})) == 0 {
+			delete(m.finishes, id)
+		}
+	}
+}
+
+// copyOwn has claims copied that only this member holds, as owner and executor, after a change.
+func (m *Member) copyOwn() {
+	for k, h := range m.owner.held {
+		if h.Executor == m.view.Self {
+			m.copyToSecond(k, h)
+		}
+	}
+}
+
+func (m *Member) copyToSecond(k Key, h Held) {
+	if m.view.owner(k) == m.view.Self && m.view.second(k) != "" {
+		m.copies[k] = h
+	}
+}
+
+// Expire forgets claims whose retention is over. It is called about once a second.
+func (m *Member) Expire(now time.Time) {
+	m.owner.expire(now)
+	m.exec.expire(now)
+}
+
+// Finish records how a granted request ended. The owner learns of it through Due.
+func (m *Member) Finish(now time.Time, k Key, request string, o Outcome) {
+	h, ok := m.exec.Finish(now, k, request, o)
+	if ok {
+		m.end(now, h)
+	}
+}
+
+// end tells the owner how a claim ended.
+func (m *Member) end(now time.Time, h Held) {
+	if m.view.owner(h.Key) != m.view.Self || len(m.owner.Finish(now, []Held{h})) > 0 {
+		m.finishes[sent{h.Key, h.Request}] = h
+		return
+	}
+	m.copyToSecond(h.Key, h)
+}
+
+// Claim answers another member's claim.
+func (m *Member) Claim(now time.Time, c Claim) ClaimReply { return m.owner.Claim(now, c) }
+
+// Finished answers another member's Finish.
+func (m *Member) Finished(now time.Time, f Finish) FinishReply {
+	return FinishReply{Refused: m.owner.Finish(now, f.Held)}
+}
+
+// Hold answers another member's Hold.
+func (m *Member) Hold(h Hold) HoldReply { return HoldReply{Kept: m.exec.Hold(h.Held)} }
+
+// Rebuild answers a member that has taken keys over.
+func (m *Member) Rebuild(q Rebuild) RebuildReply {
+	r := RebuildReply{Offset: m.view.Offset, Blind: m.owner.blindTo()}
+	if r.Offset < q.Offset {
+		return r
+	}
+	v := View{Live: q.Live}
+	for _, held := range []map[Key]Held{m.owner.held, m.exec.held} {
+		for k, h := range held {
+			if k.part(q.Part, q.Parts) && v.owner(k) == q.Owner {
+				r.Held = append(r.Held, h)
+			}
+		}
+	}
+	if n := len(r.Held); n > 2*maxPart && q.Owner != m.view.Self {
+		r.Parts = max(1, q.Parts) * (n/maxPart + 1)
+		r.Held = nil
+	}
+	return r
+}
+
+// RebuildDue returns the request that a member has not answered yet, and false if there is none.
+func (m *Member) RebuildDue(member string) (Rebuild, bool) { return m.owner.Request(member) }
+
+// RebuildReplied takes a member's reply to a Rebuild.
+func (m *Member) RebuildReplied(now time.Time, member string, q Rebuild, r RebuildReply) {
+	if m.owner.Rebuilt(now, member, q, r) {
+		m.copyOwn()
+	}
+}
+
+// Due returns the messages of at most most claims each that a member has not acknowledged.
+func (m *Member) Due(member string, most int) (Finish, Hold) {
+	var f Finish
+	var c Hold
+	for _, h := range m.finishes {
+		if len(f.Held) < most && m.view.owner(h.Key) == member {
+			f.Held = append(f.Held, h)
+		}
+	}
+	for k, h := range m.copies {
+		switch {
+		case m.view.owner(k) != m.view.Self:
+			delete(m.copies, k) // the new owner asks for it
+		case len(c.Held) < most && m.view.second(k) == member:
+			c.Held = append(c.Held, h)
+		}
+	}
+	return f, c
+}
+
+// Acknowledged takes the reply to a Finish from Due.
+func (m *Member) Acknowledged(f Finish, r FinishReply) {
+	for _, h := range f.Held {
+		id := sent{h.Key, h.Request}
+		if m.finishes[id] == h && !slices.Contains(r.Refused, h.Key) {
+			delete(m.finishes, id)
+		}
+	}
+}
+
+// Kept takes the reply to a Hold from Due.
+func (m *Member) Kept(c Hold, r HoldReply) {
+	for _, h := range c.Held {
+		if r.Kept && m.copies[h.Key] == h {
+			delete(m.copies, h.Key)
+		}
+	}
+}
+
+// Handover stops granting and returns what to hand to which member before a graceful leave:
+// each claim to the two that rank first for its key without this member.
+func (m *Member) Handover() map[string][]Held {
+	m.owner.leaving = true
+	rest := slices.DeleteFunc(slices.Clone(m.view.Live), func(s string) bool { return s == m.view.Self })
+	all := maps.Clone(m.owner.held)
+	for k, h := range m.exec.held {
+		if old, known := all[k]; !known || supersedes(old, h) {
+			all[k] = h
+		}
+	}
+	out := map[string][]Held{}
+	for k, h := range all {
+		rank := hash.Rank(string(k[:]), rest)
+		for _, to := range rank[:min(2, len(rank))] {
+			out[to] = append(out[to], h)
+		}
+	}
+	return out
+}
+
+// Held returns how many claims are kept.
+func (m *Member) Held() int { return len(m.owner.held) + len(m.exec.held) }
--- a/core/dedup/message.go
+++ b/core/dedup/message.go
@@ -90,15 +90,14 @@
 	Released              // ended without having run; the key may be used again
 )
 
-// Finish tells the owner, or the second holder, how a claim ended.
+// Finish tells the owner how claims ended.
 type Finish struct {
-	Held   Held
-	Offset int64
+	Held []Held
 }
 
 // FinishReply acknowledges a Finish.
 type FinishReply struct {
-	Kept bool // false: the receiver has no room and the sender keeps trying
+	Refused []Key // not taken over, because the receiver does not own them; the sender tries again
 }
 
 // Hold asks a member to keep a copy of a claim.
@@ -122,7 +121,8 @@
 
 // RebuildReply answers a Rebuild.
 type RebuildReply struct {
-	Offset int64 // folded offset of the member; below the one asked for, the reply does not count
-	Parts  int   // above 0: too many claims for one message, ask again in this many parts
+	Blind  time.Time // claims from before this time may be unknown to the member; zero if none are
+	Offset int64     // folded offset of the member; below the one asked for, the reply does not count
+	Parts  int       // above 0: too many claims for one message, ask again in this many parts
 	Held   []Held
 }
--- /dev/null
+++ b/io/claims/node_test.go
@@ -0,0 +1,160 @@
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"sassafrasvalve/core/dedup"
+	"sassafrasvalve/core/retry"
+)
+
+// network calls nodes in this process through JSON. Calls may be lost before or after they took effect.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*Node
+	rnd   *rand.Rand
+	loss  float64
+	calls atomic.Int64
+}
+
+func (w *network) Call(_ context.Context, member, method string, params, result any) error {
+	w.calls.Add(1)
+	w.mu.Lock()
+	n, before, after := w.nodes[member], w.rnd.Float64() < w.loss, w.rnd.Float64() < w.loss
+	w.mu.Unlock()
+	if n == nil || before {
+		return errors.New("lost on the way")
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	r, err := n.Handle(method, raw)
+	if err != nil {
+		return err
+	}
+	if raw, err = json.Marshal(r); err != nil || after {
+		return errors.New("lost on the way back")
+	}
+	return json.Unmarshal(raw, result)
+}
+
+func newNetwork(t *testing.T, members int) (*network, []string) {
+	t.Helper()
+	w := &network{nodes: map[string]*Node{}, rnd: rand.New(rand.NewPCG(1, 1))}
+	live := make([]string, 0, members)
+	for i := range members {
+		name := fmt.Sprint("n", i)
+		w.nodes[name] = New(Config{Peers: w, CallTimeout: 100 * time.Millisecond})
+		live = append(live, name)
+		t.Cleanup(w.nodes[name].Close)
+	}
+	w.set(1, live, 0)
+	return w, live
+}
+
+func (w *network) set(offset int64, live []string, lost int) {
+	for _, m := range live {
+		w.nodes[m].SetMembers(offset, live, m, lost)
+	}
+}
+
+var requests atomic.Int64
+
+// eventually claims until the decision is final.
+func eventually(t *testing.T, n *Node, key string) dedup.Decision {
+	t.Helper()
+	var d dedup.Decision
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		id := fmt.Sprint("r", requests.Add(1))
+		d = n.Claim(context.Background(), dedup.Claim{Key: dedup.NewKey("t", "s", key), Request: id})
+		if !d.Run && !d.Stored {
+			return poll.Continue("%+v", d)
+		}
+		if d.Run {
+			n.Finish(dedup.NewKey("t", "s", key), id, dedup.Outcome{Verdict: retry.Ran, Status: 201})
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+	return d
+}
+
+// Guards against outcomes that are lost with calls or with the loss of one member, and
+// against keys that stay unusable once calls get through again.
+func TestOutcomesSurviveLostCallsAndOneLostMember(t *testing.T) {
+	w, live := newNetwork(t, 4)
+	w.mu.Lock()
+	w.loss = 0.2
+	w.mu.Unlock()
+	for i := range 40 {
+		assert.Assert(t, eventually(t, w.nodes[live[i%4]], fmt.Sprint("key", i)).Run)
+	}
+	w.mu.Lock()
+	w.loss = 0
+	gone := w.nodes[live[0]]
+	delete(w.nodes, live[0])
+	w.mu.Unlock()
+	gone.Close()
+	w.set(2, live[1:], 1)
+	for i := range 40 {
+		d := eventually(t, w.nodes[live[1+i%3]], fmt.Sprint("key", i))
+		assert.Assert(t, d.Stored, "key%d: %+v", i, d)
+	}
+	assert.Assert(t, eventually(t, w.nodes[live[2]], "fresh").Run)
+}
+
+// Guards against claims that are lost with a graceful leave of the members that know them.
+func TestLeaveHandsClaimsOver(t *testing.T) {
+	w, live := newNetwork(t, 4)
+	for i := range 40 {
+		assert.Assert(t, eventually(t, w.nodes[live[i%2]], fmt.Sprint("key", i)).Run)
+	}
+	for i := range 2 {
+		assert.NilError(t, w.nodes[live[i]].Leave(context.Background()))
+		w.set(int64(2+i), live[1+i:], 0)
+	}
+	for i := range 40 {
+		assert.Equal(t, eventually(t, w.nodes[live[3]], fmt.Sprint("key", i)).Status, 201)
+	}
+}
+
+// Guards against messages that go on without end once everything is acknowledged.
+func TestQuietWhenAllIsAcknowledged(t *testing.T) {
+	w, live := newNetwork(t, 3)
+	for i := range 20 {
+		eventually(t, w.nodes[live[i%3]], fmt.Sprint("key", i))
+	}
+	time.Sleep(3 * retryPause)
+	before := w.calls.Load()
+	time.Sleep(3 * retryPause)
+	assert.Equal(t, w.calls.Load(), before)
+}
+
+// Guards against a claim that is granted by a node that is not a member, or whose owner does not answer.
+func TestUnreachableOwnerRefusesAsNotRun(t *testing.T) {
+	w, live := newNetwork(t, 2)
+	alone := New(Config{Peers: w})
+	t.Cleanup(alone.Close)
+	d := alone.Claim(context.Background(), dedup.Claim{Key: dedup.NewKey("t", "s", "k"), Request: "r"})
+	assert.Equal(t, d.Run, false)
+	eventually(t, w.nodes[live[0]], "settled")
+	w.mu.Lock()
+	w.loss = 1
+	w.mu.Unlock()
+	for i := range 20 {
+		d = w.nodes[live[0]].Claim(context.Background(), dedup.Claim{Key: dedup.NewKey("t", "s", fmt.Sprint(i)), Request: "r"})
+		assert.Equal(t, d.Status, 503)
+		assert.Equal(t, d.Verdict, retry.NotRun)
+		assert.Assert(t, !d.RetryAt.IsZero())
+	}
+}
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -12,6 +12,7 @@
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/io/proxy"
 	"sassafrasvalve/io/sched"
+	"sassafrasvalve/io/stats"
 )
 
 // statusCallerGone is counted for callers that left before an answer; it is never sent.
@@ -40,6 +41,7 @@
 		x.refuse(ref)
 		return
 	}
+	defer x.cutOff()
 	x.poison = poisonKey(x.r, x.q, x.in)
 	if ref := x.run(); ref != nil {
 		x.refuse(ref)
@@ -66,17 +68,25 @@
 	return nil
 }
 
-// finish records the end of the request. It is called once, after the last attempt.
-func (x *exchange) finish(v retry.Verdict, status int) {
+// end records the end of the request. It is called once, after the last attempt.
+func (x *exchange) end(v retry.Verdict, status int, reason string) {
 	if x.claimed {
+		x.claimed = false
 		x.s.cfg.Claims.Finish(x.key, x.q.id, dedup.Outcome{Verdict: v, Status: status})
 	}
-	x.s.observe(Observation{
-		Service: x.q.service.Name, Class: x.q.class.Name, Tenant: x.q.tenant,
-		Verdict: v, Status: status, Attempts: x.attempts, Wait: x.wait, Total: x.s.now().Sub(x.q.arrived),
+	x.s.observe(stats.Observation{
+		Service: x.q.service.Name, Class: x.q.class.Name, Tenant: x.q.tenant, Verdict: v, Status: status,
+		Reason: reason, Attempts: x.attempts, Wait: x.wait, Total: x.s.now().Sub(x.q.arrived),
 	})
 }
 
+// cutOff ends a claim whose request was cut off by a fault of this program, which may have run.
+func (x *exchange) cutOff() {
+	if x.claimed {
+		x.end(retry.MayHaveRun, 0, "fault")
+	}
+}
+
 // refuse gives the request up. What earlier attempts may have done decides the verdict.
 func (x *exchange) refuse(ref *refusal) {
 	if x.mayRun && ref.verdict == retry.NotRun {
@@ -84,23 +94,13 @@
 	}
 	if callerGone(x.r) {
 		ref.status = statusCallerGone
-		x.end(ref)
+		x.end(ref.verdict, ref.status, ref.reason)
 		panic(http.ErrAbortHandler)
 	}
-	x.end(ref)
+	x.end(ref.verdict, ref.status, ref.reason)
 	x.s.refuse(x.w, x.q.id, ref)
 }
 
-func (x *exchange) end(ref *refusal) {
-	if x.claimed {
-		x.s.cfg.Claims.Finish(x.key, x.q.id, dedup.Outcome{Verdict: ref.verdict, Status: ref.status})
-	}
-	x.s.observe(Observation{
-		Service: x.q.service.Name, Class: x.q.class.Name, Tenant: x.q.tenant, Verdict: ref.verdict,
-		Status: ref.status, Reason: ref.reason, Attempts: x.attempts, Wait: x.wait, Total: x.s.now().Sub(x.q.arrived),
-	})
-}
-
 // run sends the request until it is answered or given up. It returns nil if the response was passed on.
 func (x *exchange) run() *refusal {
 	for {
@@ -174,7 +174,7 @@
 	res.CopyTo(x.w)
 	x.report(g, res)
 	x.isPoison(g.VM, res)
-	x.finish(res.Verdict, res.Status)
+	x.end(res.Verdict, res.Status, "")
 	if res.Err != nil {
 		x.s.cfg.Log.Info("response broke off", zap.String("id", x.q.id), zap.String("vm", g.VM), zap.Error(res.Err))
 		panic(http.ErrAbortHandler)
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -13,6 +13,7 @@
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/io/proxy"
 	"sassafrasvalve/io/sched"
+	"sassafrasvalve/io/stats"
 )
 
 func isOwnPath(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/-/") }
@@ -75,7 +76,7 @@
 
 func (s *Server) finishRefused(w *output, r *http.Request, q *request, id string, ref *refusal) {
 	s.refuse(w, id, ref)
-	o := Observation{Verdict: ref.verdict, Status: ref.status, Reason: ref.reason}
+	o := stats.Observation{Verdict: ref.verdict, Status: ref.status, Reason: ref.reason}
 	if q != nil {
 		o.Service, o.Class, o.Tenant = q.service.Name, q.class.Name, q.tenant
 		o.Total = s.now().Sub(q.arrived)
@@ -85,7 +86,7 @@
 		zap.String("reason", ref.reason), zap.String("detail", ref.text))
 }
 
-func (s *Server) observe(o Observation) {
+func (s *Server) observe(o stats.Observation) {
 	if s.cfg.Observer != nil {
 		s.cfg.Observer.Observe(o)
 	}
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -64,6 +64,7 @@
 		x.refuse(ref)
 		return
 	}
+	defer x.cutOff()
 	err := x.s.cfg.Jobs.Submit(x.r.Context(), job)
 	if err == nil {
 		x.accepted(job)
@@ -98,7 +99,7 @@
 
 // accepted answers 202. It carries no verdict, since the job is still to run.
 func (x *exchange) accepted(job fleet.Job) {
-	x.finish(retry.Ran, http.StatusAccepted)
+	x.end(retry.Ran, http.StatusAccepted, "")
 	h := x.w.Header()
 	h.Set("Location", jobPath+job.ID)
 	h.Set("Content-Type", "application/json")
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -24,6 +24,7 @@
 	"sassafrasvalve/core/spec"
 	"sassafrasvalve/io/proxy"
 	"sassafrasvalve/io/sched"
+	"sassafrasvalve/io/stats"
 )
 
 // Scheduler gives slots of workers to requests. Its error is a *sched.Refusal or that of ctx.
@@ -66,18 +67,7 @@
 }
 
 // Observer counts answered requests.
-type Observer interface{ Observe(o Observation) }
-
-// Observation is one answered request.
-type Observation struct {
-	Service, Class, Tenant string
-	Verdict                retry.Verdict
-	Status                 int
-	Reason                 string        // of a refusal, a short word
-	Attempts               int           // sent or tried
-	Wait                   time.Duration // from arrival to the first slot, 0 without one
-	Total                  time.Duration
-}
+type Observer interface{ Observe(o stats.Observation) }
 
 // Defaults of Config.
 const (
