daemon: Run requests with an idempotency key at most once

Ruled out: counting lost members in each process, which forgets them when all entries are replaced. Change: claims over the peer calls, refused without a view lease; the fold keeps the recent losses; the executor's name follows a new membership. Conclusion: keyed requests run once across the loss of one entry.

--- a/cmd/sassafrasvalve/main.go
+++ b/cmd/sassafrasvalve/main.go
@@ -5,10 +5,11 @@
 	"os"
 
 	"sassafrasvalve/cmds"
+	"sassafrasvalve/demo"
 	"sassafrasvalve/io/daemon"
 )
 
 func main() {
 	streams := cmds.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
-	os.Exit(cmds.Main(os.Args, streams, cmds.Runners{RunDaemon: daemon.Main}))
+	os.Exit(cmds.Main(os.Args, streams, cmds.Runners{RunDaemon: daemon.Main, RunDemo: demo.Main}))
 }
--- a/core/fleet/fold.go
+++ b/core/fleet/fold.go
@@ -24,6 +24,7 @@
 	Ended      map[string]EndedProcess // last ended process by the VM it ran on
 	Unsettled  []Departure             // by offset
 	Suspicions []Suspicion             // by offset
+	Losses     []Loss                  // newest last, bounded
 	VMs        map[string]*VM
 	Waves      map[string]*Wave
 	Jobs       map[string]*JobState
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -44,6 +44,7 @@
 		if m.Epoch <= old.Epoch {
 			return fmt.Errorf("epoch %d of VM %q is not above %d of its present member", m.Epoch, m.VM, old.Epoch)
 		}
+		s.lose(old, r)
 		s.endMember(old, r, false)
 	}
 	m.Phase, m.Voting = MemberLive, false
@@ -126,6 +127,7 @@
 	if target.Evicted != r.Fence.EvictOffset {
 		return fmt.Errorf("target %q was evicted at offset %d, not %d", target.ID, target.Evicted, r.Fence.EvictOffset)
 	}
+	s.lose(target, r)
 	s.endMember(target, r, true)
 	return nil
 }
@@ -142,6 +144,17 @@
 	return nil
 }
 
+// maxLosses bounds the losses kept. Readers only tell none, one and several apart within some minutes.
+const maxLosses = 32
+
+// lose notes that a member ended without handing anything over.
+func (s *State) lose(m *Member, r Record) {
+	s.Losses = append(s.Losses, Loss{Member: m.ID, Region: m.Region, Offset: s.Offset, At: r.At.UTC().Round(0)})
+	if len(s.Losses) > maxLosses {
+		s.Losses = s.Losses[1:]
+	}
+}
+
 // endMember removes a member. A process that left or was replaced runs no more and
 // promises nothing more; a fenced one may still promise, so its vote stays counted.
 func (s *State) endMember(m *Member, r Record, fenced bool) {
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "sassafrasvalve/core/spec"
+import (
+	"time"
+
+	"sassafrasvalve/core/spec"
+)
 
 // MemberPhase is the standing of an entry process.
 type MemberPhase string
@@ -28,6 +32,14 @@
 	Evicted int64 `json:",omitempty"` // offset of the Evict
 }
 
+// Loss is a member that ended without a graceful Leave.
+type Loss struct {
+	Member string
+	Region string
+	Offset int64
+	At     time.Time // by the clock of the writer of the record that ended it
+}
+
 // VMPhase is the condition of a VM. Only active VMs get requests.
 type VMPhase string
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -145,9 +145,8 @@
 		go func() { d.ended <- e.Run(run) }()
 		d.say("entry %s: callers %s, operators http://%s", s.VM, s.Listen, s.Admin)
 	}
-	client, err := admin.NewClient(admin.ClientConfig{Entries: admins})
-	d.client = client
-	return err
+	d.client = admin.NewClient(admin.ClientConfig{Entries: admins})
+	return nil
 }
 
 func (d *Demo) entrySettings(ctx context.Context, i int, peers []string) (config.Settings, error) {
@@ -235,7 +234,7 @@
 
 func (d *Demo) drain(ctx context.Context) error {
 	const vm = "lanes-1"
-	dec, err := d.client.DrainVM(ctx, vm, admin.VMRequest{ID: uuid.NewString(), Reboot: true, Writer: operator, Reason: "shown by the demo"})
+	dec, err := d.client.Drain(ctx, vm, admin.VMRequest{ID: uuid.NewString(), Reboot: true, Writer: operator, Reason: "shown by the demo"})
 	if err != nil {
 		return err
 	}
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -34,7 +34,9 @@
 	notes []plan.Note
 }
 
-func newControl(d *Daemon) *control { return &control{d: d, planner: plan.New(plan.Config{})} }
+func newControl(d *Daemon) *control {
+	return &control{d: d, planner: plan.New(plan.Config{FillPools: true})}
+}
 
 // Notes returns what the rules held back at their last run here.
 func (c *control) Notes() []plan.Note {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/fleet"
 	"sassafrasvalve/io/admin"
+	"sassafrasvalve/io/claims"
 	"sassafrasvalve/io/config"
 	"sassafrasvalve/io/entry"
 	"sassafrasvalve/io/oplog"
@@ -53,6 +54,7 @@
 	forwarder *proxy.Forwarder
 	entry     *entry.Server
 	jobs      *jobs
+	claims    *claims.Node
 
 	vms     *vmlist.Client
 	control *control
@@ -117,6 +119,7 @@
 	d.sched = sched.NewSet(sched.SetConfig{Clock: d.cfg.Clock, Exchanger: d.links, Self: d.group.Self})
 	d.forwarder = proxy.New(proxy.Config{Name: d.cfg.Settings.VM})
 	d.jobs = newJobs(d)
+	d.claims = claims.New(claims.Config{Peers: d.links, Clock: d.cfg.Clock, Log: d.log})
 	srv, err := entry.New(entry.Config{
 		Scheduler: d.pools,
 		Jobs:      d.jobs,
@@ -125,7 +128,8 @@
 		Gate:      d.group,
 		Clock:     d.cfg.Clock,
 		Log:       d.log,
-		Member:    d.group.Self(),
+		Claims:    d.claims,
+		Self:      d.group.Self,
 	})
 	d.entry = srv
 	return err
@@ -172,6 +176,7 @@
 	}
 	err = d.stop(background)
 	cancel()
+	d.claims.Close()
 	d.work.Wait()
 	return err
 }
@@ -217,6 +222,9 @@
 	ctx, cancel := context.WithTimeout(ctx, stopLimit)
 	defer cancel()
 	err := d.entry.Stop(ctx, time.Duration(d.cfg.Settings.BalancerWait))
+	if lost := d.claims.Leave(ctx); lost != nil {
+		d.log.Warn("not all idempotency keys were handed over", zap.Error(lost))
+	}
 	d.leave(ctx)
 	return eris.Wrap(err, "requests were still in progress at the stop limit")
 }
--- a/io/daemon/links.go
+++ b/io/daemon/links.go
@@ -15,6 +15,7 @@
 	"sassafrasvalve/core/fleet"
 	"sassafrasvalve/core/member"
 	"sassafrasvalve/core/slots"
+	"sassafrasvalve/io/claims"
 	"sassafrasvalve/io/peer"
 )
 
@@ -47,6 +48,11 @@
 	server.Handle(methodState, l.onState)
 	server.Handle(methodSlots, l.onSlots)
 	server.Handle(methodSponsor, l.onSponsor)
+	for _, method := range []string{claims.MethodClaim, claims.MethodFinish, claims.MethodHold, claims.MethodRebuild} {
+		server.Handle(method, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+			return l.onClaims(method, params)
+		})
+	}
 	return l
 }
 
@@ -117,6 +123,15 @@
 	return SlotsReply{Replies: l.d.sched.HandleReports(q.Reports)}, nil
 }
 
+// onClaims answers a call about idempotency keys. Without a view lease this entry may no longer be
+// the owner of a key, so that it grants nothing.
+func (l *links) onClaims(method string, params json.RawMessage) (any, error) {
+	if method == claims.MethodClaim && !l.d.group.Fresh() {
+		return nil, &jsonrpc2.Error{Code: peer.CodeBusy, Message: errNoLease.Error()}
+	}
+	return l.d.claims.Handle(method, params)
+}
+
 func (l *links) onSponsor(_ context.Context, _ string, params json.RawMessage) (any, error) {
 	q, err := decode[SponsorRequest](params)
 	if err != nil {
--- a/io/daemon/operate.go
+++ b/io/daemon/operate.go
@@ -9,7 +9,6 @@
 	"sassafrasvalve/core/fleet"
 	"sassafrasvalve/core/member"
 	"sassafrasvalve/io/admin"
-	"sassafrasvalve/io/entry"
 	"sassafrasvalve/io/oplog"
 	"sassafrasvalve/io/stats"
 )
@@ -82,4 +81,4 @@
 type observer struct{ stats *stats.Stats }
 
 // Observe counts a request.
-func (o observer) Observe(obs entry.Observation) { o.stats.Observe(stats.Request(obs)) }
+func (o observer) Observe(obs stats.Observation) { o.stats.Observe(obs) }
--- a/io/daemon/sink.go
+++ b/io/daemon/sink.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"sassafrasvalve/core/dedup"
 	"sassafrasvalve/core/fleet"
 	"sassafrasvalve/io/oplog"
 )
@@ -69,12 +71,41 @@
 	d.folded(time.Time{})
 }
 
+// folded tells what depends on the membership, before the view lease allows work under the new state.
 func (d *Daemon) folded(read time.Time) {
+	d.setClaimMembers()
 	if ended := d.group.Folded(read); ended != "" {
 		d.log.Warn("membership has ended, joining again", zap.String("Member", ended), zap.String("New", d.group.Self()))
 	}
 }
 
+// lossWindow is how long a lost member counts against the idempotency keys: the retention of a
+// claim, and a minute for the difference of clocks.
+const lossWindow = dedup.DefaultRetention + time.Minute
+
+func (d *Daemon) setClaimMembers() {
+	now := d.cfg.Clock.Now()
+	region := d.cfg.Settings.Region
+	var members []string
+	var offset int64
+	lost := 0
+	d.store.View(func(st *fleet.State) {
+		offset = st.Offset
+		for id, m := range st.Members {
+			if m.Region == region {
+				members = append(members, id)
+			}
+		}
+		for _, l := range st.Losses {
+			if l.Region == region && now.Sub(l.At) < lossWindow {
+				lost++
+			}
+		}
+	})
+	slices.Sort(members)
+	d.claims.SetMembers(offset, members, d.group.Self(), lost)
+}
+
 // snapshotWindow is the number of records searched for a snapshot first: twice the distance
 // between snapshots, and room for their chunks.
 const snapshotWindow = 2*fleet.SnapshotRecords + 512
--- a/io/daemon/tmp.go
+++ /dev/null
@@ -1,3 +0,0 @@
-package daemon
-
-func (d *Daemon) setClaimMembers(v view) {}
--- a/io/daemon/views.go
+++ b/io/daemon/views.go
@@ -238,7 +238,6 @@
 		d.log.Info("configuration in force", zap.Int("Version", v.version), zap.Int64("Offset", v.offset))
 	}
 	d.entry.SetView(v.fleet)
-	d.setClaimMembers(v)
 }
 
 // pushed returns the offset of the view that routing uses.
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -149,7 +149,7 @@
 	}
 	var err error
 	x.entry, err = New(Config{
-		Scheduler: x.sched, Forwarder: proxy.New(proxy.Config{}), Gate: x.gate, Jobs: x.jobs, Member: "e1",
+		Scheduler: x.sched, Forwarder: proxy.New(proxy.Config{}), Gate: x.gate, Jobs: x.jobs, Self: func() string { return "e1" },
 		Claims: &oneClaim{ends: map[dedup.Key]*dedup.Outcome{}}, HeaderTimeout: 300 * time.Millisecond,
 		BodyIdle: 2 * time.Second,
 	})
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -59,7 +59,7 @@
 	}
 	x.key = dedup.NewKey(q.tenant, q.service.Name, q.key)
 	d := x.s.cfg.Claims.Claim(x.r.Context(), dedup.Claim{
-		Key: x.key, Fingerprint: fingerprint(x.r, x.in), Executor: x.s.cfg.Member, Request: q.id, Issued: dedup.Issued(q.key),
+		Key: x.key, Fingerprint: fingerprint(x.r, x.in), Executor: x.s.cfg.Self(), Request: q.id, Issued: dedup.Issued(q.key),
 	})
 	if !d.Run {
 		return &refusal{status: d.Status, verdict: d.Verdict, reason: "key", text: d.Reason, retryAt: d.RetryAt, stored: d.Stored}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -92,7 +92,7 @@
 	Observer  Observer // may be nil
 	Clock     clock.Clock
 	Log       *zap.Logger
-	Member    string // executor in claims
+	Self      func() string // member ID of this entry, the executor in claims; nil means none
 
 	Timeout       time.Duration // deadline of requests without one
 	HeaderTimeout time.Duration // for a caller to send the request header
--- a/io/vmlist/client.go
+++ b/io/vmlist/client.go
@@ -50,8 +50,8 @@
 
 // Config configures a Client. Zero values get defaults.
 type Config struct {
-	Base     string // URL of the platform
-	ClientID string // sent with each request
+	Base     string               // URL of the platform
+	ClientID string               // sent with each request
 	Period   func() time.Duration // pause before the next read; nil means one second
 	Clock    clock.Clock
 	Log      *zap.Logger
