stats: Add request metrics and the Prometheus text format

An entry needs histograms per tenant and class, counters per verdict and refusal reason, and gauges read at the scrape. A go-metrics registry holds the series under their text-format names; the text is written by hand, because go-metrics has no writer for it.

A metric has at most 512 series.

Shown to fail first: without label or help escapes, with unknown names counted elsewhere, refusals in the times, no bound of series, kept series of removed names, and a series set twice by a source; each broke one of the tests.

--- /dev/null
+++ b/io/stats/stats.go
@@ -0,0 +1,205 @@
+// Package stats counts requests and measures their times, and writes all
+// metrics of an entry in the Prometheus text format.
+package stats
+
+import (
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// maxSeries bounds the label combinations of one metric. Prometheus and this process
+// keep each in memory, and label values may come from outside.
+const maxSeries = 512
+
+// Other stands for all label values beyond a bound.
+const Other = "other"
+
+// Label is a name and a value that tell the series of a metric apart.
+type Label struct {
+	Name, Value string
+}
+
+// Labels are the labels of a series. Their order does not matter.
+type Labels []Label
+
+// kind is the type of a metric in the text format.
+type kind string
+
+// The kinds of metrics.
+const (
+	counter kind = "counter"
+	gauge   kind = "gauge"
+	summary kind = "summary"
+)
+
+// info is what the registry does not hold of a metric.
+type info struct {
+	kind   kind
+	help   string
+	series int
+}
+
+// Stats holds all metrics of an entry. It is safe for concurrent use.
+type Stats struct {
+	registry metrics.Registry // series by their name and labels in the text format
+	dropped  metrics.Counter
+	attempts metrics.Counter
+	names    atomic.Pointer[names]
+
+	mu      sync.Mutex
+	infos   map[string]*info  // by metric
+	sources map[string]Source // by metric
+}
+
+// New returns metrics that hold the runtime's figures and no requests.
+func New() *Stats {
+	s := &Stats{registry: metrics.NewRegistry(), infos: map[string]*info{}, sources: map[string]Source{}}
+	s.Describe(metricDropped, "Series left out because their metric has too many, or another type.")
+	s.dropped = s.Counter(metricDropped, nil)
+	s.describeRequests()
+	s.attempts = s.Counter(metricAttempts, nil)
+	s.SetNames(nil, nil)
+	s.addRuntime()
+	return s
+}
+
+const metricDropped = "sassafrasvalve_metrics_dropped_total"
+
+// Describe sets the help text of a metric.
+func (s *Stats) Describe(name, help string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.infoOf(metricName(name)).help = help
+}
+
+// infoOf is called with the lock held.
+func (s *Stats) infoOf(name string) *info {
+	if s.infos[name] == nil {
+		s.infos[name] = &info{help: strings.ReplaceAll(name, "_", " ")}
+	}
+	return s.infos[name]
+}
+
+// Counter returns the counter of a series. Beyond maxSeries, all label values count as Other.
+func (s *Stats) Counter(name string, labels Labels) metrics.Counter {
+	m, ok := s.register(counter, name, labels, metrics.NewCounter()).(metrics.Counter)
+	if !ok {
+		return metrics.NewCounter() // dropped
+	}
+	return m
+}
+
+// Gauge has read called at each scrape. It replaces an earlier callback of the same series.
+// Beyond maxSeries, new series are dropped, since values of several cannot be merged.
+func (s *Stats) Gauge(name string, labels Labels, read func() float64) {
+	s.Drop(name, labels)
+	s.register(gauge, name, labels, metrics.NewFunctionalGaugeFloat64(read))
+}
+
+// Source calls set for each series of a gauge that exists at the time of the scrape.
+type Source func(set func(labels Labels, value float64))
+
+// Gauges has source called at each scrape, for series that come and go such as those of VMs.
+// It replaces an earlier source of the same metric. Series beyond maxSeries are dropped.
+func (s *Stats) Gauges(name string, source Source) {
+	name = metricName(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.infoOf(name)
+	if i.kind != "" && i.kind != gauge || i.series > 0 {
+		s.dropped.Inc(1)
+		return
+	}
+	i.kind = gauge
+	s.sources[name] = source
+}
+
+// Drop forgets a series.
+func (s *Stats) Drop(name string, labels Labels) {
+	name = metricName(name)
+	key := seriesKey(name, labels)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.registry.Get(key) != nil {
+		s.registry.Unregister(key)
+		s.infos[name].series--
+	}
+}
+
+// register returns the metric of a series, which is m if the series is new. It returns nil if
+// the series is dropped.
+func (s *Stats) register(k kind, name string, labels Labels, m any) any {
+	name = metricName(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.infoOf(name)
+	if i.kind != "" && i.kind != k || s.sources[name] != nil {
+		s.dropped.Inc(1)
+		return nil
+	}
+	i.kind = k
+	key := seriesKey(name, labels)
+	if old := s.registry.Get(key); old != nil {
+		return old
+	}
+	if i.series >= maxSeries {
+		if k == gauge {
+			s.dropped.Inc(1)
+			return nil
+		}
+		if key = seriesKey(name, allOther(labels)); s.registry.Get(key) != nil {
+			return s.registry.Get(key)
+		}
+	}
+	if err := s.registry.Register(key, m); err != nil {
+		return nil // another metric has the key, which the lookup above excludes
+	}
+	i.series++
+	return m
+}
+
+func allOther(labels Labels) Labels {
+	out := slices.Clone(labels)
+	for i := range out {
+		out[i].Value = Other
+	}
+	return out
+}
+
+// Characters that the text format does not allow in names.
+var (
+	badMetricChars = regexp.MustCompile(`[^a-zA-Z0-9_:]|^[0-9]`)
+	badLabelChars  = regexp.MustCompile(`[^a-zA-Z0-9_]|^[0-9]`)
+)
+
+// labelEscapes are the escapes of a label value in the text format.
+var labelEscapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// metricName replaces the characters that a name cannot have.
+func metricName(name string) string { return badMetricChars.ReplaceAllString(name, "_") }
+
+// seriesKey returns a series as it stands in the text format, without a value.
+func seriesKey(name string, labels Labels) string {
+	if len(labels) == 0 {
+		return name
+	}
+	parts := make([]string, 0, len(labels))
+	for _, l := range labels {
+		parts = append(parts, labelText(l))
+	}
+	slices.Sort(parts)
+	return name + "{" + strings.Join(parts, ",") + "}"
+}
+
+func labelText(l Label) string {
+	return badLabelChars.ReplaceAllString(l.Name, "_") + `="` + escapeLabel(l.Value) + `"`
+}
+
+func escapeLabel(value string) string {
+	return labelEscapes.Replace(strings.ToValidUTF8(value, "\uFFFD"))
+}
