member: Count members without a known vote against a promise majority

The machine test found an entry that was fenced while it held its lease by promises: TestMachine, after 1,740 checks. The sole voter e0 had folded the join of e1 but not its own Ack, which gave e1 the vote. It counted a group of one, while the fold evicted it in a group of two.

Renewal now needs a majority whichever live members without a vote in this view vote; those that promised nothing count against it.

--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -248,6 +248,13 @@
 	return s.selectMembers(func(m *Member) bool { return m.Region == region && m.Voting })
 }
 
+// PendingVoters returns the IDs of the live members of a region that do not vote yet, sorted.
+func (s *State) PendingVoters(region string) []string {
+	return s.selectMembers(func(m *Member) bool {
+		return m.Region == region && m.Phase == MemberLive && !m.Voting
+	})
+}
+
 // GroupSize returns the number of votes in a region of which a promise or an eviction needs
 // a majority or half. Fenced members count until their departure is settled.
 func (s *State) GroupSize(region string) int {
--- a/core/member/group.go
+++ b/core/member/group.go
@@ -96,26 +96,48 @@
 
 // Renewal returns the time from which promises of a majority allow the lease to be renewed.
 // It returns false without a majority, or if this entry is not a live member in its own view.
+//
+// A member that does not vote yet in this view may have been given its vote since. So the promises
+// must be a majority whichever of these members vote: those that promised nothing count against it.
 func (g *Group) Renewal(st *fleet.State, now time.Time) (time.Time, bool) {
 	self := st.Members[g.cfg.Self]
 	if self == nil || self.Phase != fleet.MemberLive {
 		return time.Time{}, false
 	}
-	var sent []time.Time
-	for _, id := range st.Voters(g.cfg.Region) {
+	votes, others := g.promisedAt(st.Voters(g.cfg.Region), st, now), g.promisedAt(st.PendingVoters(g.cfg.Region), st, now)
+	against := st.GroupSize(g.cfg.Region) + len(st.PendingVoters(g.cfg.Region))
+	times := slices.Concat(votes, others)
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	for _, since := range times {
+		if 2*countFrom(votes, since) > against-countFrom(others, since) {
+			return since, now.Before(since.Add(Term))
+		}
+	}
+	return time.Time{}, false
+}
+
+// promisedAt returns when this entry asked for each promise of the members that counts.
+func (g *Group) promisedAt(members []string, st *fleet.State, now time.Time) []time.Time {
+	var out []time.Time
+	for _, id := range members {
 		if id == g.cfg.Self {
-			sent = append(sent, now)
+			out = append(out, now)
 		} else if r, ok := g.received[id]; ok && r.Offset <= st.Offset {
-			sent = append(sent, r.Sent)
+			out = append(out, r.Sent)
 		}
 	}
-	need := st.GroupSize(g.cfg.Region)/2 + 1
-	if len(sent) < need {
-		return time.Time{}, false
+	return out
+}
+
+// countFrom counts the times that are not before since.
+func countFrom(times []time.Time, since time.Time) int {
+	n := 0
+	for _, t := range times {
+		if !t.Before(since) {
+			n++
+		}
 	}
-	slices.SortFunc(sent, func(a, b time.Time) int { return b.Compare(a) })
-	since := sent[need-1]
-	return since, now.Before(since.Add(Term))
+	return n
 }
 
 // Heard notes a message from a peer.
