oplog, peer, cloud: Add the log client, peer calls and a platform stand-in

Cause: the thin path needs the platform's log, a way to call peers and a platform that fails on demand. Ruled out: the library's VarintObjectCodec as it is (no size limit, and the rest of a frame after the first JSON value stays in the stream); its plain codec (a message is read before its size is known); longer and longer read timeouts (a recovery would be noticed late, or a slow platform never be read). Change: io/wire (dialling, byte counts, backoff), io/oplog (Client, Reader with overlapping reads, Writer with group commit), io/peer (Server, Pool, counts per method), fake/cloud (log, VM list, tasks, faults). Checks that were seen to fail with the fault put in: unknown append taken for not appended and the reverse, no repeat after a lost response, no overdue reads, expiry skipped, gaps accepted, age of repeats ignored, no size limit, call bound to the write, pool locked during calls, silent connection kept, no Hello, unbounded calls, no write deadline, fault rule for all clients, list without lag, long poll that misses an append.

--- /dev/null
+++ b/fake/cloud/state.go
@@ -0,0 +1,84 @@
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+)
+
+// State is what GET /state shows to tests.
+type State struct {
+	First, Next int64
+	Appends     int64    // that took effect
+	Records     []Entry  `json:",omitempty"` // with ?records=1
+	VMs         []VM     // without the lag
+	Tasks       []Task   // usage lags
+	Rebooting   []string `json:",omitempty"`
+	Faults      []Fault
+}
+
+// State returns the present state, with all records.
+func (s *Server) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Clock.Now()
+	s.fleet.settle(now)
+	s.faults.expire(now)
+	s.log.expire(now)
+	st := State{
+		First: s.log.first, Next: s.log.next(), Appends: s.log.appends,
+		Records: s.log.read(s.log.first, len(s.log.records), 1<<62),
+		VMs:     s.fleet.sorted(), Tasks: s.taskList().Tasks, Faults: []Fault{},
+	}
+	for _, vm := range st.VMs {
+		if vm.Away {
+			st.Rebooting = append(st.Rebooting, vm.ID)
+		}
+	}
+	for _, r := range s.faults.rules {
+		st.Faults = append(st.Faults, *r)
+	}
+	return st
+}
+
+func (s *Server) getState(w http.ResponseWriter, r *http.Request) {
+	st := s.State()
+	if r.FormValue("records") == "" {
+		st.Records = nil
+	}
+	writeJSON(w, http.StatusOK, st)
+}
+
+// lateWriter holds a response back until its delay is over.
+type lateWriter struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header returns the header of the response.
+func (l *lateWriter) Header() http.Header { return l.header }
+
+// WriteHeader sets the status of the response.
+func (l *lateWriter) WriteHeader(status int) { l.status = status }
+
+// Write adds to the body of the response.
+func (l *lateWriter) Write(p []byte) (int, error) { return l.body.Write(p) }
+
+func (l *lateWriter) flush(w http.ResponseWriter) {
+	for name, values := range l.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(l.status)
+	_, _ = w.Write(l.body.Bytes()) // the client may be gone
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/oplog/harness_test.go
@@ -0,0 +1,150 @@
+package oplog
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/fake/cloud"
+)
+
+// folder is a sink with a fold that accepts the first record of an ID, unless its name begins with "reject".
+type folder struct {
+	mu      sync.Mutex
+	writer  *Writer
+	delay   time.Duration
+	next    int64
+	gaps    []int64 // offsets that did not follow the one before
+	effects map[string]int
+	seen    map[string]int
+	batches []Batch
+	expired []Span
+	failed  int
+	changed chan struct{}
+}
+
+func newFolder() *folder {
+	return &folder{effects: map[string]int{}, seen: map[string]int{}, changed: make(chan struct{}, 1)}
+}
+
+func (f *folder) Batch(ctx context.Context, b Batch) {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	if len(b.Records) > 0 && delay > 0 {
+		time.Sleep(delay)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.batches = append(f.batches, b)
+	for _, e := range b.Records {
+		if e.Offset != f.next {
+			f.gaps = append(f.gaps, e.Offset)
+		}
+		f.next = e.Offset + 1
+		f.fold(e)
+	}
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (f *folder) fold(e Entry) {
+	var rec fleet.Record
+	if json.Unmarshal(e.Data, &rec) != nil {
+		return
+	}
+	f.seen[rec.ID]++
+	if f.seen[rec.ID] > 1 {
+		return
+	}
+	accepted := !strings.HasPrefix(rec.ID, "reject")
+	if accepted {
+		f.effects[rec.ID]++
+	}
+	if f.writer != nil {
+		f.writer.Observe(rec.ID, e.Offset, accepted, "by name")
+	}
+}
+
+func (f *folder) Expired(_ context.Context, first, next int64) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.expired = append(f.expired, Span{first, next})
+	f.next = first
+	return first, nil
+}
+
+func (f *folder) Failed(error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed++
+}
+
+// await waits until cond holds on the folder.
+func (f *folder) await(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	deadline := time.After(10 * time.Second)
+	for {
+		f.mu.Lock()
+		ok := cond()
+		f.mu.Unlock()
+		if ok {
+			return
+		}
+		select {
+		case <-f.changed:
+		case <-time.After(10 * time.Millisecond):
+		case <-deadline:
+			t.Fatalf("no %s within 10 s", what)
+		}
+	}
+}
+
+// bench is a stand-in with a client, a reader and a writer.
+type bench struct {
+	cloud  *cloud.Server
+	client *Client
+	reader *Reader
+	folder *folder
+	writer *Writer
+}
+
+func newBench(t *testing.T, cfg cloud.Config, maxResponse int64) *bench {
+	t.Helper()
+	b := &bench{cloud: cloud.New(cfg), folder: newFolder()}
+	srv := httptest.NewServer(b.cloud.Handler())
+	b.client = NewClient(Config{Base: srv.URL, ClientID: "a", MaxResponse: maxResponse})
+	b.writer = NewWriter(WriterConfig{Client: b.client, Writer: "a#1"})
+	b.folder.writer = b.writer
+	b.reader = NewReader(ReaderConfig{Client: b.client, Sink: b.folder})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { b.reader.Run(ctx) })
+	wg.Go(func() { b.writer.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		b.client.http.CloseIdleConnections()
+		srv.Close()
+		assert.Equal(t, len(b.folder.gaps), 0, "offsets skipped or repeated: %v", b.folder.gaps)
+	})
+	return b
+}
+
+// put appends n records behind the writer's back.
+func (b *bench) put(t *testing.T, n int) {
+	t.Helper()
+	for range n {
+		_, err := b.client.Append(context.Background(), [][]byte{[]byte("{}")})
+		assert.NilError(t, err)
+	}
+}
--- /dev/null
+++ b/io/peer/stream.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+// ErrTooLarge is returned for a message above the size limit.
+var ErrTooLarge = errors.New("message is too large")
+
+// stream is a jsonrpc2.ObjectStream over a connection. On the wire it equals the library's
+// VarintObjectCodec: each message follows its length. Of the library's codecs it has the smallest frames,
+// and a message that is too large is refused before it is read, which the plain codec cannot do. The
+// library's own codec knows no limit and leaves the rest of a frame that holds more than one JSON value.
+type stream struct {
+	conn    net.Conn
+	r       *bufio.Reader
+	limits  limits
+	account account
+}
+
+// limits bound the messages of a connection.
+type limits struct {
+	size    int           // bytes of a message
+	idle    time.Duration // between two messages from the other side; 0 for no limit
+	message time.Duration // from the first byte of a message to its last
+	write   time.Duration // of one message
+}
+
+// account is told the length of each message on the wire.
+type account interface {
+	readFrame(size int)
+	wroteFrame(size int)
+}
+
+func newStream(conn net.Conn, l limits, a account) *stream {
+	return &stream{conn: conn, r: bufio.NewReader(conn), limits: l, account: a}
+}
+
+// ReadObject reads the next message into v.
+func (s *stream) ReadObject(v any) error {
+	var idle time.Time
+	if s.limits.idle > 0 {
+		idle = time.Now().Add(s.limits.idle)
+	}
+	if err := s.conn.SetReadDeadline(idle); err != nil {
+		return err
+	}
+	if _, err := s.r.Peek(1); err != nil {
+		return err
+	}
+	if err := s.conn.SetReadDeadline(time.Now().Add(s.limits.message)); err != nil {
+		return err
+	}
+	data, head, err := readFrame(s.r, s.limits.size)
+	if err != nil {
+		return err
+	}
+	s.account.readFrame(head + len(data))
+	return json.Unmarshal(data, v)
+}
+
+// readFrame returns the next message and the length of its head.
+func readFrame(r *bufio.Reader, limit int) (data []byte, head int, err error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return nil, 0, err
+	}
+	if size > uint64(limit) {
+		return nil, 0, fmt.Errorf("%w: %d bytes of at most %d", ErrTooLarge, size, limit)
+	}
+	data = make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return nil, 0, err
+	}
+	return data, len(binary.AppendUvarint(nil, size)), nil
+}
+
+// WriteObject writes v as one message. After a failed write the connection is closed,
+// since the other side may hold a part of the message. The caller excludes concurrent writes.
+func (s *stream) WriteObject(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(data) > s.limits.size {
+		return fmt.Errorf("%w: %d bytes of at most %d", ErrTooLarge, len(data), s.limits.size)
+	}
+	frame := append(binary.AppendUvarint(make([]byte, 0, len(data)+binary.MaxVarintLen32), uint64(len(data))), data...)
+	if err := s.conn.SetWriteDeadline(time.Now().Add(s.limits.write)); err != nil {
+		return err
+	}
+	if _, err := s.conn.Write(frame); err != nil {
+		_ = s.conn.Close()
+		return err
+	}
+	s.account.wroteFrame(len(frame))
+	return nil
+}
+
+// Close closes the connection.
+func (s *stream) Close() error { return s.conn.Close() }
