--- a/io/oplog/harness_test.go
+++ b/io/oplog/harness_test.go
@@ -118,7 +118,7 @@
 	writer *Writer
 }
 
-func newBench(t *testing.T, cfg cloud.Config, maxResponse int64) *bench {
+func newBench(t testing.TB, cfg cloud.Config, maxResponse int64) *bench {
 	t.Helper()
 	b := &bench{cloud: cloud.New(cfg), folder: newFolder()}
 	srv := httptest.NewServer(b.cloud.Handler())
--- a/io/oplog/reader_test.go
+++ b/io/oplog/reader_test.go
@@ -40,6 +40,8 @@
 func TestReaderReportsFreshnessOfIdleLog(t *testing.T) {
 	b := newBench(t, cloud.Config{}, 0)
 	time.Sleep(1300 * time.Millisecond)
+	c := b.client.Counters()
+	t.Logf("%d reads of an idle log: %d bytes sent and %d received each", c.Reads, c.SentBytes/c.Reads, c.ReceivedBytes/(c.Reads-1))
 	b.folder.mu.Lock()
 	defer b.folder.mu.Unlock()
 	assert.Assert(t, len(b.folder.batches) >= 2, "%d batches", len(b.folder.batches))
@@ -86,8 +88,11 @@
 	b := newBench(t, cloud.Config{}, 0)
 	b.put(t, 2)
 	b.cloud.Inject(cloud.Fault{On: []string{cloud.ScopeRead}, DelayMS: 2500})
+	time.Sleep(defaultReadWait + 100*time.Millisecond) // until the read that began before the fault has ended
+	began := time.Now()
 	b.put(t, 1)
 	b.folder.await(t, "record 2", func() bool { return b.folder.next == 3 })
+	assert.Assert(t, time.Since(began) > time.Second, "the platform was not slow")
 }
 
 // Guards against one client's cut from the platform stopping another.
--- a/io/oplog/writer_test.go
+++ b/io/oplog/writer_test.go
@@ -167,3 +167,22 @@
 	delete(b.writer.items, "fresh")
 	b.writer.mu.Unlock()
 }
+
+// BenchmarkWriter shows the records a second that one writer brings into the fold at the default pace.
+func BenchmarkWriter(b *testing.B) {
+	bench := newBench(b, cloud.Config{}, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	b.SetParallelism(100)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := bench.writer.Append(ctx, fleet.Record{Kind: fleet.KindAck}); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	c := bench.client.Counters()
+	b.ReportMetric(float64(c.Appends)/b.Elapsed().Seconds(), "appends/s")
+	b.ReportMetric(float64(c.AppendRecords)/b.Elapsed().Seconds(), "records/s")
+}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -215,6 +215,18 @@
 	assert.NilError(t, err)
 }
 
+// Guards against one message that makes the handlers of all entries panic and stops them together.
+func TestPanicOfHandler(t *testing.T) {
+	s := startServer(t, ServerConfig{}, func(s *Server) {
+		s.Handle("Panic", func(context.Context, string, json.RawMessage) (any, error) { panic("by test") })
+	})
+	p := newTestPool(t, PoolConfig{})
+	var remote *jsonrpc2.Error
+	assert.Assert(t, errors.As(p.Call(context.Background(), s.Addr(), "Panic", nil, nil), &remote))
+	_, err := echo(p, s.Addr(), "x")
+	assert.NilError(t, err)
+}
+
 // Guards against traffic that cannot be held against the control budget of the method that caused it.
 func TestStatsPerMethod(t *testing.T) {
 	serverStats, clientStats := NewStats(), NewStats()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -236,13 +236,25 @@
 		defer func() { <-l.calls }()
 		ctx, cancel := context.WithTimeout(ctx, handlerTimeout)
 		defer cancel()
-		result, err := h(ctx, from, params)
+		result, err := l.run(ctx, h, from, req.Method, params)
 		if !req.Notif {
 			l.respond(ctx, conn, req, result, err)
 		}
 	})
 }
 
+// run calls a handler. A panic ends only the call: a message that panics in one entry would do so in all.
+func (l *link) run(ctx context.Context, h Handler, from, method string, params json.RawMessage) (result any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			l.server.cfg.Log.Error("handler panicked", zap.String("method", method), zap.String("from", from),
+				zap.Any("cause", cause), zap.Stack("stack"))
+			err = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "handler panicked"}
+		}
+	}()
+	return h(ctx, from, params)
+}
+
 func (l *link) respond(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, result any, err error) {
 	defer l.meter.served(req.ID)
 	resp := &jsonrpc2.Response{ID: req.ID}
--- /dev/null
+++ b/io/vmlist/vmlist.go
@@ -0,0 +1,255 @@
+// Package vmlist follows the platform's list of VMs and controls its VMs and tasks.
+package vmlist
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasvalve/core/clock"
+	"sassafrasvalve/io/wire"
+)
+
+const (
+	defaultInterval = time.Second
+	defaultTimeout  = 2 * time.Second
+	maxResponse     = 8 << 20 // bytes
+	maxErrorBody    = 512     // bytes of an error response that are quoted
+	maxConns        = 4
+)
+
+// ErrRefused says that the platform certainly did not do what was asked. Any other error leaves that open.
+var ErrRefused = errors.New("the platform refused")
+
+// State says whether the platform keeps a VM.
+type State string
+
+// The states of a VM.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// VM is a machine as the platform lists it.
+type VM struct {
+	ID     string
+	Addr   string // IP:port
+	DC     string
+	Rack   string
+	Region string
+	State  State
+	Away   bool // being rebooted
+	Boots  int  // reboots that have ended
+	Usage  Usage
+}
+
+// Usage is a measured load. It lags.
+type Usage struct {
+	Cores  float64
+	Memory int64 // bytes
+}
+
+// List is the platform's list of VMs as it was at AsOf.
+type List struct {
+	AsOf     time.Time // by the platform's clock
+	Received time.Time // by the own clock
+	VMs      []VM      // by ID
+}
+
+// Age returns how old the list is: the larger of the ages by the platform's clock and by the own.
+func (l List) Age(now time.Time) time.Duration {
+	return max(now.Sub(l.AsOf), now.Sub(l.Received))
+}
+
+// parseList decodes and checks a list.
+func parseList(data []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(data, &l); err != nil {
+		return List{}, eris.Wrap(err, "decode VM list")
+	}
+	if l.AsOf.IsZero() {
+		return List{}, eris.New("VM list has no time")
+	}
+	slices.SortFunc(l.VMs, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	for i, vm := range l.VMs {
+		switch {
+		case vm.ID == "":
+			return List{}, eris.New("VM list has a VM without ID")
+		case i > 0 && vm.ID == l.VMs[i-1].ID:
+			return List{}, eris.Errorf("VM list has VM %q twice", vm.ID)
+		case vm.State != Live && vm.State != Leaving:
+			return List{}, eris.Errorf("VM %q has the unknown state %q", vm.ID, vm.State)
+		}
+	}
+	return l, nil
+}
+
+// Sink takes each new list. It is called by the poll loop.
+type Sink interface {
+	VMs(l List)
+}
+
+// Config configures a Client. Zero values get defaults.
+type Config struct {
+	Base     string // URL of the platform
+	ClientID string // sent with each request
+	Interval time.Duration
+	Timeout  time.Duration // of one request
+	Clock    clock.Clock
+	Sink     Sink // may be nil
+}
+
+// Counters are totals since the start of a client.
+type Counters struct {
+	Polls         int64
+	Failed        int64 // polls without a usable list
+	SentBytes     int64 // headers included
+	ReceivedBytes int64
+}
+
+// Client follows the VM list. It is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	http *http.Client
+	wire wire.Counter
+
+	mu            sync.Mutex
+	list          List
+	known         bool
+	err           error // of the last poll
+	polls, failed int64
+}
+
+// New returns a client without a list.
+func New(cfg Config) *Client {
+	cfg.Interval = cmp.Or(cfg.Interval, defaultInterval)
+	cfg.Timeout = cmp.Or(cfg.Timeout, defaultTimeout)
+	if cfg.Clock == nil {
+		cfg.Clock = clock.System{}
+	}
+	c := &Client{cfg: cfg}
+	c.http = wire.NewHTTPClient(&c.wire, maxConns)
+	return c
+}
+
+// List returns the newest list, or false before the first. It is kept when polls fail; see Err and List.Age.
+func (c *Client) List() (List, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.list
+	l.VMs = slices.Clone(l.VMs)
+	return l, c.known
+}
+
+// Err returns the error of the last poll.
+func (c *Client) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// Counters returns the totals since the start.
+func (c *Client) Counters() Counters {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Counters{c.polls, c.failed, c.wire.Sent(), c.wire.Received()}
+}
+
+// Run polls until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.cfg.Interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		_ = c.Poll(ctx) // kept for Err
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// Poll reads the list once. A list that is older than the one held is not taken:
+// it would show a leaving VM as live again.
+func (c *Client) Poll(ctx context.Context) error {
+	data, err := c.do(ctx, http.MethodGet, "/vms", nil)
+	var l List
+	if err == nil {
+		l, err = parseList(data)
+	}
+	l.Received = c.cfg.Clock.Now()
+	if err = c.take(l, err); err == nil && c.cfg.Sink != nil {
+		c.cfg.Sink.VMs(l)
+	}
+	return err
+}
+
+func (c *Client) take(l List, err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.polls++
+	if err == nil && c.known && l.AsOf.Before(c.list.AsOf) {
+		err = eris.Errorf("VM list of %v is older than that of %v", l.AsOf, c.list.AsOf)
+	}
+	c.err = err
+	if err != nil {
+		c.failed++
+		return err
+	}
+	c.list, c.known = l, true
+	return nil
+}
+
+// Reboot asks the platform to reboot a VM.
+func (c *Client) Reboot(ctx context.Context, vm string) error {
+	_, err := c.do(ctx, http.MethodPost, "/vms/"+url.PathEscape(vm)+"/reboot", nil)
+	return err
+}
+
+// do sends a request and returns the body of a 2xx response.
+func (c *Client) do(ctx context.Context, method, path string, body any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	var in io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, eris.Wrapf(err, "encode %s %s", method, path)
+		}
+		in = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.cfg.Base+path, in)
+	if err != nil {
+		return nil, eris.Wrapf(err, "build %s %s", method, path)
+	}
+	req.Header.Set(wire.ClientHeader, c.cfg.ClientID)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s %s", method, path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse+1))
+	switch {
+	case err != nil:
+		return nil, eris.Wrapf(err, "%s %s", method, path)
+	case len(data) > maxResponse:
+		return nil, eris.Errorf("%s %s: response has more than %d bytes", method, path, maxResponse)
+	case resp.StatusCode/100 == 2:
+		return data, nil
+	}
+	err = fmt.Errorf("%s %s: platform answered %d: %q", method, path, resp.StatusCode, data[:min(len(data), maxErrorBody)])
+	if resp.StatusCode/100 == 4 || resp.StatusCode == http.StatusServiceUnavailable {
+		err = fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return nil, err
+}
