cloud: Check that Run ends with its context

Cause: a stand-in that outlives its test blocks the next one. Change: a test with a waiting read and a dropped list request. Figures: the test fails when Run ignores its context. It still passes without BaseContext or without Close after the grace period, since Serve returns then as well; both only end the open requests sooner.

--- a/fake/cloud/cloud_test.go
+++ b/fake/cloud/cloud_test.go
@@ -1,8 +1,10 @@
 package cloud
 
 import (
+	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -106,3 +108,28 @@
 		timer.Stop()
 	}
 }
+
+// Guards against a stand-in that cannot be stopped while clients poll or hang.
+func TestRunEndsWithContext(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	s, done := New(Config{}), make(chan error, 1)
+	go func() { done <- s.Run(ctx, ln) }()
+	s.Inject(Fault{On: []string{ScopeList}, Outage: OutageDrop})
+	for _, path := range []string{"/log/read?from=0&max=1&wait=10000", "/vms"} {
+		go func() {
+			if resp, err := http.Get("http://" + ln.Addr().String() + path); err == nil {
+				_ = resp.Body.Close()
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	cancel()
+	select {
+	case err := <-done:
+		assert.NilError(t, err)
+	case <-time.After(3 * time.Second):
+		t.Fatal("Run has not ended 3 s after its context")
+	}
+}
