--- a/fake/cloud/fault.go
+++ b/fake/cloud/fault.go
@@ -18,6 +18,7 @@
 const (
 	OutageRefuse = "refuse" // 503, without effect
 	OutageHang   = "hang"   // no response until the fault is cleared or the client gives up, without effect
+	OutageDrop   = "drop"   // no response until the client gives up, even after the fault is cleared, without effect
 	OutageReset  = "reset"  // the connection is closed, without effect
 )
 
@@ -55,10 +56,8 @@
 		(len(f.Clients) == 0 || slices.Contains(f.Clients, client))
 }
 
-// effect is what the rules do to one request.
+// effect is what the rules do to one append.
 type effect struct {
-	outage    string
-	delay     time.Duration
 	lose      bool
 	duplicate bool
 }
--- a/fake/cloud/server.go
+++ b/fake/cloud/server.go
@@ -2,10 +2,12 @@
 package cloud
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -157,6 +159,13 @@
 // guard applies outages and delays to a handler.
 func (s *Server) guard(scope string, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		// net/http notices that a client is gone only after the body was read.
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		if !s.pass(w, r, scope) {
 			return
 		}
@@ -191,6 +200,9 @@
 			case <-changed:
 			case <-time.After(time.Second): // the rule may have ended by itself
 			}
+		case OutageDrop:
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
 		case OutageReset:
 			panic(http.ErrAbortHandler)
 		default:
@@ -340,16 +352,11 @@
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
 	dec.DisallowUnknownFields()
-	err := dec.Decode(v)
-	if err == nil {
-		return true
-	}
-	status := http.StatusBadRequest
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		status = http.StatusRequestEntityTooLarge
+	if err := dec.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
 	}
-	http.Error(w, err.Error(), status)
-	return false
+	return true
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -20,9 +20,6 @@
 	probePeriod   = time.Second
 	probeTimeout  = time.Second
 	maxProbes     = 32 // at once
-	// followerPeriod is the pause between reads of the VM list by entries that do not run the
-	// controller. They need it only as a fallback, and a read of a changed list takes 0.2 MB at the target size.
-	followerPeriod = 10 * time.Second
 )
 
 // control runs the controller's rules while this entry acts for its region.
@@ -145,7 +142,7 @@
 	l, _ := d.vms.List()
 	var out []string
 	for _, vm := range l.VMs {
-		if vm.State == vmlist.StateLeaving {
+		if vm.State == vmlist.Leaving {
 			out = append(out, vm.ID)
 		}
 	}
@@ -153,13 +150,8 @@
 	return out
 }
 
-// listPeriod is the pause before the next read of the VM list.
-func (d *Daemon) listPeriod() time.Duration {
-	if d.group.Acting() || !d.group.ReadsLog() {
-		return time.Second
-	}
-	return followerPeriod
-}
+// followsList reports whether another entry acts on the VM list and this one learns of it from the log.
+func (d *Daemon) followsList() bool { return !d.group.Acting() && d.group.ReadsLog() }
 
 // probeLoop connects to the workers that are ejected, and while this entry acts also to those
 // that are out of routing. Active workers that do well are not probed: at the target size that
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -98,7 +98,7 @@
 	})
 	d.client = oplog.NewClient(oplog.Config{Base: s.Platform, ClientID: s.VM})
 	d.writer = oplog.NewWriter(oplog.WriterConfig{Client: d.client, Clock: cfg.Clock, Writer: s.VM})
-	d.vms = vmlist.New(vmlist.Config{Base: s.Platform, ClientID: s.VM, Clock: cfg.Clock, Log: d.log, Period: d.listPeriod})
+	d.vms = vmlist.New(vmlist.Config{Base: s.Platform, ClientID: s.VM, Clock: cfg.Clock, Slow: d.followsList})
 	d.control, d.gone = newControl(d), newGoneEntries(d)
 	d.buildLinks()
 	d.admin = admin.NewServer(admin.ServerConfig{
--- a/io/oplog/harness_test.go
+++ b/io/oplog/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -58,8 +57,8 @@
 }
 
 func (f *folder) fold(e Entry) {
-	var rec fleet.Record
-	if json.Unmarshal(e.Data, &rec) != nil {
+	rec, err := fleet.Decode(e.Data)
+	if err != nil {
 		return
 	}
 	f.seen[rec.ID]++
@@ -118,14 +117,14 @@
 	writer *Writer
 }
 
-func newBench(t *testing.T, cfg cloud.Config, from int64) *bench {
+func newBench(t testing.TB, cfg cloud.Config, maxResponse int64) *bench {
 	t.Helper()
 	b := &bench{cloud: cloud.New(cfg), folder: newFolder()}
 	srv := httptest.NewServer(b.cloud.Handler())
-	b.client = NewClient(Config{Base: srv.URL, ClientID: "a"})
+	b.client = NewClient(Config{Base: srv.URL, ClientID: "a", MaxResponse: maxResponse})
 	b.writer = NewWriter(WriterConfig{Client: b.client, Writer: "a#1"})
-	b.folder.writer, b.folder.next = b.writer, from
-	b.reader = NewReader(ReaderConfig{Client: b.client, Sink: b.folder, From: from})
+	b.folder.writer = b.writer
+	b.reader = NewReader(ReaderConfig{Client: b.client, Sink: b.folder})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { b.reader.Run(ctx) })
--- a/io/oplog/reader.go
+++ b/io/oplog/reader.go
@@ -98,7 +98,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		began, from := r.cfg.Clock.Now(), r.next.Load()
-		page, sent, err := r.read(ctx, from)
+		page, sent, err := r.read(ctx, from, failures > 0)
 		if err == nil {
 			failures = 0
 			r.deliver(ctx, page, from, sent)
@@ -161,11 +161,16 @@
 }
 
 // read reads once and repeats the read while responses are overdue. The first useful response wins.
-func (r *Reader) read(ctx context.Context, from int64) (Page, time.Time, error) {
+// After a failure the platform is not asked to hold the read, so that the end of an outage shows at once.
+func (r *Reader) read(ctx context.Context, from int64, failed bool) (Page, time.Time, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan *attempt)
-	open := []*attempt{r.start(ctx, from, results)}
+	wait := r.cfg.Wait
+	if failed {
+		wait = 0
+	}
+	open := []*attempt{r.start(ctx, from, wait, results)}
 	overdue := time.NewTicker(r.cfg.Wait + hedgeSlack)
 	defer overdue.Stop()
 	for {
@@ -185,20 +190,20 @@
 				open[0].cancel()
 				open = slices.Delete(open, 0, 1)
 			}
-			open = append(open, r.start(ctx, from, results))
+			open = append(open, r.start(ctx, from, 0, results))
 		case <-ctx.Done():
 			return Page{}, time.Time{}, ctx.Err()
 		}
 	}
 }
 
-func (r *Reader) start(ctx context.Context, from int64, results chan<- *attempt) *attempt {
+func (r *Reader) start(ctx context.Context, from int64, wait time.Duration, results chan<- *attempt) *attempt {
 	one, cancel := context.WithCancel(ctx)
 	a := &attempt{began: r.cfg.Clock.Now(), cancel: cancel}
 	limit := r.limit
 	go func() {
 		defer cancel()
-		a.page, a.err = r.cfg.Client.Read(one, from, limit, r.cfg.Wait)
+		a.page, a.err = r.cfg.Client.Read(one, from, limit, wait)
 		select {
 		case results <- a:
 		case <-ctx.Done():
--- a/io/peer/remote.go
+++ b/io/peer/remote.go
@@ -15,6 +15,9 @@
 	"sassafrasvalve/io/wire"
 )
 
+// sendBuffer bounds the bytes that wait in the kernel for a hung peer.
+const sendBuffer = 256 << 10
+
 var (
 	errNoAnswer = errors.New("the last connection brought no message")
 	errNoName   = errors.New("own member ID is empty")
@@ -204,6 +207,9 @@
 
 // open starts the protocol on a new connection.
 func (r *remote) open(conn net.Conn) *clientConn {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(sendBuffer) // the kernel's default is only larger
+	}
 	c := &clientConn{}
 	m := newMeter(r.cfg.Stats, func(string) bool { return true }) // the methods are our own
 	st := newStream(conn, limits{size: r.cfg.MaxMessage, message: messageTimeout, write: writeTimeout}, m)
--- a/io/stats/request.go
+++ b/io/stats/request.go
@@ -24,7 +24,8 @@
 	metricAttempts = "sassafrasvalve_attempts_total"
 )
 
-// Observation is an answered request of a caller.
+// Observation is an answered request of a caller. Its fields are those of entry.Observation,
+// so that one converts to the other.
 type Observation struct {
 	Service, Class, Tenant string
 	Verdict                retry.Verdict
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -201,5 +201,5 @@
 }
 
 func escapeLabel(value string) string {
-	return strings.ToValidUTF8(value, "\uFFFD")
+	return labelEscapes.Replace(strings.ToValidUTF8(value, "\uFFFD"))
 }
--- a/io/stats/stats_test.go
+++ b/io/stats/stats_test.go
@@ -17,8 +17,6 @@
 	"sassafrasvalve/io/stats"
 )
 
-// An observation of the front end must convert to a request.
-
 // Guards against wrong counts, times that refusals distort, names from callers that
 // make new series, and metrics of names that stay after the configuration dropped them.
 func TestRequests(t *testing.T) {
