--- a/core/member/lease_test.go
+++ b/core/member/lease_test.go
@@ -89,3 +89,20 @@
 	since, ok := g.Renewal(st, end.Add(2))
 	assert.Assert(t, ok && since.Equal(end.Add(1)))
 }
+
+// TestPendingVote guards against a sole voter that renews by its own promise while a member that
+// it knows may already vote: the fold could then evict and fence a lease holder.
+func TestPendingVote(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	st := fleet.NewState(fleet.StateConfig{})
+	g := NewGroup(GroupConfig{Self: "a#1", Region: "eu", Started: start})
+	for i, vm := range []string{"a", "b"} {
+		m := fleet.Member{ID: vm + "#1", VM: vm, Epoch: 1, Region: "eu"}
+		st.Apply(int64(i), fleet.Record{ID: vm, Kind: fleet.KindJoin, Join: &fleet.Join{Member: m}})
+		_, ok := g.Renewal(st, start)
+		assert.Equal(t, ok, vm == "a", "after the join of %s", vm)
+	}
+	g.Receive(Promise{From: "b#1", To: "a#1", Offset: st.Offset}, st, start)
+	_, ok := g.Renewal(st, start)
+	assert.Assert(t, ok, "with the promise of b the majority holds whether it votes or not")
+}
