--- a/core/member/lease_test.go
+++ b/core/member/lease_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/fleet"
 )
 
 // TestLeaseBothClocks guards against a lease that outlives a suspended monotonic clock
@@ -43,3 +45,64 @@
 	assert.Assert(t, guest.Valid(end.Add(-1)) && !guest.Valid(end), "the guest's lease ends with its sponsor's")
 	assert.Assert(t, !g.MayAck(end.Add(-1)) && g.MayAck(end))
 }
+
+// twoVoters returns a state in which a#1 and b#1 vote.
+func twoVoters(t *testing.T) *fleet.State {
+	t.Helper()
+	st := fleet.NewState(fleet.StateConfig{})
+	for _, r := range []fleet.Record{
+		{ID: "1", Kind: fleet.KindJoin, Join: &fleet.Join{Member: fleet.Member{ID: "a#1", VM: "a", Epoch: 1, Region: "eu"}}},
+		{ID: "2", Kind: fleet.KindJoin, Join: &fleet.Join{Member: fleet.Member{ID: "b#1", VM: "b", Epoch: 1, Region: "eu"}}},
+		{ID: "3", Kind: fleet.KindAck, Writer: "a#1", Ack: &fleet.Ack{Member: "a#1", Through: 1}},
+	} {
+		res := st.Apply(st.Offset+1, r)
+		assert.Assert(t, res.Accepted, "%+v", res)
+	}
+	return st
+}
+
+// TestPromises guards against a Suspect written while a promise runs, a promise made after a
+// Suspect, and a promise that counts although its giver knows records that the receiver does not.
+func TestPromises(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	st := twoVoters(t)
+	g := NewGroup(GroupConfig{Self: "a#1", Region: "eu", Started: start.Add(-Term)})
+	g.Fold(st, start)
+	_, ok := g.Promise("b#1", st, start)
+	assert.Assert(t, ok)
+	for now := start; now.Before(start.Add(Term)); now = now.Add(Heartbeat) {
+		assert.Equal(t, len(g.Suspects(st, now)), 0, "the promise runs at %v", now.Sub(start))
+	}
+	end := start.Add(Term)
+	assert.Equal(t, len(g.Suspects(st, end)), 1)
+	_, ok = g.Promise("b#1", st, end)
+	assert.Assert(t, !ok, "a suspected member gets no promise")
+	g.Settle("b#1", st.Offset) // as if it had been rejected
+	g.Fold(st, end)
+	_, ok = g.Promise("b#1", st, end)
+	assert.Assert(t, ok, "a rejected Suspect holds nothing back")
+
+	assert.Assert(t, !g.Receive(Promise{From: "b#1", To: "a#1", Offset: st.Offset + 1}, st, end))
+	_, ok = g.Renewal(st, end)
+	assert.Assert(t, !ok, "the giver knows more than the receiver")
+	assert.Assert(t, g.Receive(Promise{From: "b#1", To: "a#1", Offset: st.Offset}, st, end.Add(1)))
+	since, ok := g.Renewal(st, end.Add(2))
+	assert.Assert(t, ok && since.Equal(end.Add(1)))
+}
+
+// TestPendingVote guards against a sole voter that renews by its own promise while a member that
+// it knows may already vote: the fold could then evict and fence a lease holder.
+func TestPendingVote(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	st := fleet.NewState(fleet.StateConfig{})
+	g := NewGroup(GroupConfig{Self: "a#1", Region: "eu", Started: start})
+	for i, vm := range []string{"a", "b"} {
+		m := fleet.Member{ID: vm + "#1", VM: vm, Epoch: 1, Region: "eu"}
+		st.Apply(int64(i), fleet.Record{ID: vm, Kind: fleet.KindJoin, Join: &fleet.Join{Member: m}})
+		_, ok := g.Renewal(st, start)
+		assert.Equal(t, ok, vm == "a", "after the join of %s", vm)
+	}
+	g.Receive(Promise{From: "b#1", To: "a#1", Offset: st.Offset}, st, start)
+	_, ok := g.Renewal(st, start)
+	assert.Assert(t, ok, "with the promise of b the majority holds whether it votes or not")
+}
