slots: Let the owner send updates without being asked

Cause: entries with backlog poll the owner every 50 ms, and most replies say nothing new; a slot that became free waits for the next poll of its new holder. Change: Owner.Updates, numbered replies to the same report, io/sched.Pusher; holders report a first wait of a class and growth of a queue at once, and poll every 100 ms at most. NoPush keeps the earlier versions.

--- a/bench/exchange.go
+++ b/bench/exchange.go
@@ -263,16 +263,36 @@
 // answer is the owner's side of an exchange.
 func (n *node) answer(reports []slots.Report) []slots.Reply {
 	var out []slots.Reply
+	updates := map[string][]slots.Reply{}
 	for _, r := range reports {
 		for _, d := range n.desks {
-			if n.w.fleet.poolName(d.p.index) == r.Pool {
-				out = append(out, d.owner.HandleReport(n.w.clock(), r))
+			if n.w.fleet.poolName(d.p.index) != r.Pool {
+				continue
+			}
+			out = append(out, d.owner.HandleReport(n.w.clock(), r))
+			for _, u := range d.owner.Updates(n.w.clock()) {
+				updates[u.Member] = append(updates[u.Member], u.Reply)
 			}
 		}
 	}
+	for _, to := range n.e.nodes {
+		if us := updates[to.id]; len(us) > 0 {
+			n.push(to, us)
+		}
+	}
 	return out
 }
 
+// push sends updates that nobody asked for.
+func (n *node) push(to *node, updates []slots.Reply) {
+	deliver := func() { to.apply(n.id, updates) }
+	if to == n {
+		n.w.at(n.w.now, func() { n.do(deliver) })
+		return
+	}
+	n.send(to, updates, deliver)
+}
+
 func (n *node) apply(owner string, replies []slots.Reply) {
 	for _, r := range replies {
 		for _, d := range n.desks {
--- a/bench/node.go
+++ b/bench/node.go
@@ -15,7 +15,7 @@
 	InUse(vm string) int
 	Start(now time.Time, vm string) bool
 	End(now time.Time, vm string)
-	Notice(now time.Time, waiting bool)
+	Notice(now time.Time, wait []int)
 }
 
 // desk is the queue of one pool at one entry, with its slots.
@@ -85,7 +85,7 @@
 			d.n.w.stats.ended(d.n.w.now, x.Ticket.Value.(*placed).r, outcomeRefused)
 		}
 	}
-	d.sharing.Notice(now, d.queue.Waiting() > 0)
+	d.sharing.Notice(now, d.queue.Waits())
 	d.p.account()
 	d.n.arm()
 }
@@ -164,4 +164,4 @@
 func (a *allSlots) End(_ time.Time, vm string) { a.use[vm]-- }
 
 // Notice does nothing.
-func (a *allSlots) Notice(time.Time, bool) {}
+func (a *allSlots) Notice(time.Time, []int) {}
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -27,14 +27,16 @@
 
 // Policies returns the reference policies and each version of our own.
 func Policies() []Policy {
+	const ms = time.Millisecond
 	return []Policy{
 		{Name: "fifo", Kind: KindRandom},
 		{Name: "static", Kind: KindStatic},
 		{Name: "central", Kind: KindCentral},
-		{Name: "demand", Slots: slots.Policy{NoRecall: true, NoReserve: true}},
-		{Name: "slow", Slots: slots.Policy{Fast: 250 * time.Millisecond, NoReserve: true}},
-		{Name: "recall", Slots: slots.Policy{NoReserve: true}},
-		{Name: "reserve", Slots: slots.Policy{}},
+		{Name: "demand", Slots: slots.Policy{NoRecall: true, NoReserve: true, NoPush: true, Fast: 50 * ms, Gap: 10 * ms}},
+		{Name: "slow", Slots: slots.Policy{NoReserve: true, NoPush: true, Fast: 250 * ms, Gap: 10 * ms}},
+		{Name: "recall", Slots: slots.Policy{NoReserve: true, NoPush: true, Fast: 50 * ms, Gap: 10 * ms}},
+		{Name: "reserve", Slots: slots.Policy{NoPush: true, Fast: 50 * ms, Gap: 10 * ms}},
+		{Name: "push", Slots: slots.Policy{}},
 	}
 }
 
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -200,6 +200,17 @@
 // Waiting returns the number of queued requests.
 func (q *Queue) Waiting() int { return q.waiting }
 
+// Waits returns the number of queued requests per class in the order of the configuration.
+func (q *Queue) Waits() []int {
+	out := make([]int, 0, len(q.classes))
+	for _, c := range q.classes {
+		if !c.removed {
+			out = append(out, c.waiting)
+		}
+	}
+	return out
+}
+
 // Counts returns the numbers of requests since the start.
 func (q *Queue) Counts() Counts { return q.counts }
 
--- a/core/slots/holder.go
+++ b/core/slots/holder.go
@@ -39,8 +39,9 @@
 	use    map[string]int // requests in progress, also on VMs outside the view
 	names  bool           // the owner needs the worker list
 	seq    uint64
-	ack    uint64
-	sent   []sentReport
+	ack    uint64 // report whose reply is in force, and the number of the reply
+	ackNum int
+	sent   []sentReport // reports that may still be answered, and the one answered last
 
 	recall   int       // slots to give back as they become free
 	lease    time.Time // end of the leases
@@ -48,11 +49,12 @@
 	last     time.Time // newest report
 	due      time.Time // next report
 	waiting  bool
+	told     []int  // queued requests per class in the newest report
 	run      Counts // requests in progress at all entries per class
 	pressure Counts // requests queued at all entries per class
 }
 
-// sentReport is a report without an answer yet.
+// sentReport is a report that an owner may still answer or update.
 type sentReport struct {
 	seq   uint64
 	at    time.Time
@@ -98,7 +100,7 @@
 		h.owner, h.lease, h.fallback = "", now, now.Add(2*h.policy.TTL)
 	}
 	if owner := hash.Owner(h.pool, h.view.Members); owner != h.owner {
-		h.owner, h.ack, h.names, h.sent = owner, 0, true, nil
+		h.owner, h.ack, h.ackNum, h.names, h.sent = owner, 0, 0, true, nil
 		h.recall = 0
 	}
 	h.due = now
@@ -206,14 +208,25 @@
 	}
 }
 
-// Notice tells the holder whether requests wait. The first wait is reported at once.
-func (h *Holder) Notice(now time.Time, waiting bool) {
-	if waiting && !h.waiting {
-		h.hurry(now)
+// Notice tells the holder how many requests wait per class. The first wait of a
+// class and a queue that grows beyond what the owner was told are reported soon.
+func (h *Holder) Notice(now time.Time, wait []int) {
+	h.waiting = sum(wait) > 0
+	for c, n := range wait {
+		told := Counts(h.told).at(c)
+		if n > 0 && (told == 0 || (!h.policy.NoPush && n >= told+max(growthMin, told/growthPart))) {
+			h.hurry(now)
+			return
+		}
 	}
-	h.waiting = waiting
 }
 
+// A queue that grew by at least growthMin and by one growthPart-th is reported again.
+const (
+	growthMin  = 3
+	growthPart = 2
+)
+
 // Due returns when the next report is to be sent.
 func (h *Holder) Due() time.Time { return h.due }
 
@@ -230,7 +243,7 @@
 func (h *Holder) Report(now time.Time, d Demand) Report {
 	h.seq++
 	r := Report{
-		Pool: h.pool, From: h.view.Self, Seq: h.seq, Ack: h.ack, List: h.list,
+		Pool: h.pool, From: h.view.Self, Seq: h.seq, Ack: h.ack, AckNum: h.ackNum, List: h.list,
 		Held: make(Counts, len(h.limit)), Use: make(Counts, len(h.limit)),
 		Run: d.Run, Wait: d.Wait,
 	}
@@ -245,7 +258,7 @@
 		h.sent = slices.Delete(h.sent, 0, 1)
 	}
 	h.sent = append(h.sent, sentReport{h.seq, now, h.owner, make([]int, len(h.limit))})
-	h.last = now
+	h.last, h.told = now, slices.Clone(d.Wait)
 	h.schedule(now)
 	return r
 }
@@ -253,7 +266,7 @@
 // schedule sets the time of the next report by the backlog.
 func (h *Holder) schedule(now time.Time) {
 	period := h.policy.Slow
-	if h.waiting || h.recall > 0 || sum(h.pressure) > 0 {
+	if h.waiting || h.policy.NoPush && (h.recall > 0 || sum(h.pressure) > 0) {
 		period = h.policy.Fast
 	}
 	h.due = h.last.Add(period)
@@ -278,16 +291,26 @@
 		return
 	case r.Stale, !now.Before(lease), len(r.Limits) != len(h.limit):
 		return
+	case r.Seq < h.ack, r.Seq == h.ack && r.Num <= h.ackNum:
+		return // a newer reply is in force
 	}
-	h.sent = slices.Delete(h.sent, 0, at+1)
+	h.sent = slices.Delete(h.sent, 0, at)
 	h.names = false
-	h.ack = r.Seq
+	h.ack, h.ackNum = r.Seq, r.Num
 	h.lease = lease
 	h.fallback = now.Add(2 * h.policy.TTL)
 	h.run, h.pressure = r.Run, r.Press
 	h.recall = max(0, r.Recall-sum(s.given))
+	lowered := false
 	for i, n := range r.Limits {
-		h.limit[i] = max(0, n-s.given[i])
+		n = max(0, n-s.given[i])
+		lowered = lowered || n < h.limit[i]
+		h.limit[i] = n
+	}
+	switch {
+	case r.Num == 0:
+		h.schedule(now)
+	case lowered:
+		h.hurry(now) // others wait for the confirmation
 	}
-	h.schedule(now)
 }
--- a/core/slots/message.go
+++ b/core/slots/message.go
@@ -11,7 +11,8 @@
 	Pool    string
 	From    string   // member ID of the holder
 	Seq     uint64   // grows with each report of the holder
-	Ack     uint64   `json:",omitempty"` // newest reply of this owner that is in force
+	Ack     uint64   `json:",omitempty"` // report whose reply of this owner is in force
+	AckNum  int      `json:",omitempty"` // number of that reply
 	List    uint32   // fingerprint of the holder's worker list
 	Workers []string `json:",omitempty"` // the list itself, sent when the owner asks for it
 	Held    Counts   // per worker: slots that the holder may have in use
@@ -25,6 +26,7 @@
 type Reply struct {
 	Pool   string
 	Seq    uint64 // report that it answers
+	Num    int    `json:",omitempty"` // 0 for the direct reply, 1 and up for later updates of it
 	Limits Counts `json:",omitempty"` // per worker, in the order of the holder's list
 	Recall int    `json:",omitempty"` // slots to give back as they become free
 	Run    Counts `json:",omitempty"` // per class: requests in progress at all entries
--- a/core/slots/owner.go
+++ b/core/slots/owner.go
@@ -40,15 +40,26 @@
 	run     []int
 	wait    []int
 	sent    []sentReply
+	recall  int // slots in use that the newest reply recalls
 }
 
 // sentReply is a reply that may still come into force.
 type sentReply struct {
 	seq    uint64
+	num    int
 	at     time.Time
 	limits []int
 }
 
+// current returns the limits that p has once the newest reply to its newest
+// report is in force.
+func (p *peer) current() []int {
+	if n := len(p.sent); n > 0 && p.sent[n-1].seq == p.seq {
+		return p.sent[n-1].limits
+	}
+	return p.held
+}
+
 // NewOwner returns an owner that is inactive until a view names it.
 func NewOwner(pool string, p Policy) *Owner {
 	return &Owner{policy: p.withDefaults(), pool: pool, peers: map[string]*peer{}}
@@ -128,22 +139,74 @@
 	}
 	o.take(now, p, r)
 	limits, recall := o.decide(now, p)
-	reply.Limits = make(Counts, len(p.workers))
+	return o.reply(now, p, 0, limits, recall)
+}
+
+// reply makes the reply of the given number to the newest report of p.
+func (o *Owner) reply(now time.Time, p *peer, num int, limits []int, recall int) Reply {
+	out := Reply{Pool: o.pool, Seq: p.seq, Num: num, Recall: recall, Limits: make(Counts, len(p.workers))}
 	for i, w := range p.place {
 		if w >= 0 {
-			reply.Limits[i] = limits[w]
+			out.Limits[i] = limits[w]
 		}
 	}
-	reply.Recall = recall
-	reply.Run, reply.Press = o.loads(now)
-	if sum(reply.Press) == 0 {
-		reply.Press = nil
+	out.Run, out.Press = o.loads(now)
+	if sum(out.Press) == 0 {
+		out.Press = nil
 	}
 	if len(p.sent) == maxSent {
 		p.sent = slices.Delete(p.sent, 0, 1)
 	}
-	p.sent = append(p.sent, sentReply{r.Seq, now, limits})
-	return reply
+	p.sent = append(p.sent, sentReply{p.seq, num, now, limits})
+	p.recall = recall
+	return out
+}
+
+// Update is a reply that the owner sends without being asked.
+type Update struct {
+	Member string
+	Reply  Reply
+}
+
+// Updates returns what other holders should know after a report: slots for
+// those that wait, and recalls for those that have more than their part.
+func (o *Owner) Updates(now time.Time) []Update {
+	if !o.active || o.policy.NoPush {
+		return nil
+	}
+	short := o.short(now)
+	var out []Update
+	for _, m := range o.members {
+		p := o.peers[m]
+		n := len(p.sent)
+		if n == 0 || p.sent[n-1].seq != p.seq || now.Sub(p.at) > o.policy.TTL || now.Sub(p.sent[n-1].at) < o.policy.Gap {
+			continue
+		}
+		limits, recall := o.decide(now, p)
+		gain := sum(limits) - sum(p.current())
+		if (gain > 0 && sum(p.wait) > 0) || (gain < 0 && short) || recall > p.recall {
+			out = append(out, Update{m, o.reply(now, p, p.sent[n-1].num+1, limits, recall)})
+		}
+	}
+	return out
+}
+
+// short reports whether holders with queued requests lack slots that the owner has not at hand.
+func (o *Owner) short(now time.Time) bool {
+	t := o.targets(now)
+	lack := 0
+	for p, want := range t.holder {
+		if sum(p.wait) > 0 {
+			lack += max(0, want-t.have[p])
+		}
+	}
+	if lack == 0 {
+		return false
+	}
+	for _, f := range o.free(now, nil) {
+		lack -= max(0, f)
+	}
+	return lack > 0
 }
 
 // take records what the report says.
@@ -161,12 +224,13 @@
 		}
 	}
 	for _, s := range p.sent {
-		if s.seq == r.Ack && s.at.After(p.contact) {
+		if s.seq == r.Ack && s.num == r.AckNum && s.at.After(p.contact) {
 			p.contact = s.at
 		}
 	}
 	p.sent = slices.DeleteFunc(p.sent, func(s sentReply) bool {
-		return s.seq <= r.Ack || now.Sub(s.at) > o.policy.TTL
+		replaced := s.seq < r.Ack || (s.seq == r.Ack && s.num <= r.AckNum)
+		return replaced || now.Sub(s.at) > o.policy.TTL
 	})
 }
 
@@ -203,12 +267,16 @@
 
 // free returns the slots per worker that asker may have besides what it holds,
 // negative where claims exceed the slots. The asker's next reply replaces its
-// other claims.
+// other claims. Without an asker it returns what nobody claims.
 func (o *Owner) free(now time.Time, asker *peer) []int {
 	all := o.allReport(now)
+	current := make([]int, len(o.view.Workers))
+	if asker != nil {
+		current = asker.current()
+	}
 	out := make([]int, len(o.view.Workers))
 	for w := range out {
-		out[w] = o.view.Slots - asker.held[w]
+		out[w] = o.view.Slots - current[w]
 		for _, m := range o.members {
 			if p := o.peers[m]; p != asker {
 				out[w] -= o.claim(now, p, w, o.settled(now, p, all))
@@ -237,7 +305,7 @@
 // decide returns the limits per worker for p, which has just reported, and how
 // many more slots it is to give back as they become free.
 func (o *Owner) decide(now time.Time, p *peer) (limits []int, recall int) {
-	limits = slices.Clone(p.held)
+	limits = slices.Clone(p.current())
 	free := o.free(now, p)
 	for w := range limits {
 		// Claims above the slots are resolved at the cost of what exceeds home slots.
--- a/core/slots/target.go
+++ b/core/slots/target.go
@@ -61,7 +61,7 @@
 		t.holder[peers[i]] += k
 	}
 	for _, p := range peers {
-		t.have[p] = sum(p.held)
+		t.have[p] = sum(p.current())
 	}
 	return t
 }
--- a/core/slots/view.go
+++ b/core/slots/view.go
@@ -13,8 +13,8 @@
 const (
 	DefaultTTL  = 1500 * time.Millisecond
 	DefaultSlow = 250 * time.Millisecond
-	DefaultFast = 50 * time.Millisecond
-	DefaultGap  = 10 * time.Millisecond
+	DefaultFast = 100 * time.Millisecond
+	DefaultGap  = 25 * time.Millisecond
 	DefaultLend = 0.5
 )
 
@@ -32,6 +32,7 @@
 	Gap       time.Duration // shortest time between two reports
 	NoRecall  bool          // slots in use are never recalled
 	NoReserve bool          // all idle slots are lent, evenly, and taken back only when needed
+	NoPush    bool          // the owner only answers reports; entries with backlog poll it
 	Lend      float64       // part of the idle slots that is lent ahead of demand; the owner keeps the others at hand
 }
 
--- a/io/sched/pool.go
+++ b/io/sched/pool.go
@@ -249,7 +249,7 @@
 // notice tells the holder whether something waits and the set whether a report is due earlier.
 func (p *Pool) notice(now time.Time) {
 	before := p.holder.Due()
-	p.holder.Notice(now, p.queue.Waiting() > 0)
+	p.holder.Notice(now, p.queue.Waits())
 	if p.holder.Due().Before(before) {
 		p.wake()
 	}
@@ -342,6 +342,13 @@
 	p.step(now)
 }
 
+// updates returns what the owner has to tell other holders after a report.
+func (p *Pool) updates() []slots.Update {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.owner.Updates(p.cfg.Clock.Now())
+}
+
 // tick does what is due by time alone and returns when and to whom the next report goes.
 func (p *Pool) tick(now time.Time) (due time.Time, owner string) {
 	p.mu.Lock()
--- a/io/sched/pool_test.go
+++ b/io/sched/pool_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sassafrasvalve/core/hash"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/slots"
 	"sassafrasvalve/core/spec"
@@ -20,8 +21,9 @@
 
 // fabric carries reports between the sets of a test and loses some.
 type fabric struct {
-	sets map[string]*Set
-	lose func() bool
+	sets  map[string]*Set
+	lose  func() bool
+	owner string
 }
 
 func (f *fabric) Exchange(ctx context.Context, owner string, reports []slots.Report) ([]slots.Reply, error) {
@@ -32,6 +34,13 @@
 	return f.sets[owner].HandleReports(reports), nil
 }
 
+func (f *fabric) Push(_ context.Context, member string, updates []slots.Reply) error {
+	if f.lose == nil || !f.lose() {
+		f.sets[member].HandleUpdates(f.owner, updates)
+	}
+	return nil
+}
+
 var testClasses = []spec.Class{
 	{Name: "hold", Rank: 0, Share: 0.5, MaxWait: spec.Duration(2500 * time.Millisecond)},
 	{Name: "list", Rank: 1, Share: 0.2, MaxWait: spec.Duration(5 * time.Second)},
@@ -56,6 +65,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	t.Cleanup(func() { cancel(); wg.Wait() })
+	f.owner = hash.Owner("p", members)
 	pools := make([]*Pool, 0, n)
 	for _, m := range members {
 		p := New(Config{Name: "p"})
--- a/io/sched/set.go
+++ b/io/sched/set.go
@@ -15,6 +15,13 @@
 	Exchange(ctx context.Context, owner string, reports []slots.Report) ([]slots.Reply, error)
 }
 
+// Pusher sends an owner's updates to a holder's entry, which hands them to
+// Set.HandleUpdates. It does not wait for an answer. An Exchanger that is not
+// also a Pusher needs slots.Policy.NoPush.
+type Pusher interface {
+	Push(ctx context.Context, member string, updates []slots.Reply) error
+}
+
 const examinePeriod = 100 * time.Millisecond // queued requests are examined at least this often
 
 // SetConfig is the settings of a Set.
@@ -34,6 +41,8 @@
 	mu    sync.Mutex
 	pools []*Pool
 	links map[string]*link
+	out   map[string]*outbox
+	told  map[*Pool]bool // pools whose owner took in reports since the last pass
 }
 
 // NewSet returns a set that is idle until Run is called.
@@ -41,7 +50,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.System{}
 	}
-	s := &Set{cfg: cfg, wakeup: make(chan struct{}, 1), links: map[string]*link{}}
+	s := &Set{cfg: cfg, wakeup: make(chan struct{}, 1), links: map[string]*link{}, out: map[string]*outbox{}, told: map[*Pool]bool{}}
 	s.SetPools(cfg.Pools)
 	return s
 }
@@ -89,10 +98,14 @@
 // pass sends the reports that are due and returns the time to the next pass.
 func (s *Set) pass(ctx context.Context) time.Duration {
 	s.mu.Lock()
-	pools := s.pools
+	pools, told := s.pools, s.told
+	s.told = map[*Pool]bool{}
 	s.mu.Unlock()
 	now := s.cfg.Clock.Now()
 	wait := examinePeriod
+	for p := range told {
+		s.update(ctx, p)
+	}
 	for _, p := range pools {
 		due, owner := p.tick(now)
 		switch {
@@ -102,6 +115,7 @@
 		case owner == s.cfg.Self():
 			if r, ok := p.report(now, owner); ok {
 				p.HandleReply(owner, p.HandleReport(r))
+				s.update(ctx, p)
 			}
 			s.wake()
 		default:
@@ -124,6 +138,52 @@
 	return l
 }
 
+// update sends what the owner of p has to tell other holders.
+func (s *Set) update(ctx context.Context, p *Pool) {
+	for _, u := range p.updates() {
+		if u.Member == s.cfg.Self() {
+			p.HandleReply(u.Member, u.Reply)
+			continue
+		}
+		s.outbox(ctx, u.Member).add(u.Reply)
+	}
+}
+
+// outbox returns the outbox for member and starts it on first use.
+func (s *Set) outbox(ctx context.Context, member string) *outbox {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.out[member]
+	if b == nil {
+		b = &outbox{set: s, member: member, filled: make(chan struct{}, 1)}
+		s.out[member] = b
+		s.done.Go(func() { b.loop(ctx) })
+	}
+	return b
+}
+
+// HandleUpdates puts the updates in force that owner sent by itself.
+func (s *Set) HandleUpdates(owner string, updates []slots.Reply) {
+	s.mu.Lock()
+	pools := s.pools
+	s.mu.Unlock()
+	for _, r := range updates {
+		for _, p := range pools {
+			if p.Name() == r.Pool {
+				p.HandleReply(owner, r)
+			}
+		}
+	}
+}
+
+// tell makes the loop send the updates that follow from a report to the owner of p.
+func (s *Set) tell(p *Pool) {
+	s.mu.Lock()
+	s.told[p] = true
+	s.mu.Unlock()
+	s.wake()
+}
+
 // HandleReports answers the batch of another entry, in order.
 func (s *Set) HandleReports(reports []slots.Report) []slots.Reply {
 	s.mu.Lock()
@@ -135,6 +195,7 @@
 		for _, p := range pools {
 			if p.Name() == r.Pool {
 				out[i] = p.HandleReport(r)
+				s.tell(p)
 			}
 		}
 	}
