slots: Send only what differs in reports and replies

Cause: the control bytes are above 28 KB/s per entry. Ruled out: a binary encoding (jsonrpc2 carries JSON; the envelope and the TCP and IP headers, about 115 bytes, are the larger part already). Change: limits that equal Held, use that equals Held, zero counts at the end and the usual acknowledgement are left out; a list number replaces a hash.

--- a/core/slots/holder.go
+++ b/core/slots/holder.go
@@ -33,7 +33,7 @@
 	view   View
 	index  map[string]int // VM to position in view.Workers
 	owner  string
-	list   uint32
+	list   int // number of the worker list
 	home   []int
 	limit  []int          // slots given by the owner
 	use    map[string]int // requests in progress, also on VMs outside the view
@@ -58,7 +58,7 @@
 type sentReport struct {
 	seq   uint64
 	at    time.Time
-	owner string
+	held  Counts
 	given []int // slots given back since, per worker
 }
 
@@ -90,7 +90,7 @@
 	}
 	h.home = h.view.Home(h.view.Self)
 	if !slices.Equal(old, h.view.Workers) {
-		h.list = fingerprint(h.view.Workers)
+		h.list++
 		h.names = true
 		// Replies to earlier reports follow the order of the old list.
 		h.sent = nil
@@ -243,9 +243,9 @@
 func (h *Holder) Report(now time.Time, d Demand) Report {
 	h.seq++
 	r := Report{
-		Pool: h.pool, From: h.view.Self, Seq: h.seq, Ack: h.ack, AckNum: h.ackNum, List: h.list,
+		Pool: h.pool, From: h.view.Self, Seq: h.seq, Behind: h.seq - 1 - h.ack, Num: h.ackNum, List: h.list,
 		Held: make(Counts, len(h.limit)), Use: make(Counts, len(h.limit)),
-		Run: d.Run, Wait: d.Wait,
+		Run: trim(d.Run), Wait: trim(d.Wait),
 	}
 	if h.names {
 		r.Workers = h.view.Workers
@@ -254,10 +254,13 @@
 		r.Use[i] = h.use[vm]
 		r.Held[i] = max(h.allowed(now, i), h.use[vm])
 	}
+	if slices.Equal(r.Use, r.Held) {
+		r.Use = nil
+	}
 	if len(h.sent) == maxSent {
 		h.sent = slices.Delete(h.sent, 0, 1)
 	}
-	h.sent = append(h.sent, sentReport{h.seq, now, h.owner, make([]int, len(h.limit))})
+	h.sent = append(h.sent, sentReport{h.seq, now, r.Held, make([]int, len(h.limit))})
 	h.last, h.told = now, slices.Clone(d.Wait)
 	h.schedule(now)
 	return r
@@ -289,20 +292,27 @@
 		h.names = true
 		h.hurry(now)
 		return
-	case r.Stale, !now.Before(lease), len(r.Limits) != len(h.limit):
+	case r.Stale, !now.Before(lease):
 		return
 	case r.Seq < h.ack, r.Seq == h.ack && r.Num <= h.ackNum:
 		return // a newer reply is in force
 	}
+	limits := r.Limits
+	if len(limits) == 0 {
+		limits = s.held
+	}
+	if len(limits) != len(h.limit) {
+		return
+	}
 	h.sent = slices.Delete(h.sent, 0, at)
 	h.names = false
 	h.ack, h.ackNum = r.Seq, r.Num
 	h.lease = lease
 	h.fallback = now.Add(2 * h.policy.TTL)
-	h.run, h.pressure = r.Run, r.Press
+	h.run, h.pressure = r.Run, r.Wait
 	h.recall = max(0, r.Recall-sum(s.given))
 	lowered := false
-	for i, n := range r.Limits {
+	for i, n := range limits {
 		n = max(0, n-s.given[i])
 		lowered = lowered || n < h.limit[i]
 		h.limit[i] = n
--- a/core/slots/message.go
+++ b/core/slots/message.go
@@ -6,35 +6,45 @@
 )
 
 // Report is what a holder tells the owner of a pool.
-// With 12 workers and 3 classes it takes about 150 bytes as JSON.
 type Report struct {
 	Pool    string
 	From    string   // member ID of the holder
 	Seq     uint64   // grows with each report of the holder
-	Ack     uint64   `json:",omitempty"` // report whose reply of this owner is in force
-	AckNum  int      `json:",omitempty"` // number of that reply
-	List    uint32   // fingerprint of the holder's worker list
-	Workers []string `json:",omitempty"` // the list itself, sent when the owner asks for it
+	Behind  uint64   `json:",omitempty"` // Seq-1 minus the report whose reply of this owner is in force
+	Num     int      `json:",omitempty"` // number of that reply
+	List    int      // number of the holder's worker list
+	Workers []string `json:",omitempty"` // the list itself, sent until the owner has it
 	Held    Counts   // per worker: slots that the holder may have in use
-	Use     Counts   // per worker: slots in use
-	Run     Counts   // per class: requests in progress
-	Wait    Counts   // per class: requests queued
+	Use     Counts   `json:",omitempty"` // per worker: slots in use; empty means as Held
+	Run     Counts   `json:",omitempty"` // per class: requests in progress
+	Wait    Counts   `json:",omitempty"` // per class: requests queued
 }
 
+// ack returns the report whose reply is in force at the holder.
+func (r Report) ack() uint64 { return r.Seq - 1 - min(r.Behind, r.Seq-1) }
+
 // Reply is what the owner answers. Its limits are absolute, so that a repeated
-// or late reply does no harm. With 12 workers it takes about 80 bytes as JSON.
+// or late reply does no harm.
 type Reply struct {
 	Pool   string
 	Seq    uint64 // report that it answers
 	Num    int    `json:",omitempty"` // 0 for the direct reply, 1 and up for later updates of it
-	Limits Counts `json:",omitempty"` // per worker, in the order of the holder's list
+	Limits Counts `json:",omitempty"` // per worker, in the order of the holder's list; empty means as Held in the report
 	Recall int    `json:",omitempty"` // slots to give back as they become free
 	Run    Counts `json:",omitempty"` // per class: requests in progress at all entries
-	Press  Counts `json:",omitempty"` // per class: requests queued at all entries
+	Wait   Counts `json:",omitempty"` // per class: requests queued at all entries
 	Names  bool   `json:",omitempty"` // the owner needs the holder's worker list
 	Stale  bool   `json:",omitempty"` // not the owner, holder not a member, or an old report
 }
 
+// trim cuts zeros at the end, which are the same as nothing.
+func trim(c Counts) Counts {
+	for len(c) > 0 && c[len(c)-1] == 0 {
+		c = c[:len(c)-1]
+	}
+	return c
+}
+
 // Counts is a list of small numbers. Its text form has one base-36 digit per
 // number, and numbers from 36 up in parentheses: "88(120)7".
 type Counts []int
--- a/core/slots/owner.go
+++ b/core/slots/owner.go
@@ -29,7 +29,7 @@
 type peer struct {
 	home    []int
 	workers []string // the holder's list
-	list    uint32
+	list    int
 	place   []int // position in the holder's list to position in the view, -1 if absent
 	seq     uint64
 	at      time.Time // newest report
@@ -37,10 +37,12 @@
 	joined  time.Time // first report of the present series
 	held    []int
 	use     []int
-	run     []int
-	wait    []int
-	sent    []sentReply
-	recall  int // slots in use that the newest reply recalls
+
+	reported Counts // Held of the newest report, in the holder's order
+	run      []int
+	wait     []int
+	sent     []sentReply
+	recall   int // slots in use that the newest reply recalls
 }
 
 // sentReply is a reply that may still come into force.
@@ -133,6 +135,9 @@
 		p.workers, p.list = slices.Clone(r.Workers), r.List
 		p.place = places(p.workers, o.view.Workers)
 	}
+	if len(r.Use) == 0 {
+		r.Use = r.Held
+	}
 	if r.List != p.list || len(r.Held) != len(p.workers) || len(r.Use) != len(p.workers) {
 		reply.Names = true
 		return reply
@@ -150,10 +155,11 @@
 			out.Limits[i] = limits[w]
 		}
 	}
-	out.Run, out.Press = o.loads(now)
-	if sum(out.Press) == 0 {
-		out.Press = nil
+	if slices.Equal(out.Limits, p.reported) {
+		out.Limits = nil
 	}
+	run, wait := o.loads(now)
+	out.Run, out.Wait = trim(run), trim(wait)
 	if len(p.sent) == maxSent {
 		p.sent = slices.Delete(p.sent, 0, 1)
 	}
@@ -215,7 +221,7 @@
 		p.joined = now
 	}
 	p.at, p.seq = now, r.Seq
-	p.run, p.wait = r.Run, r.Wait
+	p.run, p.wait, p.reported = r.Run, r.Wait, r.Held
 	clear(p.held)
 	clear(p.use)
 	for i, w := range p.place {
@@ -223,13 +229,14 @@
 			p.held[w], p.use[w] = r.Held[i], r.Use[i]
 		}
 	}
+	ack := r.ack()
 	for _, s := range p.sent {
-		if s.seq == r.Ack && s.num == r.AckNum && s.at.After(p.contact) {
+		if s.seq == ack && s.num == r.Num && s.at.After(p.contact) {
 			p.contact = s.at
 		}
 	}
 	p.sent = slices.DeleteFunc(p.sent, func(s sentReply) bool {
-		replaced := s.seq < r.Ack || (s.seq == r.Ack && s.num <= r.AckNum)
+		replaced := s.seq < ack || (s.seq == ack && s.num <= r.Num)
 		return replaced || now.Sub(s.at) > o.policy.TTL
 	})
 }
--- a/core/slots/view.go
+++ b/core/slots/view.go
@@ -111,17 +111,6 @@
 	return max(1, v.Connections/len(v.Members))
 }
 
-// fingerprint identifies a worker list in reports.
-func fingerprint(workers []string) uint32 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, w := range workers {
-		_, _ = d.WriteString(w)
-		_, _ = d.Write([]byte{0})
-	}
-	return uint32(d.Sum64())
-}
-
 func sum(xs []int) int {
 	n := 0
 	for _, x := range xs {
