slots: Serve urgent waits from all entries and pace the control bytes

Cause: urgent p99 in a flood of the least urgent class stays at 0.25 s: at an entry with few slots an urgent request waits behind the entry's own work. And the control bytes still exceed 28 KB/s per entry. Change: targets shift to holders whose urgent requests wait behind few requests of lower rank (Near, NoUrgent); slots are lent ahead by the square root of demand; Slow 500 ms; Pacer stretches the times between messages when an entry nears its budget, and an owner asks its holders to do so (Pace).

--- a/bench/exchange.go
+++ b/bench/exchange.go
@@ -10,10 +10,6 @@
 	"sassafrasvalve/core/slots"
 )
 
-// messageOverhead is the bytes around the reports or replies of one message:
-// JSON-RPC envelope and length header (75), TCP and IP headers (40).
-const messageOverhead = 115
-
 // queueEngine runs admit.Queue at each entry, over slots.Holder and slots.Owner,
 // over home slots alone, or at one central place.
 type queueEngine struct {
@@ -30,6 +26,7 @@
 	id     string
 	desks  []*desk
 	dead   bool
+	pacer  *slots.Pacer
 	thaw   time.Duration            // it stands still until then
 	busy   map[string]time.Duration // per owner: end of the exchange in progress
 	armed  time.Duration            // time of the next pass
@@ -43,7 +40,7 @@
 		n = 1
 	}
 	for i := range n {
-		e.nodes = append(e.nodes, &node{w: w, e: e, index: i, id: w.fleet.member(i), busy: map[string]time.Duration{}, armed: -1})
+		e.nodes = append(e.nodes, &node{w: w, e: e, index: i, id: w.fleet.member(i), pacer: slots.NewPacer(w.policy.Slots.Budget), busy: map[string]time.Duration{}, armed: -1})
 		e.members = append(e.members, w.fleet.member(i))
 	}
 	for _, nd := range e.nodes {
@@ -236,21 +233,35 @@
 	if err != nil {
 		panic(err) // the message types always encode
 	}
-	size := len(b) + messageOverhead
-	n.w.stats.control(n.w.now, n.index, size)
+	size := len(b) + slots.MessageOverhead
+	n.count(size)
 	if n.w.rng.Float64() < n.w.scen.Loss {
 		return
 	}
 	n.w.at(n.w.now+n.w.fleet.delay(n.index, to.index), func() {
 		to.do(func() {
 			if !to.dead {
-				to.w.stats.control(to.w.now, to.index, size)
+				to.count(size)
 				deliver()
 			}
 		})
 	})
 }
 
+// count counts control bytes sent or received.
+func (n *node) count(size int) {
+	n.w.stats.control(n.w.now, n.index, size)
+	n.pacer.Add(n.w.clock(), size)
+	if n.w.policy.Slots.Budget < 0 {
+		return
+	}
+	f := n.pacer.Stretch(n.w.clock())
+	for _, d := range n.desks {
+		d.holder.SetStretch(f)
+		d.owner.SetStretch(f)
+	}
+}
+
 func (e *queueEngine) node(id string) *node {
 	for _, n := range e.nodes {
 		if n.id == id {
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -32,11 +32,14 @@
 		{Name: "fifo", Kind: KindRandom},
 		{Name: "static", Kind: KindStatic},
 		{Name: "central", Kind: KindCentral},
-		{Name: "demand", Slots: slots.Policy{NoRecall: true, NoReserve: true, NoPush: true, Fast: 50 * ms, Gap: 10 * ms}},
-		{Name: "slow", Slots: slots.Policy{NoReserve: true, NoPush: true, Fast: 250 * ms, Gap: 10 * ms}},
-		{Name: "recall", Slots: slots.Policy{NoReserve: true, NoPush: true, Fast: 50 * ms, Gap: 10 * ms}},
-		{Name: "reserve", Slots: slots.Policy{NoPush: true, Fast: 50 * ms, Gap: 10 * ms}},
-		{Name: "push", Slots: slots.Policy{}},
+		{Name: "demand", Slots: slots.Policy{Budget: -1, NoUrgent: true, NoRecall: true, NoReserve: true, NoPush: true, Slow: 250 * ms, Fast: 50 * ms, Gap: 10 * ms}},
+		{Name: "slow", Slots: slots.Policy{Budget: -1, NoUrgent: true, NoReserve: true, NoPush: true, Slow: 250 * ms, Fast: 250 * ms, Gap: 10 * ms}},
+		{Name: "recall", Slots: slots.Policy{Budget: -1, NoUrgent: true, NoReserve: true, NoPush: true, Slow: 250 * ms, Fast: 50 * ms, Gap: 10 * ms}},
+		{Name: "reserve", Slots: slots.Policy{Budget: -1, NoUrgent: true, NoPush: true, Slow: 250 * ms, Fast: 50 * ms, Gap: 10 * ms}},
+		{Name: "push", Slots: slots.Policy{Budget: -1, NoUrgent: true, Slow: 250 * ms}},
+		{Name: "urgent", Slots: slots.Policy{Budget: -1, Slow: 250 * ms}},
+		{Name: "calm", Slots: slots.Policy{Budget: -1, Fast: 250 * ms}},
+		{Name: "paced", Slots: slots.Policy{}},
 	}
 }
 
--- a/core/slots/holder.go
+++ b/core/slots/holder.go
@@ -43,6 +43,8 @@
 	ackNum int
 	sent   []sentReport // reports that may still be answered, and the one answered last
 
+	stretch  float64   // factor on the times between reports, by the entry's own traffic
+	pace     float64   // the same, by the owner's traffic
 	recall   int       // slots to give back as they become free
 	lease    time.Time // end of the leases
 	fallback time.Time // from when home slots are used
@@ -72,7 +74,7 @@
 	return &Holder{
 		policy: p, pool: pool,
 		index: map[string]int{}, use: map[string]int{},
-		lease: now, fallback: now.Add(2 * p.TTL), due: now,
+		stretch: 1, pace: 1, lease: now, fallback: now.Add(2 * p.TTL), due: now,
 	}
 }
 
@@ -199,7 +201,7 @@
 
 // hurry makes the next report due as soon as the shortest gap allows.
 func (h *Holder) hurry(now time.Time) {
-	at := h.last.Add(h.policy.Gap)
+	at := h.last.Add(scaled(h.policy.Gap, max(h.stretch, h.pace)))
 	if at.Before(now) {
 		at = now
 	}
@@ -214,6 +216,9 @@
 	h.waiting = sum(wait) > 0
 	for c, n := range wait {
 		told := Counts(h.told).at(c)
+		if n < told {
+			h.told[c] = n // a queue that was served counts as new when it builds up again
+		}
 		if n > 0 && (told == 0 || (!h.policy.NoPush && n >= told+max(growthMin, told/growthPart))) {
 			h.hurry(now)
 			return
@@ -227,6 +232,11 @@
 	growthPart = 2
 )
 
+// SetStretch sets the factor on the times between reports, as a Pacer gives it.
+func (h *Holder) SetStretch(f float64) { h.stretch = f }
+
+func scaled(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
 // Due returns when the next report is to be sent.
 func (h *Holder) Due() time.Time { return h.due }
 
@@ -270,7 +280,7 @@
 func (h *Holder) schedule(now time.Time) {
 	period := h.policy.Slow
 	if h.waiting || h.policy.NoPush && (h.recall > 0 || sum(h.pressure) > 0) {
-		period = h.policy.Fast
+		period = min(scaled(h.policy.Fast, max(h.stretch, h.pace)), h.policy.Slow)
 	}
 	h.due = h.last.Add(period)
 	if h.due.Before(now) {
@@ -310,6 +320,7 @@
 	h.lease = lease
 	h.fallback = now.Add(2 * h.policy.TTL)
 	h.run, h.pressure = r.Run, r.Wait
+	h.pace = max(1, float64(r.Pace)/10)
 	h.recall = max(0, r.Recall-sum(s.given))
 	lowered := false
 	for i, n := range limits {
--- a/core/slots/message.go
+++ b/core/slots/message.go
@@ -33,6 +33,7 @@
 	Recall int    `json:",omitempty"` // slots to give back as they become free
 	Run    Counts `json:",omitempty"` // per class: requests in progress at all entries
 	Wait   Counts `json:",omitempty"` // per class: requests queued at all entries
+	Pace   int    `json:",omitempty"` // tenfold factor on the times between reports that the owner asks for; 0 means 1
 	Names  bool   `json:",omitempty"` // the owner needs the holder's worker list
 	Stale  bool   `json:",omitempty"` // not the owner, holder not a member, or an old report
 }
--- a/core/slots/owner.go
+++ b/core/slots/owner.go
@@ -22,6 +22,7 @@
 	view    View
 	active  bool
 	peers   map[string]*peer
+	stretch float64
 	members []string // keys of peers in order, so that decisions do not depend on map order
 }
 
@@ -64,7 +65,7 @@
 
 // NewOwner returns an owner that is inactive until a view names it.
 func NewOwner(pool string, p Policy) *Owner {
-	return &Owner{policy: p.withDefaults(), pool: pool, peers: map[string]*peer{}}
+	return &Owner{policy: p.withDefaults(), pool: pool, stretch: 1, peers: map[string]*peer{}}
 }
 
 // SetView takes over new lists of workers, members and classes. An owner that
@@ -120,6 +121,9 @@
 	return out
 }
 
+// SetStretch sets the factor on the times between updates, as a Pacer gives it.
+func (o *Owner) SetStretch(f float64) { o.stretch = f }
+
 // Active reports whether this member owns the pool.
 func (o *Owner) Active() bool { return o.active }
 
@@ -158,6 +162,9 @@
 	if slices.Equal(out.Limits, p.reported) {
 		out.Limits = nil
 	}
+	if o.stretch > 1 {
+		out.Pace = int(10 * o.stretch)
+	}
 	run, wait := o.loads(now)
 	out.Run, out.Wait = trim(run), trim(wait)
 	if len(p.sent) == maxSent {
@@ -185,7 +192,7 @@
 	for _, m := range o.members {
 		p := o.peers[m]
 		n := len(p.sent)
-		if n == 0 || p.sent[n-1].seq != p.seq || now.Sub(p.at) > o.policy.TTL || now.Sub(p.sent[n-1].at) < o.policy.Gap {
+		if n == 0 || p.sent[n-1].seq != p.seq || now.Sub(p.at) > o.policy.TTL || now.Sub(p.sent[n-1].at) < scaled(o.policy.Gap, o.stretch) {
 			continue
 		}
 		limits, recall := o.decide(now, p)
--- a/core/slots/target.go
+++ b/core/slots/target.go
@@ -60,6 +60,9 @@
 	for i, k := range o.ahead(max(0, left), peers) {
 		t.holder[peers[i]] += k
 	}
+	if !o.policy.NoUrgent {
+		o.shiftToUrgent(t, peers)
+	}
 	for _, p := range peers {
 		t.have[p] = sum(p.current())
 	}
@@ -73,7 +76,7 @@
 	for i, p := range peers {
 		weights[i] = 1
 		if !o.policy.NoReserve {
-			weights[i] += float64(sum(p.run) + sum(p.wait))
+			weights[i] = math.Sqrt(weights[i] + float64(sum(p.run)+sum(p.wait)))
 		}
 	}
 	if !o.policy.NoReserve {
@@ -140,3 +143,49 @@
 	}
 	return out
 }
+
+// shiftToUrgent moves targets to holders whose urgent requests wait behind
+// their own work of lower rank: that work cannot be stopped, and at an entry
+// with few slots it is long until one of them is free. The others give up
+// slots in proportion to their work of lower rank, so that the wait ends with
+// the first of many.
+func (o *Owner) shiftToUrgent(t targets, peers []*peer) {
+	top := math.MaxInt
+	for _, c := range o.view.Classes {
+		top = min(top, c.Rank)
+	}
+	lower := make([]float64, len(peers))
+	extra := make([]int, len(peers))
+	for i, p := range peers {
+		urgent, other := 0, 0
+		for c, class := range o.view.Classes {
+			if class.Rank == top {
+				urgent += Counts(p.wait).at(c)
+			} else {
+				other += Counts(p.run).at(c)
+			}
+		}
+		need := sum(p.run) + urgent - other/o.policy.Near
+		if extra[i] = max(0, need-t.holder[p]); extra[i] == 0 || urgent == 0 {
+			extra[i] = 0
+			lower[i] = float64(max(0, min(other, t.holder[p])))
+		}
+	}
+	for i, k := range divide(min(sum(extra), int(total(lower))), lower) {
+		t.holder[peers[i]] -= k
+	}
+	left := int(total(lower))
+	for i, p := range peers {
+		k := min(extra[i], left)
+		t.holder[p] += k
+		left -= k
+	}
+}
+
+func total(xs []float64) float64 {
+	n := 0.0
+	for _, x := range xs {
+		n += x
+	}
+	return n
+}
--- a/core/slots/view.go
+++ b/core/slots/view.go
@@ -12,10 +12,11 @@
 // Defaults of a Policy.
 const (
 	DefaultTTL  = 1500 * time.Millisecond
-	DefaultSlow = 250 * time.Millisecond
+	DefaultSlow = 500 * time.Millisecond
 	DefaultFast = 100 * time.Millisecond
 	DefaultGap  = 25 * time.Millisecond
 	DefaultLend = 0.5
+	DefaultNear = 8
 )
 
 // Times of the transport that carries reports.
@@ -32,6 +33,9 @@
 	Gap       time.Duration // shortest time between two reports
 	NoRecall  bool          // slots in use are never recalled
 	NoReserve bool          // all idle slots are lent, evenly, and taken back only when needed
+	NoUrgent  bool          // urgent requests wait for slots of their own entry
+	Near      int           // running requests of lower rank at an entry that make one of its urgent requests wait there
+	Budget    float64       // control bytes per second of an entry; 0 means DefaultBudget, negative no bound
 	NoPush    bool          // the owner only answers reports; entries with backlog poll it
 	Lend      float64       // part of the idle slots that is lent ahead of demand; the owner keeps the others at hand
 }
@@ -49,6 +53,9 @@
 	if p.Lend <= 0 {
 		p.Lend = DefaultLend
 	}
+	if p.Near <= 0 {
+		p.Near = DefaultNear
+	}
 	if p.Gap <= 0 {
 		p.Gap = DefaultGap
 	}
--- a/io/sched/outbox.go
+++ b/io/sched/outbox.go
@@ -61,6 +61,7 @@
 	if !ok || len(updates) == 0 {
 		return
 	}
+	b.set.count(repliesSize(updates))
 	ctx, cancel := context.WithTimeout(ctx, slots.ExchangeTimeout)
 	defer cancel()
 	_ = pusher.Push(ctx, b.member, updates)
--- a/io/sched/pool.go
+++ b/io/sched/pool.go
@@ -349,6 +349,13 @@
 	return p.owner.Updates(p.cfg.Clock.Now())
 }
 
+func (p *Pool) setStretch(f float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holder.SetStretch(f)
+	p.owner.SetStretch(f)
+}
+
 // tick does what is due by time alone and returns when and to whom the next report goes.
 func (p *Pool) tick(now time.Time) (due time.Time, owner string) {
 	p.mu.Lock()
--- a/io/sched/set.go
+++ b/io/sched/set.go
@@ -30,6 +30,7 @@
 	Exchanger Exchanger
 	Pools     []*Pool
 	Self      func() string // member ID of this entry
+	Budget    float64       // control bytes per second; 0 means slots.DefaultBudget
 }
 
 // Set runs the exchange of the pools of one entry and batches reports per owner.
@@ -40,6 +41,7 @@
 
 	mu    sync.Mutex
 	pools []*Pool
+	pacer *slots.Pacer
 	links map[string]*link
 	out   map[string]*outbox
 	told  map[*Pool]bool // pools whose owner took in reports since the last pass
@@ -50,7 +52,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.System{}
 	}
-	s := &Set{cfg: cfg, wakeup: make(chan struct{}, 1), links: map[string]*link{}, out: map[string]*outbox{}, told: map[*Pool]bool{}}
+	s := &Set{cfg: cfg, wakeup: make(chan struct{}, 1), pacer: slots.NewPacer(cfg.Budget), links: map[string]*link{}, out: map[string]*outbox{}, told: map[*Pool]bool{}}
 	s.SetPools(cfg.Pools)
 	return s
 }
@@ -103,10 +105,14 @@
 	s.mu.Unlock()
 	now := s.cfg.Clock.Now()
 	wait := examinePeriod
+	s.mu.Lock()
+	stretch := s.pacer.Stretch(now)
+	s.mu.Unlock()
 	for p := range told {
 		s.update(ctx, p)
 	}
 	for _, p := range pools {
+		p.setStretch(stretch)
 		due, owner := p.tick(now)
 		switch {
 		case owner == "":
@@ -138,6 +144,29 @@
 	return l
 }
 
+// count adds a message of n bytes to the control traffic.
+func (s *Set) count(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pacer.Add(s.cfg.Clock.Now(), n+slots.MessageOverhead)
+}
+
+func reportsSize(rs []slots.Report) int {
+	n := 0
+	for _, r := range rs {
+		n += r.Size()
+	}
+	return n
+}
+
+func repliesSize(rs []slots.Reply) int {
+	n := 0
+	for _, r := range rs {
+		n += r.Size()
+	}
+	return n
+}
+
 // update sends what the owner of p has to tell other holders.
 func (s *Set) update(ctx context.Context, p *Pool) {
 	for _, u := range p.updates() {
@@ -167,6 +196,7 @@
 	s.mu.Lock()
 	pools := s.pools
 	s.mu.Unlock()
+	s.count(repliesSize(updates))
 	for _, r := range updates {
 		for _, p := range pools {
 			if p.Name() == r.Pool {
@@ -199,6 +229,8 @@
 			}
 		}
 	}
+	s.count(reportsSize(reports))
+	s.count(repliesSize(out))
 	return out
 }
 
@@ -268,10 +300,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, slots.ExchangeTimeout)
 	defer cancel()
+	s.count(reportsSize(reports))
 	replies, err := s.cfg.Exchanger.Exchange(ctx, l.owner, reports)
 	if err != nil {
 		return // the next report is due soon; without an answer the leases lapse
 	}
+	s.count(repliesSize(replies))
 	for _, r := range replies {
 		for _, p := range from {
 			if p.Name() == r.Pool {
