--- a/bench/exchange.go
+++ b/bench/exchange.go
@@ -88,7 +88,7 @@
 				if d.holder != nil && !n.dead {
 					v := e.w.fleet.view(n.index, e.members, d.p.view)
 					d.holder.SetView(e.w.clock(), v)
-					d.owner.SetView(v)
+					d.owner.SetView(e.w.clock(), v)
 				}
 				d.step()
 			}
--- a/core/slots/holder.go
+++ b/core/slots/holder.go
@@ -35,6 +35,8 @@
 	owner  string
 	list   int // number of the worker list
 	home   []int
+	spare  []int          // home slots that the earlier member list gave as well
+	moved  time.Time      // until when only those count: others may still follow that list
 	limit  []int          // slots given by the owner
 	use    map[string]int // requests in progress, also on VMs outside the view
 	names  bool           // the owner needs the worker list
@@ -80,7 +82,7 @@
 
 // SetView takes over a new worker and member list. A worker that is not in it gets no new work.
 func (h *Holder) SetView(now time.Time, v View) {
-	old, oldLimit, oldSelf := h.view.Workers, h.limit, h.view.Self
+	old, oldLimit, oldSelf, oldMembers := h.view.Workers, h.limit, h.view.Self, h.view.Members
 	h.view = v.normal()
 	h.limit = make([]int, len(h.view.Workers))
 	h.index = make(map[string]int, len(h.view.Workers))
@@ -90,7 +92,7 @@
 			h.limit[i] = oldLimit[o]
 		}
 	}
-	h.home = h.view.Home(h.view.Self)
+	h.moveHome(now, old, oldMembers)
 	if !slices.Equal(old, h.view.Workers) {
 		h.list++
 		h.names = true
@@ -108,6 +110,35 @@
 	h.due = now
 }
 
+// moveHome takes over home slots. While entries may disagree on the members,
+// only slots that both lists give this entry are its home.
+func (h *Holder) moveHome(now time.Time, oldWorkers, oldMembers []string) {
+	before := remap(oldWorkers, h.view.Workers, h.homeAt(now))
+	h.home = h.view.Home(h.view.Self)
+	if len(oldMembers) == 0 || slices.Equal(oldMembers, h.view.Members) {
+		h.spare = remap(oldWorkers, h.view.Workers, h.spare)
+		for i, vm := range h.view.Workers {
+			if _, ok := slices.BinarySearch(oldWorkers, vm); !ok {
+				h.spare[i] = h.home[i]
+			}
+		}
+		return
+	}
+	h.spare = before
+	for i := range h.spare {
+		h.spare[i] = min(before[i], h.home[i])
+	}
+	h.moved = now.Add(2 * h.policy.TTL)
+}
+
+// homeAt returns the home slots that count at now.
+func (h *Holder) homeAt(now time.Time) []int {
+	if now.Before(h.moved) {
+		return h.spare
+	}
+	return h.home
+}
+
 // Owner returns the member that lends the pool's slots, or "" without members.
 func (h *Holder) Owner() string { return h.owner }
 
@@ -128,9 +159,9 @@
 	n := h.limit[i]
 	switch h.Mode(now) {
 	case ModeLapsed:
-		n = min(n, h.home[i])
+		n = min(n, h.homeAt(now)[i])
 	case ModeFallback:
-		n = h.home[i]
+		n = h.homeAt(now)[i]
 	case ModeLeased:
 	}
 	return min(n, h.view.connectionCap())
--- /dev/null
+++ b/core/slots/main_test.go
@@ -0,0 +1,20 @@
+package slots
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of rapid, so that a run is repeatable, and keeps fail files out of the tree.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "200", "rapid.steps": "120"} {
+		set := false
+		flag.Parse()
+		flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
+		if !set {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/core/slots/owner.go
+++ b/core/slots/owner.go
@@ -29,7 +29,9 @@
 // peer is what the owner knows of a holder. Slices follow the owner's workers or classes.
 type peer struct {
 	home    []int
-	workers []string // the holder's list
+	kept    []int     // home slots by the earlier member list as well
+	moved   time.Time // until when those count
+	workers []string  // the holder's list
 	list    int
 	place   []int // position in the holder's list to position in the view, -1 if absent
 	seq     uint64
@@ -70,8 +72,9 @@
 
 // SetView takes over new lists of workers, members and classes. An owner that
 // loses the pool forgets the holders.
-func (o *Owner) SetView(v View) {
-	old := o.view.Workers
+func (o *Owner) SetView(now time.Time, v View) {
+	before := o.view
+	old := before.Workers
 	o.view = v.normal()
 	o.active = o.view.Self != "" && hash.Owner(o.pool, o.view.Members) == o.view.Self
 	o.members = o.view.Members
@@ -89,7 +92,7 @@
 			p = &peer{}
 			o.peers[m] = p
 		}
-		p.home = o.view.Home(m)
+		o.moveHome(now, before, p, m)
 		p.held = remap(old, o.view.Workers, p.held)
 		p.use = remap(old, o.view.Workers, p.use)
 		for i := range p.sent {
@@ -99,6 +102,32 @@
 	}
 }
 
+// moveHome takes over the home slots of member m. While m may follow the
+// earlier member list, those of both lists are kept for it.
+func (o *Owner) moveHome(now time.Time, before View, p *peer, m string) {
+	kept := remap(before.Workers, o.view.Workers, before.Home(m))
+	if now.Before(p.moved) {
+		for w, n := range remap(before.Workers, o.view.Workers, p.kept) {
+			kept[w] = max(kept[w], n)
+		}
+	}
+	p.home, p.kept = o.view.Home(m), kept
+	for w, n := range p.home {
+		kept[w] = max(kept[w], n)
+	}
+	if len(before.Members) > 0 && !slices.Equal(before.Members, o.view.Members) {
+		p.moved = now.Add(2 * o.policy.TTL)
+	}
+}
+
+// homeAt returns the home slots that p may use at now.
+func (p *peer) homeAt(now time.Time) []int {
+	if now.Before(p.moved) {
+		return p.kept
+	}
+	return p.home
+}
+
 func remap(from, to []string, xs []int) []int {
 	out := make([]int, len(to))
 	for i, vm := range to {
@@ -259,15 +288,17 @@
 	}
 	// Home slots are lent only while the loan ends before the holder falls back to them.
 	if !settled || now.Sub(p.contact) > o.policy.TTL {
-		n = max(n, p.home[w])
+		n = max(n, p.homeAt(now)[w])
 	}
 	return n
 }
 
 // settled reports whether no lease of an earlier owner can be in force on p's
-// home slots: all members report here, or p does for longer than a lease lasts.
+// home slots: all members report here, or p has done so for two TTLs. An
+// earlier owner that does not know yet lends them until one TTL after p's last
+// contact with it, for another TTL.
 func (o *Owner) settled(now time.Time, p *peer, all bool) bool {
-	return all || (!p.joined.IsZero() && now.Sub(p.joined) > o.policy.TTL)
+	return all || (!p.joined.IsZero() && now.Sub(p.joined) > 2*o.policy.TTL)
 }
 
 func (o *Owner) allReport(now time.Time) bool {
@@ -330,6 +361,8 @@
 	t := o.targets(now)
 	want, have := t.holder[p], sum(limits)
 	switch {
+	case have < want && !o.settled(now, p, o.allReport(now)):
+		// Its free home slots may still be lent by an earlier owner.
 	case have < want:
 		o.raise(limits, free, want-have)
 	case have > want:
--- a/core/slots/pacer.go
+++ b/core/slots/pacer.go
@@ -21,7 +21,7 @@
 
 // Size returns about how many bytes the reply takes as JSON.
 func (r Reply) Size() int {
-	const names = 50 // field names, quotes and numbers
+	const names = 70 // field names, quotes and numbers
 	return names + len(r.Pool) + len(r.Limits) + len(r.Run) + len(r.Wait)
 }
 
--- a/io/sched/pool.go
+++ b/io/sched/pool.go
@@ -106,7 +106,7 @@
 	}
 	p.queue.Configure(now, v.admit())
 	p.holder.SetView(now, v.slots())
-	p.owner.SetView(v.slots())
+	p.owner.SetView(now, v.slots())
 	p.step(now)
 	p.wake()
 }
