--- a/core/slots/holder.go
+++ b/core/slots/holder.go
@@ -33,30 +33,36 @@
 	view   View
 	index  map[string]int // VM to position in view.Workers
 	owner  string
-	list   uint32
+	list   int // number of the worker list
 	home   []int
+	spare  []int          // home slots that the earlier member list gave as well
+	moved  time.Time      // until when only those count: others may still follow that list
 	limit  []int          // slots given by the owner
 	use    map[string]int // requests in progress, also on VMs outside the view
 	names  bool           // the owner needs the worker list
 	seq    uint64
-	ack    uint64
-	sent   []sentReport
+	ack    uint64 // report whose reply is in force, and the number of the reply
+	ackNum int
+	sent   []sentReport // reports that may still be answered, and the one answered last
 
+	stretch  float64   // factor on the times between reports, by the entry's own traffic
+	pace     float64   // the same, by the owner's traffic
 	recall   int       // slots to give back as they become free
 	lease    time.Time // end of the leases
 	fallback time.Time // from when home slots are used
 	last     time.Time // newest report
 	due      time.Time // next report
 	waiting  bool
+	told     []int  // queued requests per class in the newest report
 	run      Counts // requests in progress at all entries per class
 	pressure Counts // requests queued at all entries per class
 }
 
-// sentReport is a report without an answer yet.
+// sentReport is a report that an owner may still answer or update.
 type sentReport struct {
 	seq   uint64
 	at    time.Time
-	owner string
+	held  Counts
 	given []int // slots given back since, per worker
 }
 
@@ -70,13 +76,13 @@
 	return &Holder{
 		policy: p, pool: pool,
 		index: map[string]int{}, use: map[string]int{},
-		lease: now, fallback: now.Add(2 * p.TTL), due: now,
+		stretch: 1, pace: 1, lease: now, fallback: now.Add(2 * p.TTL), due: now,
 	}
 }
 
 // SetView takes over a new worker and member list. A worker that is not in it gets no new work.
 func (h *Holder) SetView(now time.Time, v View) {
-	old, oldLimit, oldSelf := h.view.Workers, h.limit, h.view.Self
+	old, oldLimit, oldSelf, oldMembers := h.view.Workers, h.limit, h.view.Self, h.view.Members
 	h.view = v.normal()
 	h.limit = make([]int, len(h.view.Workers))
 	h.index = make(map[string]int, len(h.view.Workers))
@@ -86,9 +92,9 @@
 			h.limit[i] = oldLimit[o]
 		}
 	}
-	h.home = h.view.Home(h.view.Self)
+	h.moveHome(now, old, oldMembers)
 	if !slices.Equal(old, h.view.Workers) {
-		h.list = fingerprint(h.view.Workers)
+		h.list++
 		h.names = true
 		// Replies to earlier reports follow the order of the old list.
 		h.sent = nil
@@ -98,12 +104,41 @@
 		h.owner, h.lease, h.fallback = "", now, now.Add(2*h.policy.TTL)
 	}
 	if owner := hash.Owner(h.pool, h.view.Members); owner != h.owner {
-		h.owner, h.ack, h.names, h.sent = owner, 0, true, nil
+		h.owner, h.ack, h.ackNum, h.names, h.sent = owner, 0, 0, true, nil
 		h.recall = 0
 	}
 	h.due = now
 }
 
+// moveHome takes over home slots. While entries may disagree on the members,
+// only slots that both lists give this entry are its home.
+func (h *Holder) moveHome(now time.Time, oldWorkers, oldMembers []string) {
+	before := remap(oldWorkers, h.view.Workers, h.homeAt(now))
+	h.home = h.view.Home(h.view.Self)
+	if len(oldMembers) == 0 || slices.Equal(oldMembers, h.view.Members) {
+		h.spare = remap(oldWorkers, h.view.Workers, h.spare)
+		for i, vm := range h.view.Workers {
+			if _, ok := slices.BinarySearch(oldWorkers, vm); !ok {
+				h.spare[i] = h.home[i]
+			}
+		}
+		return
+	}
+	h.spare = before
+	for i := range h.spare {
+		h.spare[i] = min(before[i], h.home[i])
+	}
+	h.moved = now.Add(2 * h.policy.TTL)
+}
+
+// homeAt returns the home slots that count at now.
+func (h *Holder) homeAt(now time.Time) []int {
+	if now.Before(h.moved) {
+		return h.spare
+	}
+	return h.home
+}
+
 // Owner returns the member that lends the pool's slots, or "" without members.
 func (h *Holder) Owner() string { return h.owner }
 
@@ -124,9 +159,9 @@
 	n := h.limit[i]
 	switch h.Mode(now) {
 	case ModeLapsed:
-		n = min(n, h.home[i])
+		n = min(n, h.homeAt(now)[i])
 	case ModeFallback:
-		n = h.home[i]
+		n = h.homeAt(now)[i]
 	case ModeLeased:
 	}
 	return min(n, h.view.connectionCap())
@@ -197,7 +232,7 @@
 
 // hurry makes the next report due as soon as the shortest gap allows.
 func (h *Holder) hurry(now time.Time) {
-	at := h.last.Add(h.policy.Gap)
+	at := h.last.Add(scaled(h.policy.Gap, max(h.stretch, h.pace)))
 	if at.Before(now) {
 		at = now
 	}
@@ -206,14 +241,33 @@
 	}
 }
 
-// Notice tells the holder whether requests wait. The first wait is reported at once.
-func (h *Holder) Notice(now time.Time, waiting bool) {
-	if waiting && !h.waiting {
-		h.hurry(now)
+// Notice tells the holder how many requests wait per class. The first wait of a
+// class and a queue that grows beyond what the owner was told are reported soon.
+func (h *Holder) Notice(now time.Time, wait []int) {
+	h.waiting = sum(wait) > 0
+	for c, n := range wait {
+		told := Counts(h.told).at(c)
+		if n < told {
+			h.told[c] = n // a queue that was served counts as new when it builds up again
+		}
+		if n > 0 && (told == 0 || (!h.policy.NoPush && n >= told+max(growthMin, told/growthPart))) {
+			h.hurry(now)
+			return
+		}
 	}
-	h.waiting = waiting
 }
 
+// A queue that grew by at least growthMin and by one growthPart-th is reported again.
+const (
+	growthMin  = 3
+	growthPart = 2
+)
+
+// SetStretch sets the factor on the times between reports, as a Pacer gives it.
+func (h *Holder) SetStretch(f float64) { h.stretch = f }
+
+func scaled(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
 // Due returns when the next report is to be sent.
 func (h *Holder) Due() time.Time { return h.due }
 
@@ -230,9 +284,9 @@
 func (h *Holder) Report(now time.Time, d Demand) Report {
 	h.seq++
 	r := Report{
-		Pool: h.pool, From: h.view.Self, Seq: h.seq, Ack: h.ack, List: h.list,
+		Pool: h.pool, From: h.view.Self, Seq: h.seq, Behind: h.seq - 1 - h.ack, Num: h.ackNum, List: h.list,
 		Held: make(Counts, len(h.limit)), Use: make(Counts, len(h.limit)),
-		Run: d.Run, Wait: d.Wait,
+		Run: trim(d.Run), Wait: trim(d.Wait),
 	}
 	if h.names {
 		r.Workers = h.view.Workers
@@ -241,11 +295,14 @@
 		r.Use[i] = h.use[vm]
 		r.Held[i] = max(h.allowed(now, i), h.use[vm])
 	}
+	if slices.Equal(r.Use, r.Held) {
+		r.Use = nil
+	}
 	if len(h.sent) == maxSent {
 		h.sent = slices.Delete(h.sent, 0, 1)
 	}
-	h.sent = append(h.sent, sentReport{h.seq, now, h.owner, make([]int, len(h.limit))})
-	h.last = now
+	h.sent = append(h.sent, sentReport{h.seq, now, r.Held, make([]int, len(h.limit))})
+	h.last, h.told = now, slices.Clone(d.Wait)
 	h.schedule(now)
 	return r
 }
@@ -253,8 +310,8 @@
 // schedule sets the time of the next report by the backlog.
 func (h *Holder) schedule(now time.Time) {
 	period := h.policy.Slow
-	if h.waiting || h.recall > 0 || sum(h.pressure) > 0 {
-		period = h.policy.Fast
+	if h.waiting || h.policy.NoPush && (h.recall > 0 || sum(h.pressure) > 0) {
+		period = min(scaled(h.policy.Fast, max(h.stretch, h.pace)), h.policy.Slow)
 	}
 	h.due = h.last.Add(period)
 	if h.due.Before(now) {
@@ -276,18 +333,36 @@
 		h.names = true
 		h.hurry(now)
 		return
-	case r.Stale, !now.Before(lease), len(r.Limits) != len(h.limit):
+	case r.Stale, !now.Before(lease):
 		return
+	case r.Seq < h.ack, r.Seq == h.ack && r.Num <= h.ackNum:
+		return // a newer reply is in force
 	}
-	h.sent = slices.Delete(h.sent, 0, at+1)
+	limits := r.Limits
+	if len(limits) == 0 {
+		limits = s.held
+	}
+	if len(limits) != len(h.limit) {
+		return
+	}
+	h.sent = slices.Delete(h.sent, 0, at)
 	h.names = false
-	h.ack = r.Seq
+	h.ack, h.ackNum = r.Seq, r.Num
 	h.lease = lease
 	h.fallback = now.Add(2 * h.policy.TTL)
-	h.run, h.pressure = r.Run, r.Press
+	h.run, h.pressure = r.Run, r.Wait
+	h.pace = max(1, float64(r.Pace)/10)
 	h.recall = max(0, r.Recall-sum(s.given))
-	for i, n := range r.Limits {
-		h.limit[i] = max(0, n-s.given[i])
+	lowered := false
+	for i, n := range limits {
+		n = max(0, n-s.given[i])
+		lowered = lowered || n < h.limit[i]
+		h.limit[i] = n
+	}
+	switch {
+	case r.Num == 0:
+		h.schedule(now)
+	case lowered:
+		h.hurry(now) // others wait for the confirmation
 	}
-	h.schedule(now)
 }
--- a/io/sched/set.go
+++ b/io/sched/set.go
@@ -15,6 +15,13 @@
 	Exchange(ctx context.Context, owner string, reports []slots.Report) ([]slots.Reply, error)
 }
 
+// Pusher sends an owner's updates to a holder's entry, which hands them to
+// Set.HandleUpdates. It does not wait for an answer. An Exchanger that is not
+// also a Pusher needs slots.Policy.NoPush.
+type Pusher interface {
+	Push(ctx context.Context, member string, updates []slots.Reply) error
+}
+
 const examinePeriod = 100 * time.Millisecond // queued requests are examined at least this often
 
 // SetConfig is the settings of a Set.
@@ -23,6 +30,7 @@
 	Exchanger Exchanger
 	Pools     []*Pool
 	Self      func() string // member ID of this entry
+	Budget    float64       // control bytes per second; 0 means slots.DefaultBudget
 }
 
 // Set runs the exchange of the pools of one entry and batches reports per owner.
@@ -33,7 +41,10 @@
 
 	mu    sync.Mutex
 	pools []*Pool
+	pacer *slots.Pacer
 	links map[string]*link
+	out   map[string]*outbox
+	told  map[*Pool]bool // pools whose owner took in reports since the last pass
 }
 
 // NewSet returns a set that is idle until Run is called.
@@ -41,7 +52,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.System{}
 	}
-	s := &Set{cfg: cfg, wakeup: make(chan struct{}, 1), links: map[string]*link{}}
+	s := &Set{cfg: cfg, wakeup: make(chan struct{}, 1), pacer: slots.NewPacer(cfg.Budget), links: map[string]*link{}, out: map[string]*outbox{}, told: map[*Pool]bool{}}
 	s.SetPools(cfg.Pools)
 	return s
 }
@@ -89,11 +100,19 @@
 // pass sends the reports that are due and returns the time to the next pass.
 func (s *Set) pass(ctx context.Context) time.Duration {
 	s.mu.Lock()
-	pools := s.pools
+	pools, told := s.pools, s.told
+	s.told = map[*Pool]bool{}
 	s.mu.Unlock()
 	now := s.cfg.Clock.Now()
 	wait := examinePeriod
+	s.mu.Lock()
+	stretch := s.pacer.Stretch(now)
+	s.mu.Unlock()
+	for p := range told {
+		s.update(ctx, p)
+	}
 	for _, p := range pools {
+		p.setStretch(stretch)
 		due, owner := p.tick(now)
 		switch {
 		case owner == "":
@@ -102,6 +121,7 @@
 		case owner == s.cfg.Self():
 			if r, ok := p.report(now, owner); ok {
 				p.HandleReply(owner, p.HandleReport(r))
+				s.update(ctx, p)
 			}
 			s.wake()
 		default:
@@ -124,6 +144,76 @@
 	return l
 }
 
+// count adds a message of n bytes to the control traffic.
+func (s *Set) count(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pacer.Add(s.cfg.Clock.Now(), n+slots.MessageOverhead)
+}
+
+func reportsSize(rs []slots.Report) int {
+	n := 0
+	for _, r := range rs {
+		n += r.Size()
+	}
+	return n
+}
+
+func repliesSize(rs []slots.Reply) int {
+	n := 0
+	for _, r := range rs {
+		n += r.Size()
+	}
+	return n
+}
+
+// update sends what the owner of p has to tell other holders.
+func (s *Set) update(ctx context.Context, p *Pool) {
+	for _, u := range p.updates() {
+		if u.Member == s.cfg.Self() {
+			p.HandleReply(u.Member, u.Reply)
+			continue
+		}
+		s.outbox(ctx, u.Member).add(u.Reply)
+	}
+}
+
+// outbox returns the outbox for member and starts it on first use.
+func (s *Set) outbox(ctx context.Context, member string) *outbox {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.out[member]
+	if b == nil {
+		b = &outbox{set: s, member: member, filled: make(chan struct{}, 1)}
+		s.out[member] = b
+		s.done.Go(func() { b.loop(ctx) })
+	}
+	return b
+}
+
+// HandleUpdates puts the updates in force that owner sent by itself.
+func (s *Set) HandleUpdates(owner string, updates []slots.Reply) {
+	s.mu.Lock()
+	pools := s.pools
+	s.mu.Unlock()
+	s.count(repliesSize(updates))
+	for _, r := range updates {
+		for _, p := range pools {
+			if p.Name() == r.Pool {
+				p.HandleReply(owner, r)
+			}
+		}
+	}
+}
+
+// tell makes the loop send the updates that follow from a report to the owner of p.
+func (s *Set) tell(p *Pool) {
+	s.mu.Lock()
+	s.told[p] = true
+	s.mu.Unlock()
+	s.wake()
+}
+
 // HandleReports answers the batch of another entry, in order.
 func (s *Set) HandleReports(reports []slots.Report) []slots.Reply {
 	s.mu.Lock()
@@ -135,9 +225,12 @@
 		for _, p := range pools {
 			if p.Name() == r.Pool {
 				out[i] = p.HandleReport(r)
+				s.tell(p)
 			}
 		}
 	}
+	s.count(reportsSize(reports))
+	s.count(repliesSize(out))
 	return out
 }
 
@@ -207,10 +300,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, slots.ExchangeTimeout)
 	defer cancel()
+	s.count(reportsSize(reports))
 	replies, err := s.cfg.Exchanger.Exchange(ctx, l.owner, reports)
 	if err != nil {
 		return // the next report is due soon; without an answer the leases lapse
 	}
+	s.count(repliesSize(replies))
 	for _, r := range replies {
 		for _, p := range from {
 			if p.Name() == r.Pool {
