config, daemon: Let tests cut an entry off from its peers

Cause: loss of the link between two entries cannot be produced over separate processes on one machine from outside. Ruled out: packet filters (they need rights and change the machine). Change: the setting FaultInjection, off by default, opens one path of the operator API. Conclusion: the tests over processes can cut peers.

--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -49,9 +49,11 @@
 	Peers    []string // IP:port of the peer servers of the other entries; the own one is removed
 	Platform string   // base URL of the platform, with an IP number
 
-	LogLevel     string        // debug, info, warn or error
-	BalancerWait spec.Duration // between readiness off and the end of accepting
-	Limits       Limits
+	LogLevel string // debug, info, warn or error
+	// FaultInjection lets the operator API cut peers off, for tests only.
+	FaultInjection bool
+	BalancerWait   spec.Duration // between readiness off and the end of accepting
+	Limits         Limits
 }
 
 // Limits bound what callers may ask of one entry.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"sync"
 	"time"
@@ -63,6 +64,8 @@
 	admin         *admin.Server
 	adminListener net.Listener
 	stats         *stats.Stats
+	faults        *peer.Faults
+	traffic       *peer.Stats
 
 	foldMu     sync.Mutex // orders the log reader and relaying peers
 	viewMu     sync.Mutex // one view is pushed at a time
@@ -88,6 +91,7 @@
 		leaving: &leavingSet{clock: cfg.Clock},
 		health:  newVMHealth(),
 		stats:   stats.New(),
+		faults:  peer.NewFaults(s.FaultInjection),
 
 		viewOffset: -1,
 	}
@@ -101,16 +105,34 @@
 	d.vms = vmlist.New(vmlist.Config{Base: s.Platform, ClientID: s.VM, Clock: cfg.Clock, Slow: d.followsList})
 	d.control, d.gone = newControl(d), newGoneEntries(d)
 	d.buildLinks()
-	d.admin = admin.NewServer(admin.ServerConfig{
-		State: d.store, Appender: appender{d}, Entries: d, Health: d, Metrics: d.stats, Clock: cfg.Clock, Log: d.log,
-	})
+	d.buildAdmin()
 	return d, d.buildPath()
 }
 
+func (d *Daemon) buildAdmin() {
+	cfg := admin.ServerConfig{
+		State: d.store, Appender: appender{d}, Entries: d, Health: d, Metrics: d.stats, Clock: d.cfg.Clock, Log: d.log,
+	}
+	if d.cfg.Settings.FaultInjection {
+		cfg.Fault = d.cutPeers
+	}
+	d.admin = admin.NewServer(cfg)
+}
+
+// cutPeers cuts this entry off from peers, for tests.
+func (d *Daemon) cutPeers(raw json.RawMessage) error {
+	var req peer.CutRequest
+	if err := json.Unmarshal(raw, &req); err != nil {
+		return eris.Wrap(err, "decode the peers to cut off")
+	}
+	d.faults.Set(req.Peers)
+	return nil
+}
+
 func (d *Daemon) buildLinks() {
-	stats := peer.NewStats()
-	server := peer.NewServer(peer.ServerConfig{Listen: d.cfg.Settings.Peer, Stats: stats, Log: d.log})
-	pool := peer.NewPool(peer.PoolConfig{From: d.group.Self, Stats: stats, Log: d.log})
+	d.traffic = peer.NewStats()
+	server := peer.NewServer(peer.ServerConfig{Listen: d.cfg.Settings.Peer, Cut: d.faults, Stats: d.traffic, Log: d.log})
+	pool := peer.NewPool(peer.PoolConfig{From: d.group.Self, Cut: d.faults, Stats: d.traffic, Log: d.log})
 	d.links = newLinks(d, server, pool)
 }
 
--- a/system/proc_test.go
+++ b/system/proc_test.go
@@ -225,7 +225,7 @@
 		a := freeAddrs(w.t, 2)
 		e := &entryProc{vm: fmt.Sprintf("entry-%d", i+1), listen: a[0], peer: peers[i], admin: a[1]}
 		e.settings = filepath.Join(w.t.TempDir(), e.vm+".toml")
-		text := fmt.Sprintf("VM = %q\nRegion = \"west\"\nDC = \"west-%d\"\nListen = %q\nPeer = %q\nAdmin = %q\nPeers = [%s]\nPlatform = %q\nLogLevel = \"info\"\nBalancerWait = \"300ms\"\n",
+		text := fmt.Sprintf("VM = %q\nRegion = \"west\"\nDC = \"west-%d\"\nListen = %q\nPeer = %q\nAdmin = %q\nPeers = [%s]\nPlatform = %q\nLogLevel = \"info\"\nBalancerWait = \"300ms\"\nFaultInjection = true\n",
 			e.vm, i%3+1, e.listen, e.peer, e.admin, quoted(peers), "http://"+w.cloud)
 		assert.NilError(w.t, os.WriteFile(e.settings, []byte(text), 0o600))
 		e.process = startProcess(w.t, e.vm, "sassafrasvalve", "daemon", "--settings", e.settings)
