daemon, fleet: Ask every live member to acknowledge a drain

Cause: a process that served as a guest, or rejoined after its eviction, has requests in progress from before its Join; the fold asked only members that joined before the drain. The daemon also had its own copies of the heartbeat loop, the record relay and the state transfer of package peer. Ruled out: delaying the Join until nothing is in progress, which under load never comes for a guest. Change: all live members of the region acknowledge; daemon uses peer.Heart, peer.Tail and peer.FetchState.

--- a/core/fleet/vm.go
+++ b/core/fleet/vm.go
@@ -159,11 +159,12 @@
 }
 
 // missingAcks lists the members that may still have requests on a draining VM: all of its
-// region that joined before the drain, evicted ones until their fence.
+// region, evicted ones until their fence. Members that joined after the drain are asked too: a process
+// that was a guest, or a member under an earlier ID, may have started requests before its Join.
 func (s *State) missingAcks(vm *VM) []string {
 	return s.selectMembers(func(m *Member) bool {
 		_, acked := slices.BinarySearch(vm.Acked, m.ID)
-		return m.Region == vm.Region && m.Joined < vm.Gen && !acked
+		return m.Region == vm.Region && !acked
 	})
 }
 
@@ -185,7 +186,7 @@
 	var out []VMGen
 	for _, id := range sortedKeys(s.VMs) {
 		vm := s.VMs[id]
-		if vm.Phase == Draining && vm.Region == m.Region && m.Joined < vm.Gen && !slices.Contains(vm.Acked, member) {
+		if vm.Phase == Draining && vm.Region == m.Region && !slices.Contains(vm.Acked, member) {
 			out = append(out, VMGen{id, vm.Gen})
 		}
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -49,6 +49,7 @@
 	writer *oplog.Writer
 	reader *oplog.Reader
 	links  *links
+	tail   *peer.Tail // newest records, for peers that cannot read the log
 
 	pools     *pools
 	sched     *sched.Set
@@ -133,6 +134,7 @@
 	d.traffic = peer.NewStats()
 	server := peer.NewServer(peer.ServerConfig{Listen: d.cfg.Settings.Peer, Cut: d.faults, Stats: d.traffic, Log: d.log})
 	pool := peer.NewPool(peer.PoolConfig{From: d.group.Self, Cut: d.faults, Stats: d.traffic, Log: d.log})
+	d.tail = peer.NewTail(d.cfg.Clock, 0, tailRecords, tailBytes)
 	d.links = newLinks(d, server, pool)
 }
 
@@ -221,7 +223,7 @@
 func (d *Daemon) runLoops(ctx context.Context) {
 	d.reader = oplog.NewReader(oplog.ReaderConfig{Client: d.client, Sink: logSink{d}, Clock: d.cfg.Clock, From: d.store.Offset() + 1})
 	for _, loop := range []func(context.Context){
-		d.reader.Run, d.writer.Run, d.links.loop, d.sched.Run,
+		d.reader.Run, d.writer.Run, d.links.loop, d.links.heart.Run, d.sched.Run,
 		d.viewLoop, d.memberLoop, d.leaveLoop, d.snapshotLoop, d.jobs.loop,
 		d.vms.Run, d.control.loop, d.probeLoop,
 	} {
--- a/io/daemon/links.go
+++ b/io/daemon/links.go
@@ -1,9 +1,9 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -20,8 +20,9 @@
 )
 
 const (
-	recordsPerCall = 128       // a call stays below the message limit with records of 4 KiB
-	statePartBytes = 256 << 10 // before base64, a quarter of the message limit
+	recordsPerCall = 128
+	tailRecords    = 4096
+	tailBytes      = 4 << 20
 )
 
 // links are the calls between this entry and the others.
@@ -29,23 +30,15 @@
 	d      *Daemon
 	server *peer.Server
 	pool   *peer.Pool
-	packed packedState
-}
-
-// packedState is the newest packed state, kept while peers fetch its parts.
-type packedState struct {
-	mu       sync.Mutex
-	id       string
-	through  int64
-	checksum uint64
-	data     []byte
+	heart  *peer.Heart
 }
 
 func newLinks(d *Daemon, server *peer.Server, pool *peer.Pool) *links {
 	l := &links{d: d, server: server, pool: pool}
-	server.Handle(methodPing, l.onPing)
-	server.Handle(methodRecords, l.onRecords)
-	server.Handle(methodState, l.onState)
+	l.heart = peer.NewHeart(peer.HeartConfig{Pool: pool, Peers: d.addrs.All, Source: l, Sink: l, Clock: d.cfg.Clock})
+	server.Handle(peer.MethodHeartbeat, l.onPing)
+	server.Handle(peer.MethodGetRecords, d.tail.Handle)
+	server.Handle(peer.MethodGetState, peer.NewStateServer(d.store, d.cfg.Clock).Handle)
 	server.Handle(methodSlots, l.onSlots)
 	server.Handle(methodSponsor, l.onSponsor)
 	for _, method := range []string{claims.MethodClaim, claims.MethodFinish, claims.MethodHold, claims.MethodRebuild} {
@@ -75,46 +68,6 @@
 	return Pong{Digest: l.d.digest(), Promise: promise}, nil
 }
 
-func (l *links) onRecords(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	q, err := decode[RecordsRequest](params)
-	if err != nil {
-		return nil, err
-	}
-	records, ok := l.d.store.Records(q.From, recordsPerCall)
-	return RecordsReply{Records: records, Gone: !ok}, nil
-}
-
-func (l *links) onState(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	q, err := decode[StateRequest](params)
-	if err != nil {
-		return nil, err
-	}
-	return l.packed.part(q, l.d.store)
-}
-
-// part returns one part of the packed state. Part 0 without a name packs it anew.
-func (p *packedState) part(q StateRequest, store *Store) (StateReply, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if q.Snapshot == "" {
-		if through := store.Offset(); p.data == nil || through != p.through {
-			data, sum, at, err := store.Pack()
-			if err != nil {
-				return StateReply{}, err
-			}
-			p.id, p.data, p.checksum, p.through = newID(), data, sum, at
-		}
-	} else if q.Snapshot != p.id {
-		return StateReply{}, &jsonrpc2.Error{Code: peer.CodeGone, Message: "the snapshot is no longer held"}
-	}
-	parts := max(1, (len(p.data)+statePartBytes-1)/statePartBytes)
-	if q.Part < 0 || q.Part >= parts {
-		return StateReply{}, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "the part is out of range"}
-	}
-	chunk := p.data[q.Part*statePartBytes : min((q.Part+1)*statePartBytes, len(p.data))]
-	return StateReply{Snapshot: p.id, Through: p.through, Checksum: p.checksum, Part: q.Part, Parts: parts, Data: chunk}, nil
-}
-
 func (l *links) onSlots(_ context.Context, _ string, params json.RawMessage) (any, error) {
 	q, err := decode[SlotsRequest](params)
 	if err != nil {
@@ -172,45 +125,29 @@
 	return addr
 }
 
-// loop pings all peers every member.Heartbeat until ctx ends.
-func (l *links) loop(ctx context.Context) {
-	tick := time.NewTicker(member.Heartbeat)
-	defer tick.Stop()
-	for {
-		addrs := l.d.addrs.All()
-		l.pool.Keep(addrs)
-		for _, addr := range addrs {
-			p := &ping{l: l, addr: addr}
-			go p.run(ctx)
-		}
-		l.sponsor(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
+// Heartbeat returns what a peer is told. It implements peer.HeartSource.
+func (l *links) Heartbeat(string) (any, error) {
+	return Ping{Digest: l.d.digest(), Addr: l.d.cfg.Settings.Peer}, nil
 }
 
-// ping is one heartbeat to one peer.
-type ping struct {
-	l    *links
-	addr string
+// Missed takes note of a heartbeat without an answer. The silence of a peer is counted by the group.
+func (l *links) Missed(addr string, _ time.Time, err error) {
+	l.d.log.Debug("heartbeat failed", zap.String("Peer", addr), zap.Error(err))
 }
 
-func (p *ping) run(ctx context.Context) {
-	sent := p.l.d.cfg.Clock.Now()
+// Beat takes a peer's answer. It implements peer.HeartSink.
+func (l *links) Beat(r peer.HeartReply) {
 	var pong Pong
-	msg := Ping{Digest: p.l.d.digest(), Addr: p.l.d.cfg.Settings.Peer}
-	ctx, cancel := context.WithTimeout(ctx, member.Silence)
-	defer cancel()
-	if err := p.l.pool.Call(ctx, p.addr, methodPing, msg, &pong); err != nil {
+	if err := json.Unmarshal(r.Body, &pong); err != nil {
+		l.d.log.Warn("heartbeat answer is malformed", zap.String("Peer", r.Addr), zap.Error(err))
 		return
 	}
-	if pong.Offset > p.l.d.store.Offset() {
-		p.l.catchUp(ctx, p.addr, pong.Offset)
+	if pong.Offset > l.d.store.Offset() {
+		ctx, cancel := context.WithTimeout(l.d.ctx, member.Silence)
+		defer cancel()
+		l.catchUp(ctx, r.Addr, pong.Offset)
 	}
-	p.l.d.group.Ponged(sent, pong)
+	l.d.group.Ponged(r.Sent, pong)
 }
 
 // catchUp fetches the records that a peer has and this entry lacks.
@@ -220,17 +157,19 @@
 		if from > to {
 			return
 		}
-		var reply RecordsReply
-		if err := l.pool.Call(ctx, addr, methodRecords, RecordsRequest{From: from}, &reply); err != nil {
-			return
-		}
-		if reply.Gone {
+		b, err := peer.FetchRecords(ctx, l.pool, l.d.cfg.Clock, addr, from, recordsPerCall)
+		var answer *jsonrpc2.Error
+		if errors.As(err, &answer) && answer.Code == peer.CodeGone {
 			if err := l.fetchState(ctx, addr); err != nil {
 				l.d.log.Warn("cannot fetch the state of a peer", zap.String("Peer", addr), zap.Error(err))
 			}
 			return
 		}
-		if l.d.fold(reply.Records, time.Time{}) == 0 && l.d.store.Offset() < from {
+		if err != nil {
+			return
+		}
+		// The lease is renewed by Ponged, once everything that the peer has is folded.
+		if l.d.fold(b.Records, time.Time{}); l.d.store.Offset() < from {
 			return
 		}
 	}
@@ -238,24 +177,31 @@
 
 // fetchState replaces the own state by that of the peer at addr.
 func (l *links) fetchState(ctx context.Context, addr string) error {
-	var buf bytes.Buffer
-	q := StateRequest{}
+	_, data, err := peer.FetchState(ctx, l.pool, addr)
+	if err != nil {
+		return err
+	}
+	st, err := unpack(data)
+	if err != nil {
+		return eris.Wrapf(err, "state of peer %s", addr)
+	}
+	l.d.replace(st)
+	return nil
+}
+
+// loop keeps the connections to the present peers only, and asks for a guest's lease
+// while this process is no member.
+func (l *links) loop(ctx context.Context) {
+	tick := time.NewTicker(member.Heartbeat)
+	defer tick.Stop()
 	for {
-		var r StateReply
-		if err := l.pool.Call(ctx, addr, methodState, q, &r); err != nil {
-			return err
-		}
-		buf.Write(r.Data)
-		q = StateRequest{Snapshot: r.Snapshot, Part: r.Part + 1}
-		if q.Part < r.Parts {
-			continue
-		}
-		st, err := fleet.Unpack(stateConfig(), buf.Bytes(), r.Checksum)
-		if err != nil {
-			return err
+		l.pool.Keep(l.d.addrs.All())
+		l.sponsor(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
 		}
-		l.d.replace(st)
-		return nil
 	}
 }
 
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -5,11 +5,8 @@
 	"sassafrasvalve/core/slots"
 )
 
-// Methods of the calls between entries, beside those of package claims.
+// Methods of the calls between entries, beside those of packages peer and claims.
 const (
-	methodPing    = "Ping"
-	methodRecords = "Records"
-	methodState   = "State"
 	methodSlots   = "Slots"
 	methodSponsor = "Sponsor"
 )
@@ -40,33 +37,6 @@
 	Promise *member.Promise `json:",omitempty"`
 }
 
-// RecordsRequest asks for raw records from an offset on.
-type RecordsRequest struct {
-	From int64
-}
-
-// RecordsReply holds consecutive raw records. Gone says that the first one is not held any more.
-type RecordsReply struct {
-	Records []entryRecord `json:",omitempty"`
-	Gone    bool          `json:",omitempty"`
-}
-
-// StateRequest asks for one part of the packed state. An empty Snapshot asks for the newest.
-type StateRequest struct {
-	Snapshot string
-	Part     int
-}
-
-// StateReply is one part of a packed state.
-type StateReply struct {
-	Snapshot string
-	Through  int64
-	Checksum uint64
-	Part     int
-	Parts    int
-	Data     []byte
-}
-
 // SlotsRequest carries the reports of one entry to the owner of the pools.
 type SlotsRequest struct {
 	Reports []slots.Report
--- a/io/daemon/sink.go
+++ b/io/daemon/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -22,15 +23,11 @@
 
 // Batch folds the records and renews the view lease if the read was fresh.
 func (s logSink) Batch(_ context.Context, b oplog.Batch) {
-	records := make([]entryRecord, len(b.Records))
-	for i, e := range b.Records {
-		records[i] = entryRecord(e)
-	}
 	read := time.Time{}
 	if b.Fresh() {
 		read = b.Began
 	}
-	s.d.fold(records, read)
+	s.d.fold(b.Records, read)
 }
 
 // Expired loads a newer state, from a snapshot in the log or from a peer.
@@ -45,17 +42,18 @@
 // Failed logs a failed read. The view lease then runs out by itself.
 func (s logSink) Failed(err error) { s.d.log.Debug("log read failed", zap.Error(err)) }
 
-// fold folds records that were read from the log, or relayed by a peer, and returns how many were new.
+// fold folds records that were read from the log or relayed by a peer.
 // read is when a fresh read of the log began that these records end, or zero.
-func (d *Daemon) fold(records []entryRecord, read time.Time) int {
+func (d *Daemon) fold(records []oplog.Entry, read time.Time) {
 	d.foldMu.Lock()
 	defer d.foldMu.Unlock()
-	n := d.store.Fold(records)
-	if d.reader != nil && n > 0 {
-		d.reader.Advance(d.store.Offset() + 1)
+	folded := d.store.Fold(records)
+	next := d.store.Offset() + 1
+	d.tail.Add(oplog.Batch{Records: folded, Next: next, End: math.MaxInt64})
+	if d.reader != nil && len(folded) > 0 {
+		d.reader.Advance(next)
 	}
 	d.folded(read)
-	return n
 }
 
 // replace puts a state from a snapshot or a peer in force.
--- a/io/daemon/store.go
+++ b/io/daemon/store.go
@@ -1,24 +1,18 @@
 package daemon
 
 import (
-	"slices"
+	"context"
+	"encoding/binary"
 	"sync"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"sassafrasvalve/core/fleet"
 	"sassafrasvalve/core/spec"
+	"sassafrasvalve/io/oplog"
 )
 
-// relayBytes bounds the raw records kept for peers that are cut off from the log.
-const relayBytes = 4 << 20
-
-// entryRecord is a raw record of the log.
-type entryRecord struct {
-	Offset int64
-	Data   []byte
-}
-
 // Store holds the folded state of this entry. It is safe for concurrent use.
 type Store struct {
 	log     *zap.Logger
@@ -26,8 +20,6 @@
 
 	mu      sync.RWMutex
 	st      *fleet.State
-	recent  []entryRecord // consecutive, newest last
-	bytes   int
 	changed chan struct{} // closed and replaced after each change
 }
 
@@ -64,10 +56,10 @@
 	return s.changed
 }
 
-// Fold folds records and reports how many were new. Records that were folded before are left
+// Fold folds records and returns those that were new. Records that were folded before are left
 // out, since the log and a relaying peer may both deliver them; a gap ends the fold.
-func (s *Store) Fold(records []entryRecord) int {
-	results := s.fold(records)
+func (s *Store) Fold(records []oplog.Entry) []oplog.Entry {
+	folded, results := s.fold(records)
 	for _, r := range results {
 		if !r.Accepted && !r.Duplicate {
 			s.log.Info("record had no effect", zap.Int64("Offset", r.Offset), zap.String("ID", r.ID),
@@ -75,12 +67,13 @@
 		}
 		s.observe(r)
 	}
-	return len(results)
+	return folded
 }
 
-func (s *Store) fold(records []entryRecord) []fleet.Result {
+func (s *Store) fold(records []oplog.Entry) ([]oplog.Entry, []fleet.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var folded []oplog.Entry
 	var out []fleet.Result
 	for _, r := range records {
 		if r.Offset <= s.st.Offset {
@@ -90,40 +83,12 @@
 			break
 		}
 		out = append(out, s.st.ApplyRaw(r.Offset, r.Data))
-		s.keep(r)
+		folded = append(folded, r)
 	}
 	if len(out) > 0 {
 		s.notify()
 	}
-	return out
-}
-
-// keep remembers a raw record for peers.
-func (s *Store) keep(r entryRecord) {
-	s.recent = append(s.recent, r)
-	s.bytes += len(r.Data)
-	drop := 0
-	for s.bytes > relayBytes && drop < len(s.recent)-1 {
-		s.bytes -= len(s.recent[drop].Data)
-		drop++
-	}
-	if drop > 0 {
-		s.recent = slices.Clone(s.recent[drop:])
-	}
-}
-
-// Records returns up to limit raw records from an offset on, and false if they are not held any more.
-func (s *Store) Records(from int64, limit int) ([]entryRecord, bool) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	if from > s.st.Offset {
-		return nil, true
-	}
-	if len(s.recent) == 0 || from < s.recent[0].Offset {
-		return nil, false
-	}
-	part := s.recent[from-s.recent[0].Offset:]
-	return slices.Clone(part[:min(limit, len(part))]), true
+	return folded, out
 }
 
 // Replace puts a state in place of an older one. It reports false if the state is not newer.
@@ -133,17 +98,25 @@
 	if st.Offset <= s.st.Offset {
 		return false
 	}
-	s.st, s.recent, s.bytes = st, nil, 0
+	s.st = st
 	s.notify()
 	return true
 }
 
-// Pack returns the compressed state, its checksum and its offset.
-func (s *Store) Pack() (data []byte, checksum uint64, offset int64, err error) {
+// State returns the packed state and its offset. It implements peer.StateSource.
+func (s *Store) State(context.Context) (through int64, data []byte, err error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	data, checksum, err = s.st.Pack()
-	return data, checksum, s.st.Offset, err
+	packed, sum, err := s.st.Pack()
+	return s.st.Offset, append(binary.BigEndian.AppendUint64(nil, sum), packed...), err
+}
+
+// unpack restores what State returned.
+func unpack(data []byte) (*fleet.State, error) {
+	if len(data) < 8 {
+		return nil, eris.Errorf("state has %d bytes", len(data))
+	}
+	return fleet.Unpack(stateConfig(), data[8:], binary.BigEndian.Uint64(data))
 }
 
 // notify must be called with the lock held.
