--- a/core/slots/machine_test.go
+++ b/core/slots/machine_test.go
@@ -37,13 +37,17 @@
 	net     []message
 }
 
-const modelSlots = 8
+// With seven entries, home slots move between the others when one leaves.
+const (
+	modelSlots   = 8
+	modelEntries = 7
+)
 
 func newModel(t *rapid.T) *model {
 	m := &model{t: t, now: time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)}
 	m.adopt = m.now
 	v := View{Slots: modelSlots, Connections: 64, Classes: []Class{{Name: "u", Share: 0.5}, {Name: "l", Rank: 1, Share: 0.2}}}
-	for i := range 4 {
+	for i := range modelEntries {
 		v.Members = append(v.Members, fmt.Sprint("e", i))
 	}
 	v.Workers = []string{"w0", "w1", "w2"}
@@ -216,7 +220,7 @@
 		return
 	}
 	v := m.views[len(m.views)-1]
-	list, name := &v.Members, fmt.Sprint("e", rapid.IntRange(0, 3).Draw(t, "member"))
+	list, name := &v.Members, fmt.Sprint("e", rapid.IntRange(0, modelEntries-1).Draw(t, "member"))
 	if rapid.Bool().Draw(t, "worker") {
 		list, name = &v.Workers, fmt.Sprint("w", rapid.IntRange(1, 2).Draw(t, "worker"))
 	}
--- a/core/slots/pacer.go
+++ b/core/slots/pacer.go
@@ -70,3 +70,9 @@
 	x := p.rate / (paceFrom * p.budget)
 	return min(max(1, x*x), maxStretch)
 }
+
+// Rate returns the control bytes per second, averaged over the last 20 s or so.
+func (p *Pacer) Rate(now time.Time) float64 {
+	p.decay(now)
+	return p.rate
+}
--- a/io/sched/pool.go
+++ b/io/sched/pool.go
@@ -22,7 +22,8 @@
 	Report(now time.Time, vm string, o route.Outcome)
 }
 
-// Observer is told how requests fare. Its methods must return quickly.
+// Observer is told how requests fare. Its methods must return quickly and must
+// not call the pool.
 type Observer interface {
 	Started(pool, tenant, class string, wait time.Duration)
 	Refused(pool, tenant, class string, status int)
@@ -36,7 +37,8 @@
 	Chooser  Chooser      // nil means the worker least in use
 	Observer Observer     // may be nil
 	// Fresh reports whether the entry holds its view lease. Without the lease
-	// nothing is admitted and the owner does not answer. Nil means always.
+	// nothing is admitted and the owner does not answer. Nil means always. It
+	// must not call the pool.
 	Fresh func() bool
 }
 
--- a/io/sched/pool_test.go
+++ b/io/sched/pool_test.go
@@ -24,6 +24,7 @@
 	sets  map[string]*Set
 	lose  func() bool
 	owner string
+	batch atomic.Int64 // most reports in one message
 }
 
 func (f *fabric) Exchange(ctx context.Context, owner string, reports []slots.Report) ([]slots.Reply, error) {
@@ -31,6 +32,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	f.batch.Store(max(f.batch.Load(), int64(len(reports))))
 	return f.sets[owner].HandleReports(reports), nil
 }
 
@@ -164,3 +166,67 @@
 	p.SetView(testView("e0", []string{"e0"}, 0))
 	assert.Equal(t, status(Request{Class: "hold"}), http.StatusServiceUnavailable)
 }
+
+// Guards against a caller that is gone and still holds a place or a slot.
+func TestCancelFreesThePlaceAtOnce(t *testing.T) {
+	p := entries(t, 1, 1, nil)[0]
+	grants := make([]*Grant, 0, 8)
+	for range 8 {
+		g, err := p.Acquire(t.Context(), Request{Class: "list"})
+		assert.NilError(t, err)
+		grants = append(grants, g)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error)
+	go func() {
+		_, err := p.Acquire(ctx, Request{Class: "list"})
+		failed <- err
+	}()
+	for p.Status().Classes[1].Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	assert.ErrorIs(t, <-failed, context.Canceled)
+	assert.Equal(t, p.Status().Classes[1].Waiting, 0)
+	for _, g := range grants {
+		g.Done(Outcome{Verdict: retry.Ran})
+	}
+	assert.Equal(t, p.InFlight("w0"), 0)
+}
+
+// Guards against a message per pool, and against reports that reach the wrong pool's owner.
+func TestSetBatchesPoolsOfOneOwner(t *testing.T) {
+	f := &fabric{sets: map[string]*Set{}}
+	members := []string{"e0", "e1"}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	names := []string{"p0", "p1", "p2", "p3"}
+	pools := map[string][]*Pool{}
+	for _, m := range members {
+		for i, name := range names {
+			p := New(Config{Name: name, Policy: slots.Policy{NoPush: true}})
+			p.SetView(testView(m, members, i+1))
+			pools[m] = append(pools[m], p)
+		}
+		f.sets[m] = NewSet(SetConfig{Exchanger: f, Pools: pools[m], Self: func() string { return m }})
+	}
+	for _, s := range f.sets {
+		wg.Go(func() { s.Run(ctx) })
+	}
+	for _, m := range members {
+		for i, p := range pools[m] {
+			for p.Status().Mode != slots.ModeLeased {
+				time.Sleep(time.Millisecond)
+			}
+			g, err := p.Acquire(t.Context(), Request{Class: "hold"})
+			assert.NilError(t, err)
+			assert.Assert(t, g.VM <= fmt.Sprint("w", i))
+			g.Done(Outcome{Verdict: retry.Ran})
+		}
+	}
+	for f.batch.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, f.sets["e0"].ControlRate() > 0)
+}
--- a/io/sched/set.go
+++ b/io/sched/set.go
@@ -151,6 +151,14 @@
 	s.pacer.Add(s.cfg.Clock.Now(), n+slots.MessageOverhead)
 }
 
+// ControlRate returns the control bytes per second that slot sharing sends and
+// receives, averaged over the last 20 s or so.
+func (s *Set) ControlRate() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pacer.Rate(s.cfg.Clock.Now())
+}
+
 func reportsSize(rs []slots.Report) int {
 	n := 0
 	for _, r := range rs {
