bench/fleet: Measure roll-outs, repair and moves of the controller

The planner's choices of growth, lending of spares and patience were not measured. The driver runs the real fold and planner against a stand-in of the platform with a lagging list; an audit of its own counts budgets and pools at every offset.

--- a/cmd/svbench/main.go
+++ b/cmd/svbench/main.go
@@ -4,11 +4,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/urfave/cli/v3"
 
 	"sassafrasvalve/bench"
+	"sassafrasvalve/bench/fleet"
 )
 
 func main() {
@@ -29,6 +31,17 @@
 				&cli.StringFlag{Name: "csv", Usage: "write all rows to this file"},
 			},
 			Action: load,
+		}, {
+			Name:  "fleet",
+			Usage: "measure the controller: roll-outs, repair and moves",
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: "fleet", Value: "all", Usage: "fleets, separated by commas: kegelbaan, apvieniba, target"},
+				&cli.StringFlag{Name: "experiment", Value: "all", Usage: "experiments, separated by commas: rollout, buffer, image, days"},
+				&cli.IntFlag{Name: "seeds", Value: 5, Usage: "runs per line"},
+				&cli.IntFlag{Name: "days", Value: 7, Usage: "length of the runs of experiment days"},
+				&cli.StringFlag{Name: "csv", Usage: "write all rows to this file"},
+			},
+			Action: control,
 		}},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
@@ -54,7 +67,26 @@
 	return bench.WriteTable(os.Stdout, rs, cmd.Bool("tenants"))
 }
 
-func writeCSV(path string, rs []bench.Result) (err error) {
+func control(_ context.Context, cmd *cli.Command) error {
+	cfg := fleet.Config{
+		Shapes: bench.Split(cmd.String("fleet")), Experiments: bench.Split(cmd.String("experiment")),
+		Seeds: cmd.Int("seeds"), Days: cmd.Int("days"),
+	}
+	path := cmd.String("csv")
+	if path == "" {
+		return fleet.Run(os.Stdout, cfg)
+	}
+	return toFile(path, func(w io.Writer) error {
+		cfg.CSV = w
+		return fleet.Run(os.Stdout, cfg)
+	})
+}
+
+func writeCSV(path string, rs []bench.Result) error {
+	return toFile(path, func(w io.Writer) error { return bench.WriteCSV(w, rs) })
+}
+
+func toFile(path string, write func(io.Writer) error) (err error) {
 	f, err := os.Create(path)
 	if err != nil {
 		return err
@@ -64,5 +96,5 @@
 			err = cerr
 		}
 	}()
-	return bench.WriteCSV(f, rs)
+	return write(f)
 }
--- a/core/plan/memory.go
+++ b/core/plan/memory.go
@@ -89,8 +89,9 @@
 		}
 		if s.gen != vm.Gen {
 			s.gen, s.at, s.inherited, s.bootedAt = vm.Gen, now, first, time.Time{}
+			s.countSteps(vm, now, first)
 		}
-		s.countSteps(vm, now, first, cfg)
+		s.failedAt = slices.DeleteFunc(s.failedAt, func(at time.Time) bool { return now.Sub(at) > cfg.FlapWindow })
 		s.probed(vm, obs, now, cfg)
 		s.listed(id, obs, now, cfg)
 		if vm.Phase == fleet.Rebooting && s.bootedAt.IsZero() && obs.List.VMs[id].Boots > vm.Boots {
@@ -101,7 +102,7 @@
 
 // countSteps notes new moves and failures in the history of the VM. Failures from before this
 // planner cannot be dated and are not counted.
-func (s *sight) countSteps(vm *fleet.VM, now time.Time, first bool, cfg Config) {
+func (s *sight) countSteps(vm *fleet.VM, now time.Time, first bool) {
 	for _, h := range vm.History {
 		if h.Kind == fleet.KindAssign && h.Offset > s.moved {
 			s.moved, s.movedAt, s.movedOld = h.Offset, now, first
@@ -114,7 +115,6 @@
 			}
 		}
 	}
-	s.failedAt = slices.DeleteFunc(s.failedAt, func(at time.Time) bool { return now.Sub(at) > cfg.FlapWindow })
 }
 
 func (s *sight) probed(vm *fleet.VM, obs Observed, now time.Time, cfg Config) {
