config: Set no limit on request bodies by default

Bodies are streamed and never held whole, so a limit of 8 MiB refused uploads without protecting memory. Limits.MaxBodyBytes is now 0 (no limit) by default and may be set to 0.

--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -20,7 +20,7 @@
 const (
 	DefaultBalancerWait      = 5 * time.Second // until the balancer has seen that readiness is off
 	DefaultMaxHeaderBytes    = 64 << 10
-	DefaultMaxBodyBytes      = 8 << 20
+	DefaultMaxBodyBytes      = 0 // no limit: bodies are streamed and never held whole
 	DefaultMaxConnections    = 4096
 	DefaultReadHeaderTimeout = 5 * time.Second
 	DefaultIdleTimeout       = 75 * time.Second // above the 60 s that balancers commonly keep idle connections
@@ -57,7 +57,7 @@
 // Limits bound what callers may ask of one entry.
 type Limits struct {
 	MaxHeaderBytes    int           // of one request
-	MaxBodyBytes      int           // of one request
+	MaxBodyBytes      int           // of one request; 0 means no limit
 	MaxConnections    int           // open from callers at once
 	ReadHeaderTimeout spec.Duration // for the whole header of a request
 	IdleTimeout       spec.Duration // of a connection between requests
@@ -137,7 +137,7 @@
 	c.span("BalancerWait", c.s.BalancerWait, 0, MaxBalancerWait)
 	l := c.s.Limits
 	c.wholeNumber("Limits.MaxHeaderBytes", l.MaxHeaderBytes, MinHeaderBytes, MaxHeaderBytes)
-	c.wholeNumber("Limits.MaxBodyBytes", l.MaxBodyBytes, 1, MaxBodyBytes)
+	c.wholeNumber("Limits.MaxBodyBytes", l.MaxBodyBytes, 0, MaxBodyBytes)
 	c.wholeNumber("Limits.MaxConnections", l.MaxConnections, 1, MaxConnections)
 	c.span("Limits.ReadHeaderTimeout", l.ReadHeaderTimeout, time.Millisecond, MaxTimeout)
 	c.span("Limits.IdleTimeout", l.IdleTimeout, time.Millisecond, MaxTimeout)
