--- a/io/admin/explain.go
+++ b/io/admin/explain.go
@@ -56,9 +56,13 @@
 	out := make([]string, 0, len(waiting))
 	for _, id := range waiting {
 		text := fmt.Sprintf("waits for the acknowledgement of member %s", id)
-		if m := st.Members[id]; m != nil && m.Phase == fleet.MemberEvicted {
+		switch m := st.Members[id]; {
+		case m == nil:
+		case m.Phase == fleet.MemberEvicted:
 			text += fmt.Sprintf(" or its fence: it was evicted at offset %d", m.Evicted)
-		} else if m != nil {
+		case m.Through < 0:
+			text += ", which has acknowledged nothing yet"
+		default:
 			text += fmt.Sprintf(", which has acknowledged up to offset %d", m.Through)
 		}
 		out = append(out, text)
