admin: Look a configuration's ID up before its faults, bound wave names

A repeated ID must get the outcome of the first record even if this program finds faults that the first one did not, so the faults are reported only for an ID that is not folded. If a request with the same ID but another kind is faster, the later record is in the log without effect: the answer is a rejection, because 4xx promises that nothing was appended. Wave names had no bound and stay in the state. Probes answer HEAD, which balancers use.

--- a/io/admin/route.go
+++ b/io/admin/route.go
@@ -53,8 +53,9 @@
 	for path, h := range s.writes() {
 		app.Post(path, s.serve(h))
 	}
-	app.Get(PathLive, probe(s.cfg.Health.Live))
-	app.Get(PathReady, probe(s.cfg.Health.Ready))
+	// Balancers commonly probe with HEAD.
+	app.HandleMany("GET HEAD", PathLive, probe(s.cfg.Health.Live))
+	app.HandleMany("GET HEAD", PathReady, probe(s.cfg.Health.Ready))
 	app.Get(PathMetrics, s.metrics)
 	if s.cfg.Fault != nil {
 		app.Post(PathFault, s.serve(s.fault))
--- a/io/admin/write.go
+++ b/io/admin/write.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"unicode/utf8"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -67,8 +66,6 @@
 		return refuse(http.StatusBadRequest, "Writer must have 1 to %d bytes: set the operator's name", maxWriterBytes)
 	case len(o.reason) > maxReasonBytes:
 		return refuse(http.StatusBadRequest, "Reason is longer than %d bytes: shorten it", maxReasonBytes)
-	case !utf8.ValidString(o.writer) || !utf8.ValidString(o.reason):
-		return refuse(http.StatusBadRequest, "Writer and Reason must be UTF-8")
 	}
 	return nil
 }
@@ -117,8 +114,8 @@
 	switch {
 	case known:
 		return first, nil
-	case conflict != nil:
-		return Decision{}, conflict
+	case conflict != nil: // a request with the same ID was faster, so this record has no effect
+		return Decision{ID: o.id, Outcome: Rejected, Reason: conflict.Error()}, nil
 	case d.Outcome == NotAppended:
 		return Decision{}, refuse(http.StatusServiceUnavailable, "the record was not appended: %s; try again later", d.Reason)
 	case failure != nil || d.Outcome != Accepted && d.Outcome != Rejected:
@@ -136,14 +133,15 @@
 	if req.Base < 0 {
 		return nil, refuse(http.StatusBadRequest, "Base %d is not a version", req.Base)
 	}
-	if problems := spec.Validate(req.Fleet); len(problems) > 0 {
-		return nil, &refusal{
-			status: http.StatusBadRequest, message: "the configuration is not valid; nothing was appended", problems: problems,
-		}
-	}
+	problems := spec.Validate(req.Fleet)
 	d, err := s.submit(r.Context(), order{
 		id: req.ID, writer: req.Writer, reason: req.Reason, kind: fleet.KindConfigure,
 		fill: func(_ *fleet.State, rec *fleet.Record) error {
+			if len(problems) > 0 {
+				return &refusal{
+					status: http.StatusBadRequest, message: "the configuration is not valid; nothing was appended", problems: problems,
+				}
+			}
 			rec.Configure = &fleet.Configure{Base: req.Base, Fleet: req.Fleet}
 			return nil
 		},
@@ -272,6 +270,9 @@
 
 // submitWave appends a change of a wave.
 func (s *Server) submitWave(ctx context.Context, id, writer, reason string, c fleet.WaveChange) (Decision, error) {
+	if c.ID == "" || len(c.ID) > spec.MaxNameLength {
+		return Decision{}, refuse(http.StatusBadRequest, "the name of a wave must have 1 to %d bytes", spec.MaxNameLength)
+	}
 	return s.submit(ctx, order{
 		id: id, writer: writer, reason: reason, kind: fleet.KindWave,
 		fill: func(_ *fleet.State, rec *fleet.Record) error {
