daemon: Publish metrics and push a view only when it has changed

Cause: the view was computed every 100 ms, and the daemon's own state was not to be seen from outside. Ruled out: a longer tick (it delays the acknowledgement of drains). Change: a view is pushed when the offset, the own ID or the leaving VMs changed; gauges for lease, log, peers, pools, VMs and budgets.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -68,11 +68,11 @@
 	faults        *peer.Faults
 	traffic       *peer.Stats
 
-	foldMu     sync.Mutex // orders the log reader and relaying peers
-	viewMu     sync.Mutex // one view is pushed at a time
-	version    int        // of the configuration last pushed
-	viewOffset int64      // folded offset of the view last pushed
-	work       sync.WaitGroup
+	foldMu  sync.Mutex // orders the log reader and relaying peers
+	viewMu  sync.Mutex // one view is pushed at a time
+	version int        // of the configuration last pushed
+	viewKey viewKey    // of the view last pushed
+	work    sync.WaitGroup
 }
 
 // New returns a daemon that is not running yet.
@@ -94,7 +94,7 @@
 		stats:   stats.New(),
 		faults:  peer.NewFaults(s.FaultInjection),
 
-		viewOffset: -1,
+		viewKey: viewKey{offset: -2},
 	}
 	d.store = NewStore(d.log, d.observe)
 	d.group = newGroup(groupConfig{
@@ -107,7 +107,11 @@
 	d.control, d.gone = newControl(d), newGoneEntries(d)
 	d.buildLinks()
 	d.buildAdmin()
-	return d, d.buildPath()
+	if err := d.buildPath(); err != nil {
+		return nil, err
+	}
+	d.buildMetrics()
+	return d, nil
 }
 
 func (d *Daemon) buildAdmin() {
--- a/io/daemon/views.go
+++ b/io/daemon/views.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -205,13 +206,27 @@
 	return v
 }
 
+// viewKey identifies what a view is made of. Without it, each tick of viewLoop would
+// compute the same view again, which at 1,100 VMs takes a good part of the processor time for control.
+type viewKey struct {
+	offset  int64
+	self    string
+	leaving string
+}
+
 // pushViews puts the folded state in force for routing.
 func (d *Daemon) pushViews() {
 	d.viewMu.Lock()
 	defer d.viewMu.Unlock()
+	leaving := d.leaving.All()
+	key := viewKey{offset: d.store.Offset(), self: d.group.Self(), leaving: strings.Join(leaving, "\x00")}
+	if key == d.viewKey {
+		return
+	}
 	v := d.readView()
+	key.offset = v.offset
+	d.viewKey = key
 	d.addrs.SetMembers(v.addrs)
-	leaving := d.leaving.All()
 	added := false
 	for _, pv := range v.pools {
 		pool, c, isNew := d.pools.ensure(pv.pool.Name)
@@ -232,19 +247,30 @@
 		d.sched.SetPools(d.pools.all())
 	}
 	d.forwarder.SetConnections(connectionShare(v))
-	d.viewOffset = v.offset
 	if v.version != d.version {
 		d.version = v.version
 		d.log.Info("configuration in force", zap.Int("Version", v.version), zap.Int64("Offset", v.offset))
 	}
 	d.entry.SetView(v.fleet)
+	d.stats.SetNames(names(v.fleet))
+}
+
+// names returns the configured classes and tenants.
+func names(f spec.Fleet) (classes, tenants []string) {
+	for _, c := range f.Classes {
+		classes = append(classes, c.Name)
+	}
+	for _, t := range f.Tenants {
+		tenants = append(tenants, t.Name)
+	}
+	return classes, tenants
 }
 
 // pushed returns the offset of the view that routing uses.
 func (d *Daemon) pushed() int64 {
 	d.viewMu.Lock()
 	defer d.viewMu.Unlock()
-	return d.viewOffset
+	return d.viewKey.offset
 }
 
 // connectionShare returns the connections that this entry may open to each worker.
