--- a/io/proxy/conn.go
+++ b/io/proxy/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 )
@@ -203,6 +204,14 @@
 	return n, err
 }
 
+// ReadFrom sends what src yields. The transport copies bodies through it; without it, each
+// request would allocate a new buffer of the same size.
+func (c *conn) ReadFrom(src io.Reader) (int64, error) {
+	chunk, _ := chunks.Get().(*[chunkSize]byte)
+	defer chunks.Put(chunk)
+	return io.CopyBuffer(struct{ io.Writer }{c}, src, chunk[:])
+}
+
 func (c *conn) open() (s *sending, first bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/proxy/copy.go
+++ b/io/proxy/copy.go
@@ -96,3 +96,26 @@
 	r.done(true)
 	_ = r.resp.Body.Close()
 }
+
+// Consume reads the response to its end and drops it, as for a job whose outcome alone is kept.
+// The verdict is set as by CopyTo.
+func (r *Result) Consume() {
+	if r.Err == nil {
+		r.CopyTo(&sink{header: http.Header{}})
+	}
+}
+
+// sink is a response writer that drops everything.
+type sink struct{ header http.Header }
+
+// Header returns a header that nobody reads.
+func (s *sink) Header() http.Header { return s.header }
+
+// WriteHeader does nothing.
+func (s *sink) WriteHeader(int) {}
+
+// Write drops p.
+func (s *sink) Write(p []byte) (int, error) { return len(p), nil }
+
+// FlushError does nothing.
+func (s *sink) FlushError() error { return nil }
--- a/io/proxy/send_test.go
+++ b/io/proxy/send_test.go
@@ -190,6 +190,11 @@
 			assert.Equal(t, res.Verdict, want.verdict, "%v", res.Err)
 			assert.Equal(t, res.Err != nil, want.verdict != retry.Ran)
 			assert.Equal(t, rec.Body.Len() == 0, want.early)
+			in := httptest.NewRequest(http.MethodPost, "/", nil)
+			in.Header.Set(worker.HeaderFault, string(kind))
+			res = f.Send(context.Background(), Attempt{Addr: w.Addr(), ID: "id2", In: in})
+			res.Consume()
+			assert.Equal(t, res.Verdict, want.verdict, "consumed: %v", res.Err)
 		})
 	}
 }
