entry: Stop trying when the view lease has lapsed

Cause: an attempt that the lease stopped was repeated on other workers, and each repeat used up a retry.

Change: the request is answered 503 not-run at once.

Figures: with the check removed the new test fails.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -76,9 +76,15 @@
 }
 
 // gate is a view lease that tests switch.
-type gate struct{ lapsed atomic.Bool }
+type gate struct {
+	lapsed atomic.Bool
+	left   atomic.Int64 // checks that still pass; 0 means no limit
+}
 
 func (g *gate) Check() error {
+	if g.left.Load() > 0 && g.left.Add(-1) == 0 {
+		g.lapsed.Store(true)
+	}
 	if g.lapsed.Load() {
 		return errors.New("lease lapsed")
 	}
@@ -312,6 +318,21 @@
 	assert.Equal(t, x.entry.Ready(), false)
 }
 
+// Guards against work that starts, or is tried again, after the lease lapsed between admission and sending.
+func TestLeaseThatLapsesBeforeSendingMeansNotRun(t *testing.T) {
+	x := newRig(t, 2)
+	x.gate.left.Store(2) // the check at admission passes
+	resp, body, err := x.raw(lines("POST /", "urgent", "Content-Length: 0"))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 503)
+	assert.Equal(t, resp.Header.Get(retry.HeaderVerdict), "not-run")
+	assert.Assert(t, strings.Contains(body, `"Reason":"lease"`), body)
+	o, _ := x.sched.last()
+	assert.Equal(t, o.Failed, false)
+	assert.Equal(t, len(x.sched.outcomes), 1)
+	assert.Equal(t, x.sched.workers[0].Counts().Ran+x.sched.workers[1].Counts().Ran, 0)
+}
+
 // Guards against a repeated key that runs again.
 func TestRepeatedKeyGetsTheStoredOutcome(t *testing.T) {
 	x := newRig(t, 1)
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -116,6 +116,9 @@
 		if x.isPoison(g.VM, res) {
 			return x.giveUp(res, "poison", "this request failed on several workers that served others")
 		}
+		if err := x.s.check(); err != nil {
+			return x.giveUp(res, "lease", "this entry may not start work: "+err.Error())
+		}
 		if callerGone(x.r) || x.in.fault() != nil {
 			return x.giveUp(res, "caller", "the caller's request broke off")
 		}
