entry, daemon: Put the limits of the settings in force

Cause: the settings had limits of header, body, connections and idle time that nothing read. Ruled out: a limit of bodies by default (they are streamed). Change: entry takes the limits; the listener bounds connections; idle connections to workers that left are closed; net/http's own log lines go to the daemon's log.

--- a/cmd/svfake/main.go
+++ b/cmd/svfake/main.go
@@ -18,6 +18,13 @@
 )
 
 func main() {
+	if err := run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "svfake:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cli.Command{
@@ -25,10 +32,7 @@
 		Usage:    "Run a stand-in of an outside system on a loopback address",
 		Commands: []*cli.Command{platform(), upstream()},
 	}
-	if err := root.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "svfake:", err)
-		os.Exit(1)
-	}
+	return root.Run(ctx, args)
 }
 
 func platform() *cli.Command {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -66,7 +66,9 @@
 		stop()
 	}
 	for range d.stops {
-		<-d.ended
+		if err := <-d.ended; err != nil {
+			d.say("an entry ended with an error: %v", err)
+		}
 	}
 	for _, w := range d.workers {
 		w.Close()
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/fleet"
@@ -72,7 +73,9 @@
 	viewMu  sync.Mutex // one view is pushed at a time
 	version int        // of the configuration last pushed
 	viewKey viewKey    // of the view last pushed
-	work    sync.WaitGroup
+	// workerAddrs are the addresses of the workers in the view last pushed.
+	workerAddrs map[string]bool
+	work        sync.WaitGroup
 }
 
 // New returns a daemon that is not running yet.
@@ -146,6 +149,7 @@
 	d.pools = newPools(poolsConfig{Clock: d.cfg.Clock, DC: d.cfg.Settings.DC, Fresh: d.group.Fresh})
 	d.sched = sched.NewSet(sched.SetConfig{Clock: d.cfg.Clock, Exchanger: d.links, Self: d.group.Self})
 	d.forwarder = proxy.New(proxy.Config{Name: d.cfg.Settings.VM})
+	limits := d.cfg.Settings.Limits
 	d.jobs = newJobs(d)
 	d.claims = claims.New(claims.Config{Peers: d.links, Clock: d.cfg.Clock, Log: d.log})
 	srv, err := entry.New(entry.Config{
@@ -158,6 +162,11 @@
 		Log:       d.log,
 		Claims:    d.claims,
 		Self:      d.group.Self,
+
+		HeaderTimeout: time.Duration(limits.ReadHeaderTimeout),
+		IdleTimeout:   time.Duration(limits.IdleTimeout),
+		HeaderBytes:   limits.MaxHeaderBytes,
+		BodyBytes:     int64(limits.MaxBodyBytes),
 	})
 	d.entry = srv
 	return err
@@ -221,7 +230,10 @@
 	}
 	d.adminListener = admins
 	ln, err := lc.Listen(ctx, "tcp", d.cfg.Settings.Listen)
-	return ln, eris.Wrapf(err, "listen for callers on %s", d.cfg.Settings.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for callers on %s", d.cfg.Settings.Listen)
+	}
+	return netutil.LimitListener(ln, d.cfg.Settings.Limits.MaxConnections), nil
 }
 
 func (d *Daemon) runLoops(ctx context.Context) {
--- a/io/daemon/jobs.go
+++ b/io/daemon/jobs.go
@@ -230,7 +230,7 @@
 		Body: bytes.NewReader(body), Length: int64(len(body)), Check: r.j.d.group.Check,
 	})
 	if res.Err == nil {
-		res.CopyTo(&discard{header: http.Header{}})
+		res.Consume()
 	}
 	broken := res.Verdict == retry.Ran && res.Status >= http.StatusInternalServerError
 	grant.Done(sched.Outcome{
@@ -273,15 +273,3 @@
 		}
 	}
 }
-
-// discard is a response writer that keeps nothing.
-type discard struct{ header http.Header }
-
-// Header returns the header map.
-func (d *discard) Header() http.Header { return d.header }
-
-// Write drops the data.
-func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
-
-// WriteHeader drops the status.
-func (d *discard) WriteHeader(int) {}
--- a/io/daemon/main.go
+++ b/io/daemon/main.go
@@ -17,6 +17,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }() // standard error may not support it
+	defer zap.RedirectStdLog(log)()   // net/http reports surplus bytes of workers through the standard logger
 	d, err := New(Config{Settings: s, Log: log})
 	if err != nil {
 		return err
--- a/io/daemon/views.go
+++ b/io/daemon/views.go
@@ -206,6 +206,22 @@
 	return v
 }
 
+// forgetGone closes the idle connections to workers that are in no pool of this view any more.
+func (d *Daemon) forgetGone(v view) {
+	present := map[string]bool{}
+	for _, pv := range v.pools {
+		for _, w := range pv.workers {
+			present[w.Addr] = true
+		}
+	}
+	for addr := range d.workerAddrs {
+		if !present[addr] {
+			d.forwarder.Forget(addr)
+		}
+	}
+	d.workerAddrs = present
+}
+
 // viewKey identifies what a view is made of. Without it, each tick of viewLoop would
 // compute the same view again, which at 1,100 VMs takes a good part of the processor time for control.
 type viewKey struct {
@@ -247,6 +263,7 @@
 		d.sched.SetPools(d.pools.all())
 	}
 	d.forwarder.SetConnections(connectionShare(v))
+	d.forgetGone(v)
 	if v.version != d.version {
 		d.version = v.version
 		d.log.Info("configuration in force", zap.Int("Version", v.version), zap.Int64("Offset", v.offset))
--- a/io/entry/fuzz_test.go
+++ b/io/entry/fuzz_test.go
@@ -38,7 +38,7 @@
 	f.Add("GET / HTTP/1.1\r\nHost: h\r\nsassafrasvalve_class: x\r\nConnection: ,,Sassafrasvalve-Tenant ,\r\n\r\n")
 	f.Fuzz(func(t *testing.T, raw string) {
 		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
-		if err != nil || checkShape(r) != nil {
+		if err != nil || checkShape(r, defaultHeaderBytes) != nil {
 			return
 		}
 		out := r.Header.Clone()
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -59,6 +59,13 @@
 	if err := s.check(); err != nil {
 		return unavailable(s.now(), "lease", "this entry may not start work: "+err.Error())
 	}
+	if s.cfg.BodyBytes > 0 {
+		if in.length > s.cfg.BodyBytes {
+			return bad(http.StatusRequestEntityTooLarge, "body-size", "the body has %d bytes; at most %d are accepted", in.length, s.cfg.BodyBytes)
+		}
+		// A body of unknown length breaks off at the limit, as if the caller had gone.
+		r.Body = http.MaxBytesReader(nil, r.Body, s.cfg.BodyBytes)
+	}
 	if q.class.Deferrable && r.Method == http.MethodPost && (in.length < 0 || in.length > maxJobBody) {
 		return bad(http.StatusRequestEntityTooLarge, "job-size", "a deferrable request needs a Content-Length of at most %d", maxJobBody)
 	}
--- a/io/entry/parse.go
+++ b/io/entry/parse.go
@@ -46,7 +46,7 @@
 	if v == nil {
 		return nil, unavailable(s.now(), "no-view", "this entry has no configuration yet")
 	}
-	if ref := checkShape(r); ref != nil {
+	if ref := checkShape(r, s.cfg.HeaderBytes); ref != nil {
 		return nil, ref
 	}
 	q := &request{id: id, arrived: s.now()}
@@ -123,7 +123,7 @@
 }
 
 // checkShape refuses what cannot be forwarded faithfully, whatever the configuration says.
-func checkShape(r *http.Request) *refusal {
+func checkShape(r *http.Request, maxHeader int) *refusal {
 	if r.Method == http.MethodConnect {
 		return bad(http.StatusMethodNotAllowed, "method", "CONNECT is not supported")
 	}
@@ -141,9 +141,9 @@
 			return ref
 		}
 	}
-	if size > maxHeaderBytes || fields > maxHeaderFields {
+	if size > maxHeader || fields > maxHeaderFields {
 		return bad(http.StatusRequestHeaderFieldsTooLarge, "header-size", "the header has %d bytes in %d fields; at most %d bytes in %d fields are accepted",
-			size, fields, maxHeaderBytes, maxHeaderFields)
+			size, fields, maxHeader, maxHeaderFields)
 	}
 	for name := range r.Trailer {
 		if interpreted(name) {
--- a/io/entry/region_test.go
+++ b/io/entry/region_test.go
@@ -97,7 +97,7 @@
 		t.Cleanup(p.nodes[name].Close)
 		s, err := New(Config{
 			Scheduler: &scheduler{workers: workers, rotate: true}, Forwarder: proxy.New(proxy.Config{}),
-			Claims: p.nodes[name], Member: name,
+			Claims: p.nodes[name], Self: func() string { return name },
 		})
 		assert.NilError(t, err)
 		s.SetView(spec.Fleet{
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -75,8 +75,7 @@
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdle          = 60 * time.Second
 	defaultResponseWait  = 60 * time.Second
-	maxHeaderBytes       = 32 << 10 // checked here so that the refusal carries a verdict
-	serverHeaderBytes    = 64 << 10 // hard limit, refused by net/http
+	defaultHeaderBytes   = 32 << 10 // checked here so that the refusal carries a verdict
 	maxHeaderFields      = 200
 	maxBuffered          = 64 << 10 // bodies up to this size are kept for a retry
 	maxJobBody           = 48 << 10
@@ -96,6 +95,9 @@
 
 	Timeout       time.Duration // deadline of requests without one
 	HeaderTimeout time.Duration // for a caller to send the request header
+	IdleTimeout   time.Duration // of a connection between requests
+	HeaderBytes   int           // of one request
+	BodyBytes     int64         // of one request; 0 means no limit
 	BodyIdle      time.Duration // longest pause of a caller in sending or taking a body
 	ResponseWait  time.Duration // longest wait for a response header after the body, without a deadline from the caller
 }
@@ -128,6 +130,8 @@
 	cfg.Timeout = cmp.Or(cfg.Timeout, defaultTimeout)
 	cfg.HeaderTimeout = cmp.Or(cfg.HeaderTimeout, defaultHeaderTimeout)
 	cfg.BodyIdle = cmp.Or(cfg.BodyIdle, defaultIdle)
+	cfg.IdleTimeout = cmp.Or(cfg.IdleTimeout, defaultIdle)
+	cfg.HeaderBytes = cmp.Or(cfg.HeaderBytes, defaultHeaderBytes)
 	cfg.ResponseWait = cmp.Or(cfg.ResponseWait, defaultResponseWait)
 	s := &Server{cfg: cfg, budgets: map[string]*retry.Budget{}, poison: route.NewPoison()}
 	app, err := s.routes()
@@ -137,8 +141,8 @@
 	s.http = &http.Server{
 		Handler:                      app,
 		ReadHeaderTimeout:            cfg.HeaderTimeout,
-		IdleTimeout:                  defaultIdle,
-		MaxHeaderBytes:               serverHeaderBytes,
+		IdleTimeout:                  cfg.IdleTimeout,
+		MaxHeaderBytes:               2 * cfg.HeaderBytes, // refused by net/http without a verdict
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     zap.NewStdLog(cfg.Log),
 	}
