admit: Round guaranteed shares by what the class has in the whole pool

Ruled out: rounding down (a class with a small share would get nothing at an entry with few slots while others have it elsewhere). Change: a share is rounded up only while the class is under its share of the whole pool, as the owner tells; Config.RoundUp keeps the earlier version.

--- a/bench/exchange.go
+++ b/bench/exchange.go
@@ -68,7 +68,7 @@
 
 func (n *node) desk(p *pool) *desk {
 	now := n.w.clock()
-	d := &desk{n: n, p: p, queue: admit.New(now, n.w.fleet.admit())}
+	d := &desk{n: n, p: p, queue: admit.New(now, n.w.fleet.admit(n.w.policy))}
 	d.chooser = newChooser(rand.New(rand.NewPCG(n.w.rng.Uint64(), uint64(n.index))))
 	if n.w.policy.Kind == KindCentral {
 		d.sharing = &allSlots{p, map[string]int{}}
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -121,8 +121,8 @@
 	return v
 }
 
-func (f Fleet) admit() admit.Config {
-	var cfg admit.Config
+func (f Fleet) admit(p Policy) admit.Config {
+	cfg := admit.Config{RoundUp: !p.Exact}
 	for _, c := range f.Classes {
 		cfg.Classes = append(cfg.Classes, c.Class)
 	}
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -23,6 +23,8 @@
 	Name  string
 	Kind  Kind
 	Slots slots.Policy
+	// Exact rounds guaranteed shares by what the class has in the whole pool.
+	Exact bool
 }
 
 // Policies returns the reference policies and each version of our own.
@@ -40,6 +42,7 @@
 		{Name: "urgent", Slots: slots.Policy{Budget: -1, Slow: 250 * ms}},
 		{Name: "calm", Slots: slots.Policy{Budget: -1, Fast: 250 * ms}},
 		{Name: "paced", Slots: slots.Policy{}},
+		{Name: "exact", Exact: true},
 	}
 }
 
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -11,12 +11,14 @@
 type Config struct {
 	Classes []Class
 	Tenants []Tenant
+	RoundUp bool // guaranteed shares are rounded up at each entry, whatever the class has elsewhere
 }
 
 // Queue holds the requests of one pool at one entry. It is not safe for concurrent use.
 type Queue struct {
 	classes []*class // in the order of the configuration, removed ones last
 	byRank  []*class
+	roundUp bool
 	byName  map[string]*class
 	tenants map[string]*tenant
 	slots   int // slots that the entry may use, those in use included
@@ -41,6 +43,7 @@
 // Configure takes over new settings. Queued requests of a class that is gone
 // are refused; the caller gets them from Examine.
 func (q *Queue) Configure(now time.Time, cfg Config) {
+	q.roundUp = cfg.RoundUp
 	for _, c := range q.byName {
 		c.removed = true
 	}
@@ -124,7 +127,7 @@
 		return nil
 	}
 	for _, c := range q.byRank {
-		if c.waiting > 0 && c.running < c.guarantee(q.slots) {
+		if c.waiting > 0 && c.running < q.entitled(c) {
 			if t := c.head(fits); t != nil {
 				return q.start(now, t)
 			}
@@ -140,6 +143,20 @@
 	return nil
 }
 
+// entitled returns how many slots here c has ahead of all ranks. A share of few
+// slots is seldom a whole number: it is rounded up only while the class is
+// under its share of the whole pool. Always rounding up would give the classes
+// of lower rank several slots too many over all entries.
+func (q *Queue) entitled(c *class) int {
+	if q.roundUp || q.pool.Slots == 0 {
+		return c.guarantee(q.slots)
+	}
+	if run, _ := q.load(c); float64(run) < c.Share*float64(q.pool.Slots) {
+		return c.guarantee(q.slots)
+	}
+	return int(c.Share*float64(q.slots) + 1e-9)
+}
+
 // mayBorrow reports whether a request of c may start beyond its guarantee. The
 // idle share of a class that could not have it back within its MaxWait, by the
 // observed run time of c, is kept free.
--- a/core/admit/script_test.go
+++ b/core/admit/script_test.go
@@ -18,6 +18,7 @@
 //	class NAME RANK SHARE CEILING MAXWAIT [deferrable]
 //	tenant NAME WEIGHT RATE BURST
 //	slots N
+//	pool N RUN,... WAIT,...   the load of the whole pool per class
 //	at TIME
 //	offer ID CLASS TENANT [DEADLINE] -> queued|late|quota|unknown [RETRY]
 //	next -> ID|none
@@ -53,6 +54,14 @@
 	return n
 }
 
+func numbers(s string) []int {
+	var out []int
+	for x := range strings.SplitSeq(s, ",") {
+		out = append(out, int(number(x)))
+	}
+	return out
+}
+
 func (s *script) do(f []string) string {
 	switch f[0] {
 	case "class":
@@ -66,6 +75,8 @@
 		s.q.Configure(s.now, s.cfg)
 	case "slots":
 		s.q.SetSlots(int(number(f[1])))
+	case "pool":
+		s.q.SetPool(Pool{Slots: int(number(f[1])), Run: numbers(f[2]), Wait: numbers(f[3])})
 	case "at":
 		s.now = s.start.Add(span(f[1]))
 	case "offer":
