slots: Slow the exchange down with the third power of the excess

Cause: six entries with five pools each in flood took 31591 B/s per entry, above the bound of 28672 B/s. Change: Pacer.Stretch.

--- a/core/slots/pacer.go
+++ b/core/slots/pacer.go
@@ -63,12 +63,12 @@
 	}
 }
 
-// Stretch returns the factor on the times between messages: 1 at up to half of
-// the budget, growing with the square of what is spent beyond.
+// Stretch returns the factor on the times between messages: 1 at up to 80% of
+// the budget, growing with the third power of what is spent beyond.
 func (p *Pacer) Stretch(now time.Time) float64 {
 	p.decay(now)
 	x := p.rate / (paceFrom * p.budget)
-	return min(max(1, x*x), maxStretch)
+	return min(max(1, x*x*x), maxStretch)
 }
 
 // Rate returns the control bytes per second, averaged over the last 20 s or so.
