--- a/bench/fleet/run.go
+++ b/bench/fleet/run.go
@@ -61,6 +61,8 @@
 	return []entrant{
 		{"double", plan.Config{Growth: plan.GrowDouble}, 1, noLimit},
 		{"double+lend", plan.Config{Growth: plan.GrowDouble, WaveSpares: 3, SpareReserve: 1}, 1, noLimit},
+		{"double-4+lend", plan.Config{Growth: plan.GrowDouble, WaveSpares: 3, SpareReserve: 1}, 4, noLimit},
+		{"none+lend", plan.Config{Growth: plan.GrowNone, WaveSpares: 3, SpareReserve: 1}, 1, noLimit},
 		{"none", plan.Config{Growth: plan.GrowNone}, 1, noLimit},
 		{"constant-4", plan.Config{Growth: plan.GrowConstant}, 4, 4},
 		{"one", plan.Config{Growth: plan.GrowSerial}, 1, noLimit},
--- a/core/plan/config.go
+++ b/core/plan/config.go
@@ -36,6 +36,7 @@
 	ReplaceAfter   time.Duration // a failed VM is replaced after that
 	ReplaceUrgent  time.Duration // the same where a budget is broken
 	SurplusAfter   time.Duration
+	LendBack       time.Duration // a VM lent for a wave returns after that
 	MoveHold       time.Duration
 	MoveHoldUnsure time.Duration // for moves made before this planner began
 	RecordTimeout  time.Duration // a record that is not folded is decided anew after that
@@ -67,6 +68,7 @@
 	defaultReplaceAfter   = 5 * time.Minute
 	defaultReplaceUrgent  = 30 * time.Second
 	defaultSurplusAfter   = 10 * time.Minute
+	defaultLendBack       = 30 * time.Second
 	defaultMoveHold       = 10 * time.Minute
 	defaultMoveHoldUnsure = time.Minute
 	defaultRecordTimeout  = 15 * time.Second
@@ -99,6 +101,7 @@
 		{&c.ReplaceAfter, defaultReplaceAfter},
 		{&c.ReplaceUrgent, defaultReplaceUrgent},
 		{&c.SurplusAfter, defaultSurplusAfter},
+		{&c.LendBack, defaultLendBack},
 		{&c.MoveHold, defaultMoveHold},
 		{&c.MoveHoldUnsure, defaultMoveHoldUnsure},
 		{&c.RecordTimeout, defaultRecordTimeout},
--- /dev/null
+++ b/core/plan/main_test.go
@@ -0,0 +1,25 @@
+package plan_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and keeps fail files out of the tree unless flags say otherwise.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	defaults := map[string]string{
+		"rapid.nofailfile": "true", "rapid.seed": "1", "rapid.checks": "40", "rapid.steps": "150",
+	}
+	for name, value := range defaults {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/core/plan/memory.go
+++ b/core/plan/memory.go
@@ -179,11 +179,11 @@
 	return ok && s.gen == gen && now.Before(s.until)
 }
 
-// drainsOnTheWay lists the VMs whose drain is decided and not folded.
-func (m *memory) drainsOnTheWay(st *fleet.State, now time.Time) []string {
+// outOnTheWay lists the VMs whose drain or failure is decided and not folded.
+func (m *memory) outOnTheWay(st *fleet.State, now time.Time) []string {
 	var out []string
 	for id, s := range m.sent {
-		if vm := st.VMs[id]; vm != nil && s.drain != nil && m.busy(id, vm.Gen, now) {
+		if vm := st.VMs[id]; vm != nil && (s.drain != nil || s.kind == fleet.KindFail) && m.busy(id, vm.Gen, now) {
 			out = append(out, id)
 		}
 	}
--- a/core/plan/move.go
+++ b/core/plan/move.go
@@ -205,6 +205,10 @@
 			continue
 		}
 		free++
+		if n.onlyLent() && t.pendingInWave(id) {
+			why = fmt.Sprintf("VM %q of spare pool %q is to be rebooted first", id, spare.Name)
+			continue
+		}
 		if left := t.moveHold(vm); left > 0 {
 			why = fmt.Sprintf("VM %q of spare pool %q was moved lately and stays for another %s", id, spare.Name, left.Round(time.Second))
 			continue
@@ -264,11 +268,16 @@
 
 // surplus takes VMs back from pools that have been above their size for a while.
 func (t *turn) surplus() {
+	t.lent = nil // replace has spent some of the spare pool
 	spare, ok := t.spare()
 	for _, p := range t.pools() {
 		over := t.activeIn(p.Name) - p.Size - t.lendTarget(p)
 		held := t.mem.held("surplus/"+p.Name, over > 0, t.now)
-		if over <= 0 || held < t.cfg.SurplusAfter {
+		patience := t.cfg.SurplusAfter
+		if t.waving(p.Name) {
+			patience = t.cfg.LendBack // lent VMs are wanted by the next pool
+		}
+		if over <= 0 || held < patience {
 			continue
 		}
 		if !ok {
@@ -282,7 +291,7 @@
 				break
 			}
 			t.drain(vm, RuleSurplus, fmt.Sprintf("pool %q has been above its size of %d for %s; the VM returns to %q",
-				p.Name, p.Size, t.cfg.SurplusAfter, spare.Name), fleet.Drain{Purpose: fleet.PurposeUnwanted})
+				p.Name, p.Size, patience, spare.Name), fleet.Drain{Purpose: fleet.PurposeUnwanted})
 		}
 	}
 }
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -91,9 +91,10 @@
 	st      *fleet.State
 	obs     Observed
 	now     time.Time
-	vms     []*fleet.VM // of the region, by ID
-	absent  []string    // VMs of the region that the list no longer holds
-	broken  map[string]string
+	vms     []*fleet.VM       // of the region, by ID
+	absent  []string          // VMs of the region that the list no longer holds
+	broken  map[string]string // first broken limit by pool
+	lent    map[string]int    // VMs above its size by pool, nil before it is known
 	actions Actions
 }
 
@@ -164,9 +165,9 @@
 	})
 }
 
-// canDrain asks the fold about a voluntary drain after those that are on their way.
+// canDrain asks the fold about a voluntary drain after the drains and failures that are on their way.
 func (t *turn) canDrain(vm *fleet.VM) (bool, string) {
-	return t.st.CanDrainAfter(vm.ID, t.mem.drainsOnTheWay(t.st, t.now))
+	return t.st.CanDrainAfter(vm.ID, t.mem.outOnTheWay(t.st, t.now))
 }
 
 // spare returns the spare pool of the region.
--- a/core/plan/repair.go
+++ b/core/plan/repair.go
@@ -158,7 +158,9 @@
 		}
 		switch {
 		case vm.Phase == fleet.Rebooting:
-			t.askReboot(vm, l)
+			if t.idle(vm) {
+				t.askReboot(vm, l)
+			}
 		case vm.Phase != fleet.Drained || vm.Purpose != fleet.PurposeReboot || drainRule(vm) == RuleObserve || !t.idle(vm):
 		case !t.listFresh():
 			t.note(vm.ID, vm.Pool, RuleWave, "drained for a reboot, but the platform's list is stale")
--- a/core/plan/wave.go
+++ b/core/plan/wave.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"sassafrasvalve/core/fleet"
-	"sassafrasvalve/core/spec"
 )
 
 // waveKey is the prefix of wave IDs among the keys of records on their way.
@@ -62,10 +61,11 @@
 
 // lane is a pool of a wave and the VMs that may be next: those of one rack.
 type lane struct {
-	pool string
-	left int // pending VMs of the pool
-	out  int // VMs of the pool that are out for the wave
-	next []*fleet.VM
+	pool  string
+	first bool // the spare pool goes first if its VMs are lent after that
+	left  int  // pending VMs of the pool
+	out   int  // VMs of the pool that are out for the wave
+	next  []*fleet.VM
 }
 
 // stepWave drains VMs until the wave's limit. The pools with most VMs left go first,
@@ -76,7 +76,7 @@
 	lanes := t.lanes(w)
 	for out < limit && t.room() {
 		slices.SortStableFunc(lanes, func(a, b *lane) int {
-			return cmp.Or(-cmp.Compare(a.left, b.left), cmp.Compare(a.pool, b.pool))
+			return cmp.Or(-cmp.Compare(boolInt(a.first), boolInt(b.first)), -cmp.Compare(a.left, b.left), cmp.Compare(a.pool, b.pool))
 		})
 		i := slices.IndexFunc(lanes, func(l *lane) bool { return t.stepLane(w, l) })
 		if i < 0 {
@@ -172,6 +172,8 @@
 	out := make([]*lane, 0, len(pools))
 	for _, name := range slices.Sorted(maps.Keys(pools)) {
 		l := pools[name]
+		p, _ := t.st.Pool(name)
+		l.first = p.Spare && t.cfg.WaveSpares > 0
 		if r, ok := busy[name]; ok {
 			l.next = racks[name][r]
 		} else {
@@ -204,25 +206,3 @@
 	}
 	return best
 }
-
-// lendTarget returns how many VMs above its size a pool gets while a wave has VMs left in it.
-func (t *turn) lendTarget(p spec.Pool) int {
-	if t.cfg.WaveSpares == 0 {
-		return 0
-	}
-	for _, w := range t.st.Waves {
-		if w.Phase != fleet.Running || !slices.Contains(w.Pools, p.Name) {
-			continue
-		}
-		left := 0
-		for _, id := range slices.Concat(w.Pending, w.Out) {
-			if vm := t.st.VMs[id]; vm != nil && vm.Pool == p.Name {
-				left++
-			}
-		}
-		if left > 1 {
-			return min(t.cfg.WaveSpares, left-1)
-		}
-	}
-	return 0
-}
