--- a/bench/fleet/platform.go
+++ b/bench/fleet/platform.go
@@ -135,20 +135,21 @@
 
 // misfortune takes a random VM down: for minutes, for hours or for good.
 func (w *world) misfortune(long bool) {
-	m := w.machines[w.ids[w.rng.IntN(len(w.ids))]]
+	m := w.machines[w.ids[w.fate.IntN(len(w.ids))]]
+	lasts := between(w.fate, breakMin, breakMax)
+	if long {
+		lasts = between(w.fate, failMin, failMax)
+	}
+	replaced := !long && w.fate.Float64() < replacedPart
 	if m == nil || !m.up || m.away || m.listed.State == plan.Leaving {
 		return
 	}
-	switch {
-	case long:
-		w.down(m)
-		w.after(between(w.rng, failMin, failMax), func() { w.boot(m) })
-	case w.rng.Float64() < replacedPart:
+	if replaced {
 		w.remake(m)
-	default:
-		w.down(m)
-		w.after(between(w.rng, breakMin, breakMax), func() { w.boot(m) })
+		return
 	}
+	w.down(m)
+	w.after(lasts, func() { w.boot(m) })
 }
 
 // remake takes a VM away after a notice and makes another one in its rack.
--- a/bench/fleet/run.go
+++ b/bench/fleet/run.go
@@ -14,6 +14,7 @@
 type Config struct {
 	Shapes      []string // names; empty or "all" means all
 	Experiments []string // rollout, buffer, baseline, image, days; empty or "all" means all
+	Planners    []string // names; empty or "all" means all
 	Seeds       int      // runs of each line, from seed 1
 	Days        int      // length of the experiment days
 	CSV         io.Writer
@@ -52,6 +53,7 @@
 	name            string
 	cfg             plan.Config
 	batch, maxBatch int
+	swept           bool // takes part in the curve over spare VMs
 }
 
 // noLimit is a batch that only the budgets bound.
@@ -59,14 +61,14 @@
 
 func entrants() []entrant {
 	return []entrant{
-		{"double", plan.Config{Growth: plan.GrowDouble}, 1, noLimit},
-		{"double+lend", plan.Config{Growth: plan.GrowDouble, WaveSpares: 3, SpareReserve: 1}, 1, noLimit},
-		{"double-4+lend", plan.Config{Growth: plan.GrowDouble, WaveSpares: 3, SpareReserve: 1}, 4, noLimit},
-		{"none+lend", plan.Config{Growth: plan.GrowNone, WaveSpares: 3, SpareReserve: 1}, 1, noLimit},
-		{"none", plan.Config{Growth: plan.GrowNone}, 1, noLimit},
-		{"constant-4", plan.Config{Growth: plan.GrowConstant}, 4, 4},
-		{"one", plan.Config{Growth: plan.GrowSerial}, 1, noLimit},
-		{"percent", plan.Config{Growth: plan.GrowPercent}, 1, noLimit},
+		{"double", plan.Config{Growth: plan.GrowDouble}, 1, noLimit, true},
+		{"double+lend", plan.Config{Growth: plan.GrowDouble, WaveSpares: 3, SpareReserve: 1}, 1, noLimit, true},
+		{"double-4+lend", plan.Config{Growth: plan.GrowDouble, WaveSpares: 3, SpareReserve: 1}, 4, noLimit, true},
+		{"none+lend", plan.Config{Growth: plan.GrowNone, WaveSpares: 3, SpareReserve: 1}, 1, noLimit, false},
+		{"none", plan.Config{Growth: plan.GrowNone}, 1, noLimit, false},
+		{"constant-4", plan.Config{Growth: plan.GrowConstant}, 4, 4, false},
+		{"one", plan.Config{Growth: plan.GrowSerial}, 1, noLimit, false},
+		{"percent", plan.Config{Growth: plan.GrowPercent}, 1, noLimit, false},
 	}
 }
 
@@ -117,7 +119,9 @@
 func rollout(s Shape, cfg Config) []Row {
 	rows := make([]Row, 0, len(entrants()))
 	for _, e := range entrants() {
-		rows = append(rows, wave("rollout", s, e, cfg, runConfig{}))
+		if chosen(cfg.Planners, e.name) {
+			rows = append(rows, wave("rollout", s, e, cfg, runConfig{}))
+		}
 	}
 	return rows
 }
@@ -128,11 +132,13 @@
 	if s.workers() > 100 {
 		steps = []int{0, 4, 8, 12, 16, 24, 32}
 	}
-	rows := make([]Row, 0, 2*len(steps))
+	rows := make([]Row, 0, len(entrants())*len(steps))
 	for _, n := range steps {
 		s.Spares = n
-		for _, e := range entrants()[:2] {
-			rows = append(rows, wave("buffer", s, e, cfg, runConfig{}))
+		for _, e := range entrants() {
+			if e.swept && chosen(cfg.Planners, e.name) {
+				rows = append(rows, wave("buffer", s, e, cfg, runConfig{}))
+			}
 		}
 	}
 	return rows
@@ -142,6 +148,9 @@
 func image(s Shape, cfg Config) []Row {
 	rows := make([]Row, 0, len(entrants()))
 	for _, e := range entrants() {
+		if !chosen(cfg.Planners, e.name) {
+			continue
+		}
 		rows = append(rows, wave("image", s, e, cfg, runConfig{badImage: true}))
 	}
 	return rows
@@ -150,6 +159,9 @@
 // longestWave bounds a run.
 const longestWave = 10 * 24 * time.Hour
 
+// imageTail is longer than the deadlines of a drain and a reboot together.
+const imageTail = 30 * time.Minute
+
 func wave(experiment string, s Shape, e entrant, cfg Config, rc runConfig) Row {
 	row := Row{Experiment: experiment, Shape: s.Name, Planner: e.name, Spares: s.Spares}
 	row.Bound = s.lowerBound(e.maxBatch, e.cfg.WaveSpares).Minutes()
@@ -158,6 +170,10 @@
 		w := newWorld(rc)
 		w.startWave()
 		w.run(longestWave, func() bool { return w.st.Waves[waveID].Phase != fold.Running })
+		if rc.badImage {
+			// Also the VMs that were rebooting when the wave stopped do not come back.
+			w.run(w.now.Sub(w.start)+imageTail, func() bool { return false })
+		}
 		row.add(w, cfg.Seeds)
 		if rc.badImage == (w.st.Waves[waveID].Phase == fold.Done) {
 			row.Unfinished++
@@ -190,6 +206,9 @@
 	}
 	rows := make([]Row, 0, len(planners))
 	for _, e := range planners {
+		if !chosen(cfg.Planners, e.name) {
+			continue
+		}
 		row := Row{Experiment: "days", Shape: s.Name, Planner: e.name, Spares: s.Spares}
 		n := cfg.Seeds * max(cfg.Days, 1)
 		for seed := range cfg.Seeds {
--- a/bench/fleet/world.go
+++ b/bench/fleet/world.go
@@ -37,7 +37,8 @@
 // world is one run: the fold, a planner a region and the platform.
 type world struct {
 	cfg      runConfig
-	rng      *rand.Rand
+	rng      *rand.Rand // drains, reboots and lags
+	fate     *rand.Rand // failures: the same for all planners under one seed
 	start    time.Time
 	now      time.Time
 	seq      int
@@ -67,7 +68,7 @@
 func newWorld(cfg runConfig) *world {
 	start := time.Date(2026, 1, 5, 2, 0, 0, 0, time.UTC)
 	w := &world{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 1)), start: start, now: start,
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 1)), fate: rand.New(rand.NewPCG(cfg.seed, 2)), start: start, now: start,
 		machines: map[string]*machine{}, lists: map[string]map[string]plan.Listed{},
 		probes: map[string]time.Time{}, ejected: map[string]int{},
 		st: fold.NewState(fold.StateConfig{}),
@@ -121,7 +122,7 @@
 
 // schedule lets misfortunes happen with exponential gaps.
 func (w *world) schedule(perDay float64, long bool) {
-	gap := time.Duration(w.rng.ExpFloat64() / perDay * float64(24*time.Hour))
+	gap := time.Duration(w.fate.ExpFloat64() / perDay * float64(24*time.Hour))
 	w.after(gap, func() {
 		w.misfortune(long)
 		w.schedule(perDay, long)
--- a/cmd/svbench/main.go
+++ b/cmd/svbench/main.go
@@ -38,6 +38,7 @@
 				&cli.StringFlag{Name: "fleet", Value: "all", Usage: "fleets, separated by commas: kegelbaan, apvieniba, target"},
 				&cli.StringFlag{Name: "experiment", Value: "all", Usage: "experiments, separated by commas: rollout, buffer, image, days"},
 				&cli.IntFlag{Name: "seeds", Value: 5, Usage: "runs per line"},
+				&cli.StringFlag{Name: "planner", Value: "all", Usage: "planners, separated by commas"},
 				&cli.IntFlag{Name: "days", Value: 7, Usage: "length of the runs of experiment days"},
 				&cli.StringFlag{Name: "csv", Usage: "write all rows to this file"},
 			},
@@ -70,7 +71,7 @@
 func control(_ context.Context, cmd *cli.Command) error {
 	cfg := fleet.Config{
 		Shapes: bench.Split(cmd.String("fleet")), Experiments: bench.Split(cmd.String("experiment")),
-		Seeds: cmd.Int("seeds"), Days: cmd.Int("days"),
+		Planners: bench.Split(cmd.String("planner")), Seeds: cmd.Int("seeds"), Days: cmd.Int("days"),
 	}
 	path := cmd.String("csv")
 	if path == "" {
--- a/core/plan/move.go
+++ b/core/plan/move.go
@@ -64,8 +64,8 @@
 			n++
 		}
 	}
-	for _, vm := range t.st.VMs {
-		if vm.Pool != p.Name && vm.Purpose == fleet.PurposeMove && vm.To == p.Name && !t.leaving(vm.ID) {
+	for _, vm := range t.moves {
+		if vm.Pool != p.Name && vm.To == p.Name && !t.leaving(vm.ID) {
 			n++
 		}
 	}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -92,6 +92,7 @@
 	obs     Observed
 	now     time.Time
 	vms     []*fleet.VM       // of the region, by ID
+	moves   []*fleet.VM       // of the region, on their way to another pool
 	absent  []string          // VMs of the region that the list no longer holds
 	broken  map[string]string // first broken limit by pool
 	lent    map[string]int    // VMs above its size by pool, nil before it is known
@@ -103,6 +104,9 @@
 	for _, vm := range st.VMs {
 		if vm.Region == obs.Region {
 			t.vms = append(t.vms, vm)
+			if vm.Purpose == fleet.PurposeMove {
+				t.moves = append(t.moves, vm)
+			}
 		}
 	}
 	slices.SortFunc(t.vms, byID)
