--- a/bench/fleet/run.go
+++ b/bench/fleet/run.go
@@ -15,6 +15,7 @@
 	Shapes      []string // names; empty or "all" means all
 	Experiments []string // rollout, buffer, baseline, image, days; empty or "all" means all
 	Planners    []string // names; empty or "all" means all
+	Spares      int      // VMs of the spare pool of a region; 0 means as the installation has
 	Seeds       int      // runs of each line, from seed 1
 	Days        int      // length of the experiment days
 	CSV         io.Writer
@@ -64,6 +65,7 @@
 		{"double", plan.Config{Growth: plan.GrowDouble}, 1, noLimit, true},
 		{"double+lend", plan.Config{Growth: plan.GrowDouble, WaveSpares: 3, SpareReserve: 1}, 1, noLimit, true},
 		{"double-4+lend", plan.Config{Growth: plan.GrowDouble, WaveSpares: 3, SpareReserve: 1}, 4, noLimit, true},
+		{"quad-4+lend", plan.Config{Growth: plan.GrowDouble, GrowthFactor: 4, WaveSpares: 3, SpareReserve: 1}, 4, noLimit, false},
 		{"none+lend", plan.Config{Growth: plan.GrowNone, WaveSpares: 3, SpareReserve: 1}, 1, noLimit, false},
 		{"none", plan.Config{Growth: plan.GrowNone}, 1, noLimit, false},
 		{"constant-4", plan.Config{Growth: plan.GrowConstant}, 4, 4, false},
@@ -103,6 +105,9 @@
 		if !chosen(cfg.Shapes, s.Name) {
 			continue
 		}
+		if cfg.Spares > 0 {
+			s.Spares = cfg.Spares
+		}
 		for _, x := range []struct {
 			name string
 			run  func(Shape, Config) []Row
--- a/cmd/svbench/main.go
+++ b/cmd/svbench/main.go
@@ -39,6 +39,7 @@
 				&cli.StringFlag{Name: "experiment", Value: "all", Usage: "experiments, separated by commas: rollout, buffer, image, days"},
 				&cli.IntFlag{Name: "seeds", Value: 5, Usage: "runs per line"},
 				&cli.StringFlag{Name: "planner", Value: "all", Usage: "planners, separated by commas"},
+				&cli.IntFlag{Name: "spares", Usage: "VMs of the spare pool of a region; 0 means as the fleet has"},
 				&cli.IntFlag{Name: "days", Value: 7, Usage: "length of the runs of experiment days"},
 				&cli.StringFlag{Name: "csv", Usage: "write all rows to this file"},
 			},
@@ -71,7 +72,8 @@
 func control(_ context.Context, cmd *cli.Command) error {
 	cfg := fleet.Config{
 		Shapes: bench.Split(cmd.String("fleet")), Experiments: bench.Split(cmd.String("experiment")),
-		Planners: bench.Split(cmd.String("planner")), Seeds: cmd.Int("seeds"), Days: cmd.Int("days"),
+		Planners: bench.Split(cmd.String("planner")), Spares: cmd.Int("spares"),
+		Seeds: cmd.Int("seeds"), Days: cmd.Int("days"),
 	}
 	path := cmd.String("csv")
 	if path == "" {
--- a/core/plan/config.go
+++ b/core/plan/config.go
@@ -19,6 +19,8 @@
 	// FillPools lets new VMs enter the pool that lacks most VMs; without it they enter the spare pool.
 	FillPools bool
 	Growth    Growth
+	// GrowthFactor multiplies the batch of GrowDouble after each full batch of successes.
+	GrowthFactor int
 
 	ListMaxAge     time.Duration // an older list is no evidence
 	ListLag        time.Duration // a VM must be gone from the list for that long
@@ -62,6 +64,7 @@
 	defaultStableFor      = 30 * time.Second
 	defaultProbeMaxAge    = 10 * time.Second
 	defaultSettleFor      = 15 * time.Second // reports cover the 10 s before them
+	defaultGrowthFactor   = 2
 	defaultFlapCount      = 3
 	defaultFlapWindow     = 10 * time.Minute
 	defaultFlapHold       = time.Hour
@@ -112,6 +115,7 @@
 		}
 	}
 	for _, f := range []struct{ n, def *int }{
+		{&c.GrowthFactor, new(defaultGrowthFactor)},
 		{&c.FlapCount, new(defaultFlapCount)},
 		{&c.MaxSick, new(defaultMaxSick)},
 		{&c.MaxMoving, new(defaultMaxMoving)},
--- a/core/plan/wave.go
+++ b/core/plan/wave.go
@@ -123,7 +123,7 @@
 	limit, done := w.Batch, len(w.Finished)
 	for limit < w.MaxBatch && done >= limit {
 		done -= limit
-		limit *= 2
+		limit *= t.cfg.GrowthFactor
 	}
 	return max(1, min(limit, w.MaxBatch)>>len(w.Failed))
 }
