--- a/core/plan/config.go
+++ b/core/plan/config.go
@@ -19,6 +19,8 @@
 	// FillPools lets new VMs enter the pool that lacks most VMs; without it they enter the spare pool.
 	FillPools bool
 	Growth    Growth
+	// GrowthFactor multiplies the batch of GrowDouble after each full batch of successes.
+	GrowthFactor int
 
 	ListMaxAge     time.Duration // an older list is no evidence
 	ListLag        time.Duration // a VM must be gone from the list for that long
@@ -36,6 +38,7 @@
 	ReplaceAfter   time.Duration // a failed VM is replaced after that
 	ReplaceUrgent  time.Duration // the same where a budget is broken
 	SurplusAfter   time.Duration
+	LendBack       time.Duration // a VM lent for a wave returns after that
 	MoveHold       time.Duration
 	MoveHoldUnsure time.Duration // for moves made before this planner began
 	RecordTimeout  time.Duration // a record that is not folded is decided anew after that
@@ -61,12 +64,14 @@
 	defaultStableFor      = 30 * time.Second
 	defaultProbeMaxAge    = 10 * time.Second
 	defaultSettleFor      = 15 * time.Second // reports cover the 10 s before them
+	defaultGrowthFactor   = 2
 	defaultFlapCount      = 3
 	defaultFlapWindow     = 10 * time.Minute
 	defaultFlapHold       = time.Hour
 	defaultReplaceAfter   = 5 * time.Minute
 	defaultReplaceUrgent  = 30 * time.Second
 	defaultSurplusAfter   = 10 * time.Minute
+	defaultLendBack       = 30 * time.Second
 	defaultMoveHold       = 10 * time.Minute
 	defaultMoveHoldUnsure = time.Minute
 	defaultRecordTimeout  = 15 * time.Second
@@ -99,6 +104,7 @@
 		{&c.ReplaceAfter, defaultReplaceAfter},
 		{&c.ReplaceUrgent, defaultReplaceUrgent},
 		{&c.SurplusAfter, defaultSurplusAfter},
+		{&c.LendBack, defaultLendBack},
 		{&c.MoveHold, defaultMoveHold},
 		{&c.MoveHoldUnsure, defaultMoveHoldUnsure},
 		{&c.RecordTimeout, defaultRecordTimeout},
@@ -109,6 +115,7 @@
 		}
 	}
 	for _, f := range []struct{ n, def *int }{
+		{&c.GrowthFactor, new(defaultGrowthFactor)},
 		{&c.FlapCount, new(defaultFlapCount)},
 		{&c.MaxSick, new(defaultMaxSick)},
 		{&c.MaxMoving, new(defaultMaxMoving)},
