--- a/core/plan/wave.go
+++ b/core/plan/wave.go
@@ -42,6 +42,8 @@
 		vm := t.st.VMs[id]
 		switch {
 		case vm == nil:
+		case !t.idle(vm):
+			return false // it may be returning
 		case vm.Phase == fleet.Failed || vm.Phase == fleet.Unknown || vm.Purpose == fleet.PurposeHold || vm.Purpose == fleet.PurposeLeave:
 			missed++
 		default:
