--- a/system/scale/scale_test.go
+++ b/system/scale/scale_test.go
@@ -45,8 +45,11 @@
 // resident memory, and the processor time and bytes of one configuration change.
 func BenchmarkControl(b *testing.B) {
 	for _, s := range []size{
-		{100, 3, 25, 8, 1}, {400, 11, 25, 8, 1}, {1100, 29, 25, 8, 1},
-		{400, 11, 25, 4, 1}, {400, 11, 25, 6, 1},
+		{100, 3, 25, 8, 1},
+		{400, 11, 25, 8, 1},
+		{1100, 29, 25, 8, 1},
+		{400, 11, 25, 4, 1},
+		{400, 11, 25, 6, 1},
 		{1100, 29, 25, 8, 2},
 	} {
 		b.Run(s.String(), func(b *testing.B) {
