--- a/cmd/svfake/main.go
+++ b/cmd/svfake/main.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -56,12 +58,33 @@
 			s := cloud.New(cloud.Config{
 				Seed: c.Uint64("seed"), VMs: vms, ListLag: c.Duration("list-lag"),
 				RebootTime: c.Duration("reboot-time"), Retain: c.Int("retain"),
+				OnReboot: func(vm string) { go rebootWorker(ctx, vms, vm, c.Duration("reboot-time")/2) },
 			})
 			return s.Run(ctx, ln)
 		},
 	}
 }
 
+// rebootWorker takes the worker of a VM down for a time, if one listens there.
+func rebootWorker(ctx context.Context, vms []cloud.VM, id string, down time.Duration) {
+	i := slices.IndexFunc(vms, func(vm cloud.VM) bool { return vm.ID == id })
+	if i < 0 {
+		return
+	}
+	url := fmt.Sprintf("http://%s/reboot?down=%s", vms[i].Addr, down)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "reboot:", err)
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "reboot:", err)
+		return
+	}
+	_ = resp.Body.Close()
+}
+
 func readVMs(path string) ([]cloud.VM, error) {
 	if path == "" {
 		return nil, nil
--- a/fake/worker/serve.go
+++ b/fake/worker/serve.go
@@ -36,7 +36,7 @@
 		return
 	}
 	if kind == KindRefuse || !s.enter() {
-		s.refuse(w)
+		s.refuse(w, r)
 		return
 	}
 	defer s.leave()
@@ -104,10 +104,11 @@
 	s.count.InUse--
 }
 
-func (s *Server) refuse(w http.ResponseWriter) {
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.count.Refused++
 	s.mu.Unlock()
+	w.Header().Set(headerID, r.Header.Get(headerID))
 	w.Header().Set(retry.HeaderNotRun, "1")
 	http.Error(w, "refused before the start", http.StatusServiceUnavailable)
 }
@@ -117,6 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.count.Ran++
+	s.turn(r.Header.Get("Sassafrasvalve-Service"))
 	id := r.Header.Get(headerID)
 	s.count.IDs[id]++
 	key := r.Header.Get("Idempotency-Key")
@@ -128,6 +130,17 @@
 	return s.count.Keys[full]
 }
 
+// turn notes a start for a service. It is called with mu held.
+func (s *Server) turn(service string) {
+	now := time.Now()
+	if n := len(s.count.Turns); n == 0 || s.count.Turns[n-1].Service != service {
+		s.count.Turns = append(s.count.Turns, Turn{Service: service, First: now})
+	}
+	t := &s.count.Turns[len(s.count.Turns)-1]
+	t.Last = now
+	t.Starts++
+}
+
 // wait sleeps for the latency. It returns false if the request was cancelled or the worker stopped.
 func (s *Server) wait(r *http.Request, d time.Duration) bool {
 	if d <= 0 {
--- a/fake/worker/server.go
+++ b/fake/worker/server.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,14 @@
 	OverConnections int // connections opened above the allowed number
 	Boots           int
 	Draining        bool
+	Turns           []Turn // in the order of the starts
+}
+
+// Turn is a row of starts for the same service.
+type Turn struct {
+	Service     string
+	First, Last time.Time // starts
+	Starts      int
 }
 
 // Server is a worker. Create it with Start.
@@ -93,7 +102,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.count
-	c.Keys, c.IDs = maps.Clone(c.Keys), maps.Clone(c.IDs)
+	c.Keys, c.IDs, c.Turns = maps.Clone(c.Keys), maps.Clone(c.IDs), slices.Clone(c.Turns)
 	return c
 }
 
--- a/system/proc_test.go
+++ b/system/proc_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -340,7 +341,7 @@
 var callers = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
 func (e *entryProc) send(r request) (answer, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), max(r.Timeout, 10*time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(r.Timeout, 10*time.Second))
 	defer cancel()
 	var body io.Reader
 	if r.Body != "" {
