proxy, system: Drop responses without ID on used connections

Cause: a second response without a request ID that arrived after the next request had been written on the same connection was passed on as that request's answer. Unsolicited data is refused only before the write, and only a response with another ID counted as crossed. Ruled out: the transport's buffer, which is empty when a request is written. Change: a response without ID on a connection that carried an earlier request is dropped as crossed, with the verdict may-have-run. A connection with such a response carries no other request, and a worker whose last response had none gets a connection for each request.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -70,7 +70,10 @@
 		},
 		Got1xxResponse: early.got,
 	})
-	resp, err := u.transport.RoundTrip(f.request(ctx, &a, body)) //nolint:bodyclose // closed by CopyTo, Discard or drop
+	out := f.request(ctx, &a, body)
+	// A worker that does not repeat the request ID gets a connection for each request.
+	out.Close = u.nameless.Load()
+	resp, err := u.transport.RoundTrip(out) //nolint:bodyclose // closed by CopyTo, Discard or drop
 	early.stop()
 	done := func(abort bool) {
 		body.stop()
@@ -83,6 +86,7 @@
 		return failed(s, err)
 	}
 	res := &Result{resp: resp, done: done, Status: resp.StatusCode, Header: resp.Header}
+	u.nameless.Store(resp.Header.Get(HeaderRequestID) == "")
 	res.judge(s, &a)
 	return res
 }
@@ -107,7 +111,11 @@
 		return
 	}
 	id := r.Header.Values(HeaderRequestID)
-	crossed := slices.ContainsFunc(id, func(v string) bool { return v != a.ID })
+	if len(id) == 0 {
+		s.retire()
+	}
+	crossed := slices.ContainsFunc(id, func(v string) bool { return v != a.ID }) ||
+		len(id) == 0 && s.reused() // it may be a second response to an earlier request
 	notRun := r.Status == http.StatusServiceUnavailable && r.Header.Get(retry.HeaderNotRun) == "1"
 	switch {
 	case crossed:
--- a/io/proxy/conn.go
+++ b/io/proxy/conn.go
@@ -12,6 +12,7 @@
 	errSecondSend  = errors.New("the transport tried to send an attempt twice")
 	errUnbound     = errors.New("write outside an attempt")
 	errEnded       = errors.New("the attempt has ended")
+	errNameless    = errors.New("an earlier response on this connection had no request ID, so a late one could not be told apart")
 )
 
 type sendingKey struct{}
@@ -24,6 +25,7 @@
 	mu      sync.Mutex
 	conn    *conn
 	wrote   bool
+	second  bool  // the connection carried an earlier attempt
 	refused error // why the connection refused to write
 	once    sync.Once
 }
@@ -53,9 +55,10 @@
 
 // start allows the first byte, after the attempt's check. Once finish has ruled that
 // nothing was sent, it refuses.
-func (s *sending) start() error {
+func (s *sending) start(reused bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.second = reused
 	if s.refused == nil {
 		s.refused = s.check()
 	}
@@ -77,6 +80,23 @@
 	return s.wrote
 }
 
+// reused says whether the connection carried an earlier attempt.
+func (s *sending) reused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.second
+}
+
+// retire keeps the connection from carrying another attempt.
+func (s *sending) retire() {
+	s.mu.Lock()
+	c := s.conn
+	s.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nameless = true
+}
+
 // finish says whether a byte of the attempt may have left. If none has, none will,
 // and the error says why, if a connection refused.
 func (s *sending) finish() (bool, error) {
@@ -122,6 +142,9 @@
 	reading bool
 	broken  error
 	once    sync.Once
+
+	used     bool // carried an attempt
+	nameless bool // a response had no request ID
 }
 
 func newConn(nc net.Conn, closed func()) *conn {
@@ -134,6 +157,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cur = s
+	if c.nameless && c.broken == nil {
+		c.broken = errNameless
+	}
 }
 
 func (c *conn) release(s *sending) {
@@ -209,7 +235,8 @@
 		c.changed.Wait()
 	}
 	if c.broken == nil {
-		c.broken = s.start()
+		c.broken = s.start(c.used)
+		c.used = true
 	}
 	return s, true, c.broken
 }
--- a/io/proxy/forwarder.go
+++ b/io/proxy/forwarder.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -125,6 +126,7 @@
 type upstream struct {
 	transport *http.Transport
 	dialer    net.Dialer
+	nameless  atomic.Bool // its last response did not repeat the request ID
 
 	mu      sync.Mutex
 	limit   int
