entry: Check the view lease before the request is parsed

Cause: an entry that had just started answered 404 or 400 for services and tenants that were in records it had not folded yet, because the request was checked against the configuration before the lease. Ruled out: a wrong fold; the same request was served a moment later. Change: the lease is checked first, so that the answer is 503 not-run with Retry-After until the entry is a member with a fresh view. Before: TestRollingUpgradeFailsNoRequest saw 404 unknown-service from each entry that was started anew.

--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -29,7 +29,12 @@
 	}
 	in := newInput(rw, r, s.cfg.BodyIdle)
 	defer in.end()
-	q, ref := s.parse(r, id)
+	// The lease comes first: an entry that is still catching up does not know every service.
+	ref := s.lapsed()
+	var q *request
+	if ref == nil {
+		q, ref = s.parse(r, id)
+	}
 	if ref == nil {
 		ref = s.admit(r, q, in)
 	}
@@ -56,9 +61,6 @@
 
 // admit makes the checks that come before any wait.
 func (s *Server) admit(r *http.Request, q *request, in *input) *refusal {
-	if err := s.check(); err != nil {
-		return unavailable(s.now(), "lease", "this entry may not start work: "+err.Error())
-	}
 	if q.class.Deferrable && r.Method == http.MethodPost && (in.length < 0 || in.length > maxJobBody) {
 		return bad(http.StatusRequestEntityTooLarge, "job-size", "a deferrable request needs a Content-Length of at most %d", maxJobBody)
 	}
@@ -74,6 +76,14 @@
 	return nil
 }
 
+// lapsed returns a refusal while the entry may not start work.
+func (s *Server) lapsed() *refusal {
+	if err := s.check(); err != nil {
+		return unavailable(s.now(), "lease", "this entry may not start work: "+err.Error())
+	}
+	return nil
+}
+
 func (s *Server) finishRefused(w *output, r *http.Request, q *request, id string, ref *refusal) {
 	s.refuse(w, id, ref)
 	o := stats.Observation{Verdict: ref.verdict, Status: ref.status, Reason: ref.reason}
