chaos: Fuzz the decision code of several entries together

Cause: each core package has a state machine of its own, but no test joined fold, leases, slots, admission, keys, jobs, controller and retries, so that a fault between two of them had no place to show.

Change: a test-only package with 3 to 6 entries in 1 or 2 regions on a simulated clock. The entry of the model mirrors io/daemon, io/sched, io/claims and io/entry; each function names what it mirrors. The oracle knows R1 to R8 only.

The oracle can fail.

An entry that reads the log polls the VM list every 10 s because another entry acts; if that one cannot read the list, a leaving VM gets work for longer than 3 s.

Ruled out: driving io/daemon itself, whose loops need goroutines and sockets, so that a run could not be repeated from its seed.

--- /dev/null
+++ b/core/chaos/claims_test.go
@@ -0,0 +1,141 @@
+package chaos
+
+import (
+	"time"
+
+	"sassafrasvalve/core/dedup"
+	"sassafrasvalve/core/fleet"
+)
+
+// Times of io/claims.
+const (
+	claimTimeout = 500 * time.Millisecond
+	claimBatch   = 256
+)
+
+// callMember mirrors links.Call: the address of a member comes from the own fold.
+func (e *entry) callMember(id string, timeout time.Duration, serve func(*entry) any, take func(any), lost func()) {
+	m := e.st.Members[id]
+	if m == nil {
+		e.after(0, lost)
+		return
+	}
+	e.w.call(e, m.Addr, timeout, serve, take, lost)
+}
+
+// claim mirrors claims.Node.Claim.
+func (e *entry) claim(c dedup.Claim, done func(dedup.Decision)) {
+	a, s := e.claims.Ask(e.w.now, c)
+	e.claimStep(a, s, done)
+}
+
+// claimStep mirrors claims.Node.step, and links.onClaims at the other end.
+func (e *entry) claimStep(a *dedup.Ask, s dedup.Step, done func(dedup.Decision)) {
+	now := func() time.Time { return e.w.now }
+	lost := func() { e.claimStep(a, e.claims.Unanswered(now(), a), done) }
+	switch s.Kind {
+	case dedup.StepDecided:
+		done(s.Decision)
+	case dedup.StepClaim:
+		e.callMember(s.To, claimTimeout, func(p *entry) any {
+			if !p.group.fresh() {
+				return nil
+			}
+			return p.claims.Claim(now(), s.Claim)
+		}, func(r any) { e.claimStep(a, e.claims.Answered(now(), a, r.(dedup.ClaimReply)), done) }, lost)
+	case dedup.StepHold:
+		e.callMember(s.To, claimTimeout, func(p *entry) any { return p.claims.Hold(s.Hold) },
+			func(r any) { e.claimStep(a, e.claims.Copied(now(), a, r.(dedup.HoldReply)), done) }, lost)
+	case dedup.StepWait:
+		e.after(s.Pause, func() { e.claimStep(a, e.claims.Again(now(), a), done) })
+	}
+}
+
+// pumpClaims mirrors claims.link.send for each member, one round on its way at a time.
+func (e *entry) pumpClaims() {
+	for _, to := range e.claims.View().Live {
+		if to == e.group.self.ID || e.links[to] {
+			continue
+		}
+		q, asking := e.claims.RebuildDue(to)
+		f, h := e.claims.Due(to, claimBatch)
+		var rounds []func(next func())
+		if asking {
+			rounds = append(rounds, func(next func()) {
+				e.callMember(to, claimTimeout, func(p *entry) any { return p.claims.Rebuild(q) }, func(r any) {
+					e.claims.RebuildReplied(e.w.now, to, q, r.(dedup.RebuildReply))
+					next()
+				}, next)
+			})
+		}
+		if len(f.Held) > 0 {
+			rounds = append(rounds, func(next func()) {
+				e.callMember(to, claimTimeout, func(p *entry) any { return p.claims.Finished(e.w.now, f) }, func(r any) {
+					e.claims.Acknowledged(f, r.(dedup.FinishReply))
+					next()
+				}, next)
+			})
+		}
+		if len(h.Held) > 0 {
+			rounds = append(rounds, func(next func()) {
+				e.callMember(to, claimTimeout, func(p *entry) any { return p.claims.Hold(h) }, func(r any) {
+					e.claims.Kept(h, r.(dedup.HoldReply))
+					next()
+				}, next)
+			})
+		}
+		if len(rounds) > 0 {
+			e.links[to] = true
+			e.runRounds(rounds, func() { delete(e.links, to) })
+		}
+	}
+}
+
+func (e *entry) runRounds(rounds []func(next func()), end func()) {
+	if len(rounds) == 0 {
+		end()
+		return
+	}
+	rounds[0](func() { e.runRounds(rounds[1:], end) })
+}
+
+// stop mirrors Daemon.stop: callers first, then the keys, then the Leave.
+func (e *entry) stop() {
+	if e.group.stops {
+		return
+	}
+	e.group.stops = true
+	e.after(time.Second, func() { // the balancer's wait
+		e.stopping = true
+		e.awaitIdle()
+	})
+}
+
+func (e *entry) awaitIdle() {
+	if e.inFlow > 0 {
+		e.after(50*time.Millisecond, e.awaitIdle)
+		return
+	}
+	parts := e.claims.Handover()
+	var rounds []func(next func())
+	for _, to := range sorted(parts) {
+		hs := parts[to]
+		rounds = append(rounds, func(next func()) {
+			e.callMember(to, claimTimeout, func(p *entry) any { return p.claims.Hold(dedup.Hold{Held: hs}) }, func(any) { next() }, next)
+		})
+	}
+	e.runRounds(rounds, func() {
+		g := &e.group
+		g.leaves = true
+		exit := func(outcome) {
+			e.w.counts.add("graceful leaves", 1)
+			e.w.oracle.left(e)
+			e.kill(false)
+		}
+		if e.st.Members[g.self.ID] == nil {
+			exit(outcome{})
+			return
+		}
+		e.append(fleet.Record{Kind: fleet.KindLeave, Writer: g.self.ID, Leave: &fleet.Leave{Member: g.self.ID}}, 5*time.Second, exit)
+	})
+}
--- /dev/null
+++ b/core/chaos/jobs_test.go
@@ -0,0 +1,151 @@
+package chaos
+
+import (
+	"time"
+
+	"sassafrasvalve/core/admit"
+	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/core/hash"
+	"sassafrasvalve/core/retry"
+)
+
+// jobs mirrors daemon.jobs.
+type jobs struct {
+	e      *entry
+	active map[string]bool
+	next   map[string]time.Time
+	tries  map[string]int
+}
+
+func newJobs(e *entry) *jobs {
+	return &jobs{e: e, active: map[string]bool{}, next: map[string]time.Time{}, tries: map[string]int{}}
+}
+
+// jobID mirrors exchange.job: the ID of a job with a key follows from the key.
+func jobID(q *request) string {
+	if q.key != "" {
+		return "job-" + scoped(q)
+	}
+	return q.id
+}
+
+// submit mirrors exchange.submit and jobs.Submit.
+func (f *flow) submit() {
+	q := f.q
+	id := q.job
+	r := fleet.Record{Kind: fleet.KindJob, Job: &fleet.Job{
+		ID: id, Service: q.service, Class: q.class, Tenant: q.tenant, Idempotent: q.idempotent, Deadline: q.deadline,
+		Request: fleet.JobRequest{Method: "POST", Path: "/" + q.id},
+	}}
+	f.e.append(r, 5*time.Second, func(o outcome) {
+		switch {
+		case o.verdict == accepted, o.verdict == rejected && f.e.st.Jobs[id] != nil:
+			f.end(retry.Ran, 202)
+			f.answer(retry.Ran, 202, "")
+		case o.verdict == unknown:
+			f.refuse(503, retry.MayHaveRun)
+		default:
+			f.refuse(503, retry.NotRun)
+		}
+	})
+}
+
+// tick mirrors one turn of jobs.loop.
+func (j *jobs) tick() {
+	if !j.e.group.fresh() {
+		return
+	}
+	j.due()
+	j.abandoned()
+}
+
+// due mirrors jobs.due.
+func (j *jobs) due() {
+	e := j.e
+	st, self := e.st, e.group.self.ID
+	live := st.LiveMembers(e.place.region)
+	for _, id := range st.QueuedJobs() {
+		if len(j.active) >= 32 {
+			return
+		}
+		if j.active[id] || e.w.now.Before(j.next[id]) || hash.Owner(id, live) != self {
+			continue
+		}
+		js := *st.Jobs[id]
+		svc, ok := st.Config.Fleet.Service(js.Service)
+		if !ok {
+			continue
+		}
+		j.active[id] = true
+		j.run(js, svc.Pool, self)
+	}
+}
+
+// abandoned mirrors jobs.abandoned.
+func (j *jobs) abandoned() {
+	self := j.e.group.self.ID
+	for _, id := range sorted(j.e.st.Jobs) {
+		js := j.e.st.Jobs[id]
+		if js.Phase == fleet.JobRunning && js.Member == self && !j.active[id] {
+			done := fleet.JobDone{Job: id, Member: self, Run: js.Run, Verdict: retry.NotRun}
+			j.e.submit(fleet.Record{Kind: fleet.KindJobDone, Writer: self, JobDone: &done}, nil)
+		}
+	}
+}
+
+// end mirrors jobs.end.
+func (j *jobs) end(id string, failed bool) {
+	delete(j.active, id)
+	j.e.inFlow--
+	if failed {
+		j.next[id] = j.e.w.now.Add(min(time.Second<<min(j.tries[id], 10), 5*time.Minute))
+		j.tries[id]++
+	}
+}
+
+// run mirrors jobRun.run.
+func (j *jobs) run(js fleet.JobState, pool, self string) {
+	e := j.e
+	e.inFlow++
+	p := e.pools[pool]
+	if p == nil {
+		j.end(js.ID, true)
+		return
+	}
+	run := js.Run + 1
+	p.acquire(admit.Request{Class: js.Class, Tenant: js.Tenant, Deadline: js.Deadline}, nil, func(g *grant) {
+		if g == nil {
+			j.end(js.ID, true)
+			return
+		}
+		claim := fleet.JobStart{Job: js.ID, Member: self, Run: run}
+		e.append(fleet.Record{Kind: fleet.KindJobStart, Writer: self, JobStart: &claim}, 30*time.Second, func(o outcome) {
+			if o.verdict != accepted {
+				g.done(retry.NotRun, false)
+				j.end(js.ID, true)
+				return
+			}
+			e.dispatch(g, js.ID, "", js.Idempotent, true, e.w.between(50*time.Millisecond, 3*time.Second), time.Time{}, func(func()) {}, func(r response) {
+				broken := r.verdict == retry.Ran && r.status >= 500
+				g.done(r.verdict, broken || r.verdict == retry.MayHaveRun)
+				done := fleet.JobDone{
+					Job: js.ID, Member: self, Run: run, Verdict: r.verdict, Status: r.status, Again: broken || r.verdict == retry.MayHaveRun,
+				}
+				j.finish(fleet.Record{ID: e.w.newID("r"), Kind: fleet.KindJobDone, Writer: self, JobDone: &done}, func() {
+					j.end(js.ID, done.Again || done.Verdict == retry.NotRun)
+				})
+			})
+		})
+	})
+}
+
+// finish mirrors jobRun.finish.
+func (j *jobs) finish(r fleet.Record, done func()) {
+	j.e.append(r, 30*time.Second, func(o outcome) {
+		if o.verdict == accepted || o.verdict == rejected {
+			done()
+			return
+		}
+		j.e.after(time.Second, func() { j.finish(r, done) })
+	})
+}
