dedup: Let only the member that was asked answer a rebuild

Cause: a Rebuild is sent to the address of a member. If the process there was replaced and its Join not folded yet, the new process, which knows nothing, answered in the place of the old one.

Ruled out: the count of lost members. It rose to two only with the Join that the owner had not folded yet.

Change: a RebuildReply names the member that answers; a reply of another one does not count. The old member then either answers or is found gone, in which case the keys are answered may-have-run.

--- a/core/dedup/member.go
+++ b/core/dedup/member.go
@@ -117,7 +117,7 @@
 
 // Rebuild answers a member that has taken keys over.
 func (m *Member) Rebuild(q Rebuild) RebuildReply {
-	r := RebuildReply{Offset: m.view.Offset, Blind: m.owner.blindTo()}
+	r := RebuildReply{Member: m.view.Self, Offset: m.view.Offset, Blind: m.owner.blindTo()}
 	if r.Offset < q.Offset {
 		return r
 	}
--- a/core/dedup/message.go
+++ b/core/dedup/message.go
@@ -121,6 +121,7 @@
 
 // RebuildReply answers a Rebuild.
 type RebuildReply struct {
+	Member string    // that answers: a later process at the address of the one asked knows none of its claims
 	Blind  time.Time // claims from before this time may be unknown to the member; zero if none are
 	Offset int64     // folded offset of the member; below the one asked for, the reply does not count
 	Parts  int       // above 0: too many claims for one message, ask again in this many parts
--- a/core/dedup/rebuild.go
+++ b/core/dedup/rebuild.go
@@ -58,7 +58,7 @@
 // reply takes the reply to a request of this view. It returns whether all members have answered.
 func (r *rebuild) reply(member string, q Rebuild, p RebuildReply) bool {
 	a := r.asked[member]
-	if a == nil || q.Offset != r.view.Offset || q.Owner != r.view.Self || p.Offset < r.view.Offset ||
+	if a == nil || p.Member != member || q.Offset != r.view.Offset || q.Owner != r.view.Self || p.Offset < r.view.Offset ||
 		q.Part != a.part || q.Parts != a.parts {
 		return false
 	}
