daemon: Finish the jobs in progress before a planned leave

Cause: a planned stop waited for callers' requests only.

Change: from the start of a stop the entry begins no job and gives up those that wait for a slot, which stay queued in the log. It hands over its keys and leaves once the last run has ended and is recorded.

The stop of a real daemon with a job in progress was not run.

--- a/core/chaos/claims_test.go
+++ b/core/chaos/claims_test.go
@@ -99,12 +99,13 @@
 	rounds[0](func() { e.runRounds(rounds[1:], end) })
 }
 
-// stop mirrors Daemon.stop: callers first, then the keys, then the Leave.
+// stop mirrors Daemon.stop: callers and jobs first, then the keys, then the Leave.
 func (e *entry) stop() {
 	if e.group.stops {
 		return
 	}
 	e.group.stops = true
+	e.jobs.stop()
 	e.after(time.Second, func() { // the balancer's wait
 		e.stopping = true
 		e.awaitIdle()
--- a/core/chaos/jobs_test.go
+++ b/core/chaos/jobs_test.go
@@ -12,13 +12,15 @@
 // jobs mirrors daemon.jobs.
 type jobs struct {
 	e      *entry
+	stops  bool              // mirrors jobs.waiting
+	cancel map[string]func() // of runs that wait for a slot
 	active map[string]bool
 	next   map[string]time.Time
 	tries  map[string]int
 }
 
 func newJobs(e *entry) *jobs {
-	return &jobs{e: e, active: map[string]bool{}, next: map[string]time.Time{}, tries: map[string]int{}}
+	return &jobs{e: e, cancel: map[string]func(){}, active: map[string]bool{}, next: map[string]time.Time{}, tries: map[string]int{}}
 }
 
 // jobID mirrors exchange.job: the ID of a job with a key follows from the key.
@@ -59,9 +61,22 @@
 	j.abandoned()
 }
 
+// stop mirrors jobs.stop: no run begins any more, and those that wait for a slot end.
+func (j *jobs) stop() {
+	j.stops = true
+	for _, id := range sorted(j.cancel) {
+		j.cancel[id]()
+		delete(j.cancel, id)
+		j.end(id, true)
+	}
+}
+
 // due mirrors jobs.due.
 func (j *jobs) due() {
 	e := j.e
+	if j.stops {
+		return
+	}
 	st, self := e.st, e.group.self.ID
 	live := st.LiveMembers(e.place.region)
 	for _, id := range st.QueuedJobs() {
@@ -113,7 +128,8 @@
 		return
 	}
 	run := js.Run + 1
-	p.acquire(admit.Request{Class: js.Class, Tenant: js.Tenant, Deadline: js.Deadline}, nil, func(g *grant) {
+	j.cancel[js.ID] = p.acquire(admit.Request{Class: js.Class, Tenant: js.Tenant, Deadline: js.Deadline}, nil, func(g *grant) {
+		delete(j.cancel, js.ID)
 		if g == nil {
 			j.end(js.ID, true)
 			return
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -243,9 +243,11 @@
 func (d *Daemon) stop(ctx context.Context) error {
 	d.log.Info("stopping")
 	d.group.Stopping()
+	d.jobs.stop()
 	ctx, cancel := context.WithTimeout(ctx, stopLimit)
 	defer cancel()
 	err := d.entry.Stop(ctx, time.Duration(d.cfg.Settings.BalancerWait))
+	d.jobs.drain(ctx)
 	if lost := d.claims.Leave(ctx); lost != nil {
 		d.log.Warn("not all idempotency keys were handed over", zap.Error(lost))
 	}
--- a/io/daemon/jobs.go
+++ b/io/daemon/jobs.go
@@ -34,6 +34,9 @@
 type jobs struct {
 	d *Daemon
 
+	waiting context.Context // of the runs that wait for a slot; ends when the entry stops
+	stop    context.CancelFunc
+
 	mu     sync.Mutex
 	active map[string]bool
 	next   map[string]time.Time // earliest next try here
@@ -41,7 +44,9 @@
 }
 
 func newJobs(d *Daemon) *jobs {
-	return &jobs{d: d, active: map[string]bool{}, next: map[string]time.Time{}, tries: map[string]int{}}
+	j := &jobs{d: d, active: map[string]bool{}, next: map[string]time.Time{}, tries: map[string]int{}}
+	j.waiting, j.stop = context.WithCancel(context.Background())
+	return j
 }
 
 // Submit accepts a job into the log.
@@ -117,12 +122,35 @@
 	}
 }
 
+// stopPoll is how often a stopping entry looks whether its last run has ended.
+const stopPoll = 50 * time.Millisecond
+
+// drain waits until no run is in progress here, after stop. It returns early when ctx ends.
+func (j *jobs) drain(ctx context.Context) {
+	for j.running() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-j.d.after(stopPoll):
+		}
+	}
+}
+
+func (j *jobs) running() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.active)
+}
+
 // due returns the queued jobs that this entry owns and has room for, and marks them active.
+// An entry that stops starts none.
 func (j *jobs) due() []*jobRun {
 	now, self := j.d.cfg.Clock.Now(), j.d.group.Self()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var out []*jobRun
+	if j.waiting.Err() != nil {
+		return nil
+	}
 	j.d.store.View(func(st *fleet.State) {
 		live := st.LiveMembers(j.d.cfg.Settings.Region)
 		for _, id := range st.QueuedJobs() {
@@ -200,7 +228,10 @@
 func (r *jobRun) run(ctx context.Context) {
 	failed := true
 	defer func() { r.j.end(r.job.ID, failed) }()
-	grant, err := r.j.d.pools.Acquire(ctx, sched.Request{
+	waits, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.j.waiting, cancel)()
+	grant, err := r.j.d.pools.Acquire(waits, sched.Request{
 		ID: r.job.ID, Service: r.job.Service, Pool: r.pool, Class: r.job.Class, Tenant: r.job.Tenant, Deadline: r.job.Deadline,
 	})
 	if err != nil {
