daemon: Acknowledge nothing before the own Join is routed on

Cause: the log of a rolling restart of three entries showed rejected Acks (offset before the own Join), and an entry that had left logged that it joins again. Ruled out: a fault in the fold; it rejects them rightly. Change: no Ack while the view in routing is older than the Join; a planned leave is no lost membership. Figures: before, six of the first 30 records of that log were such Acks.

--- a/io/daemon/group.go
+++ b/io/daemon/group.go
@@ -125,9 +125,10 @@
 		}
 		g.renewByPromises(st, now)
 	})
-	if ended != "" && !g.leaves {
-		g.renew(now)
+	if ended == "" || g.leaves {
+		return ""
 	}
+	g.renew(now)
 	return ended
 }
 
@@ -286,7 +287,8 @@
 		return a, false
 	}
 	g.cfg.Store.View(func(st *fleet.State) {
-		if st.Members[g.self.ID] == nil || st.Offset == g.acked {
+		self := st.Members[g.self.ID]
+		if self == nil || st.Offset == g.acked || pushed < self.Joined {
 			return
 		}
 		a.Through = min(pushed, st.Offset)
