scale: Measure the start of an entry

Cause: the recovery time of a new entry was not measured. Ruled out: a measure inside one process (it leaves the sockets out). Change: BenchmarkStart kills one of four entries and waits until its successor is ready, with the log up and with the log refusing.

--- a/system/scale/scale_test.go
+++ b/system/scale/scale_test.go
@@ -61,12 +61,57 @@
 	}
 }
 
+// BenchmarkStart reports how long a daemon takes from its start until it is ready, with the state
+// from the log and, while the log is down, from its peers.
+func BenchmarkStart(b *testing.B) {
+	for _, s := range []size{{100, 3, 25, 4, 1}, {400, 11, 25, 4, 1}, {1100, 29, 25, 4, 1}} {
+		b.Run(s.String(), func(b *testing.B) {
+			for range b.N {
+				w := newFleet(b, s)
+				b.ReportMetric(w.restart(b), "logMs")
+				w.fault(b, `{"Outage":"refuse"}`)
+				b.ReportMetric(w.restart(b), "peersMs")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// restart kills the last entry, starts it again and returns the milliseconds until it is ready.
+func (w *running) restart(b *testing.B) float64 {
+	last := len(w.entries) - 1
+	assert.NilError(b, w.entries[last].Process.Kill())
+	_ = w.entries[last].Wait()
+	began := time.Now()
+	w.entries[last] = start(b, w.entries[last].Path, w.entries[last].Args[1:]...)
+	until(b, time.Minute, func() error {
+		resp, err := http.Get(w.admins[last] + "/readyz")
+		if err != nil {
+			return err
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("not ready: %s", resp.Status)
+		}
+		return nil
+	})
+	return float64(time.Since(began).Milliseconds())
+}
+
+func (w *running) fault(b *testing.B, body string) {
+	resp, err := http.Post("http://"+w.platform+"/fault", "application/json", strings.NewReader(body))
+	assert.NilError(b, err)
+	assert.NilError(b, resp.Body.Close())
+}
+
 // running is a fleet of processes.
 type running struct {
-	size   size
-	admins []string
-	client *admin.Client
-	fleet  spec.Fleet
+	size     size
+	platform string
+	entries  []*exec.Cmd
+	admins   []string
+	client   *admin.Client
+	fleet    spec.Fleet
 }
 
 func newFleet(b *testing.B, s size) *running {
@@ -80,7 +125,7 @@
 	assert.NilError(b, err)
 	assert.NilError(b, os.WriteFile(list, data, 0o600))
 	start(b, filepath.Join(dir, "svfake"), "cloud", "--listen", platform, "--vms", list)
-	w := &running{size: s, fleet: config(s)}
+	w := &running{size: s, platform: platform, fleet: config(s)}
 	peers := addrs(b, s.Entries)
 	for i, peer := range peers {
 		w.startEntry(b, dir, platform, peer, peers, i)
@@ -96,7 +141,7 @@
 	text := fmt.Sprintf("VM = \"entry-%d\"\nRegion = %q\nDC = \"dc-%d\"\nListen = %q\nPeer = %q\nAdmin = %q\nPeers = [\"%s\"]\nPlatform = \"http://%s\"\nLogLevel = \"error\"\n",
 		i, region(i, w.size), i%4, a[0], peer, a[1], strings.Join(peers, `", "`), platform)
 	assert.NilError(b, os.WriteFile(path, []byte(text), 0o600))
-	start(b, filepath.Join(dir, "sassafrasvalve"), "daemon", "--settings", path)
+	w.entries = append(w.entries, start(b, filepath.Join(dir, "sassafrasvalve"), "daemon", "--settings", path))
 	w.admins = append(w.admins, "http://"+a[1])
 }
 
@@ -221,7 +266,7 @@
 	return out
 }
 
-func start(b *testing.B, program string, args ...string) {
+func start(b *testing.B, program string, args ...string) *exec.Cmd {
 	cmd := exec.Command(program, args...)
 	cmd.Stderr = os.Stderr
 	assert.NilError(b, cmd.Start())
@@ -229,6 +274,7 @@
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 	})
+	return cmd
 }
 
 func addrs(b *testing.B, n int) []string {
@@ -256,6 +302,6 @@
 		if time.Now().After(end) {
 			assert.NilError(b, err)
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
 }
