--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -151,7 +151,7 @@
 }
 
 // followsList reports whether another entry acts on the VM list and this one learns of it from the log.
-func (d *Daemon) followsList() bool { return !d.group.Acting() && d.group.ReadsLog() }
+func (d *Daemon) followsList() bool { return d.group.FollowsList() && d.group.ReadsLog() }
 
 // probeLoop connects to the workers that are ejected, and while this entry acts also to those
 // that are out of routing. Active workers that do well are not probed: at the target size that
@@ -177,8 +177,10 @@
 	targets := map[string]string{}
 	d.store.View(func(st *fleet.State) {
 		for id, vm := range st.VMs {
+			// An ejection may be shorter than deadAfter, so a VM is probed until it accepts a connection.
 			_, bad := slices.BinarySearch(ejected, id)
-			if bad || acting && vm.Phase != fleet.Active && vm.Region == d.cfg.Settings.Region {
+			if bad || d.health.Refuses(id) ||
+				acting && vm.Phase != fleet.Active && vm.Region == d.cfg.Settings.Region {
 				targets[id] = vm.Addr
 			}
 		}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -99,6 +99,7 @@
 	d.group = newGroup(groupConfig{
 		Member: fleet.Member{VM: s.VM, Addr: s.Peer, Admin: s.Admin, DC: s.DC, Region: s.Region},
 		Clock:  cfg.Clock, Store: d.store,
+		ListOK: func() bool { return d.vms.Err() == nil },
 	})
 	d.client = oplog.NewClient(oplog.Config{Base: s.Platform, ClientID: s.VM})
 	d.writer = oplog.NewWriter(oplog.WriterConfig{Client: d.client, Clock: cfg.Clock, Writer: s.VM})
@@ -170,8 +171,11 @@
 // stopLimit bounds a graceful stop: the longest deadline of a request, and the hand-over.
 const stopLimit = 24 * time.Hour
 
-// leaveTimeout bounds the wait for the log when an entry leaves.
-const leaveTimeout = 5 * time.Second
+const (
+	leaveTimeout = 5 * time.Second // bounds the wait for the log when an entry leaves
+	leavePause   = 50 * time.Millisecond
+	foldTimeout  = 2 * time.Second // bounds the wait for the others to fold the Leave
+)
 
 // Run serves until ctx ends and then stops gracefully. It returns an error if the entry cannot start.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -258,8 +262,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	if out, err := d.writer.Append(ctx, r); err != nil {
+	out, err := d.writer.Append(ctx, r)
+	if err != nil {
 		d.log.Warn("left without a record; the other entries will evict this one", zap.String("Outcome", string(out.Verdict)), zap.Error(err))
+		return
+	}
+	d.awaitFold(ctx, out.Offset)
+}
+
+// awaitFold waits until the other entries have folded a record. Until then they still ask this
+// entry about idempotency keys, and would refuse callers if it were gone.
+func (d *Daemon) awaitFold(ctx context.Context, offset int64) {
+	ctx, cancel := context.WithTimeout(ctx, foldTimeout)
+	defer cancel()
+	for !d.group.FoldedByAll(offset) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.after(leavePause):
+		}
 	}
 }
 
--- a/io/daemon/group.go
+++ b/io/daemon/group.go
@@ -21,6 +21,7 @@
 	Member fleet.Member // without ID and Epoch, which each join chooses anew
 	Clock  clock.Clock
 	Store  *Store
+	ListOK func() bool // the last read of the VM list succeeded
 }
 
 // group is this entry's membership: its ID, its view lease and its promises.
@@ -34,6 +35,7 @@
 	guest  member.GuestLease
 	core   *member.Group
 	read   time.Time // start of the newest fresh read of the log, direct or relayed
+	direct time.Time // likewise, only direct
 	peers  map[string]peerView
 	stops  bool // a planned stop has begun
 	leaves bool // nothing is started any more
@@ -102,6 +104,9 @@
 	if read.After(g.read) {
 		g.read = read
 	}
+	if read.After(g.direct) {
+		g.direct = read
+	}
 	ended := ""
 	g.cfg.Store.View(func(st *fleet.State) {
 		g.core.Fold(st, now)
@@ -136,7 +141,7 @@
 	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d := Digest{Member: g.self.ID, ReadAge: -1, Program: fleet.RecordVersion, Serving: g.valid(now), Stopping: g.stops}
+	d := Digest{Member: g.self.ID, ReadAge: -1, Program: fleet.RecordVersion, Serving: g.valid(now), Stopping: g.stops, Able: g.able(now)}
 	if !g.read.IsZero() {
 		d.ReadAge = now.Sub(g.read).Milliseconds() + 1 // rounded up: the age must never be understated
 	}
@@ -259,36 +264,63 @@
 // Ack returns the acknowledgement that is due. pushed is the offset of the view that routing
 // uses: a later drain must not be acknowledged yet. inFlight tells the requests of this entry on a VM.
 func (g *group) Ack(pushed int64, inFlight func(vm string) int) (fleet.Record, bool) {
+	a, due := g.ackable(pushed)
+	// No lock is held here: the schedulers ask Fresh while they hold theirs.
+	a.VMs = slices.DeleteFunc(a.VMs, func(v fleet.VMGen) bool { return inFlight(v.VM) > 0 })
+	if !due && len(a.VMs) == 0 {
+		return fleet.Record{}, false
+	}
+	return fleet.Record{Kind: fleet.KindAck, Writer: a.Member, Ack: &a}, true
+}
+
+// ackable returns an acknowledgement of all drains that routing follows, and whether one is due without them.
+func (g *group) ackable(pushed int64) (fleet.Ack, bool) {
 	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.core.MayAck(now) {
-		return fleet.Record{}, false
-	}
 	a := fleet.Ack{Member: g.self.ID}
 	due := false
+	if !g.core.MayAck(now) {
+		return a, false
+	}
 	g.cfg.Store.View(func(st *fleet.State) {
 		if st.Members[g.self.ID] == nil {
 			return
 		}
 		a.Through = min(pushed, st.Offset)
 		due = st.AckDue(g.self.ID)
-		a.VMs = slices.DeleteFunc(st.DrainsToAck(g.self.ID), func(v fleet.VMGen) bool {
-			return v.Gen > a.Through || inFlight(v.VM) > 0
-		})
+		a.VMs = slices.DeleteFunc(st.DrainsToAck(g.self.ID), func(v fleet.VMGen) bool { return v.Gen > a.Through })
 	})
-	if !due && len(a.VMs) == 0 {
-		return fleet.Record{}, false
-	}
-	return fleet.Record{Kind: fleet.KindAck, Writer: a.Member, Ack: &a}, true
+	return a, due
 }
 
 // Acting reports whether this entry runs the controller: the first by rendezvous rank
-// among the live members of its region that were heard within member.Silence.
+// among the live members of its region that were heard within member.Silence. Members that
+// reach the platform only through others come last: they would act on an old list.
 func (g *group) Acting() bool {
 	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	id, _ := g.acting(now)
+	return g.lease.Valid(now) && id == g.self.ID
+}
+
+// FollowsList reports whether another member acts on the VM list and reads it.
+func (g *group) FollowsList() bool {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	id, able := g.acting(now)
+	return able && id != g.self.ID
+}
+
+// able reports whether this entry reads the log and the VM list itself.
+func (g *group) able(now time.Time) bool {
+	return now.Sub(g.direct) < member.Term && g.cfg.ListOK()
+}
+
+// acting returns the member that runs the controller, and whether it is able.
+func (g *group) acting(now time.Time) (string, bool) {
 	var live []string
 	g.cfg.Store.View(func(st *fleet.State) {
 		if g.joined(st) && !st.ReadOnly() {
@@ -298,7 +330,13 @@
 	live = slices.DeleteFunc(live, func(id string) bool {
 		return id != g.self.ID && (now.Sub(g.peers[id].At) > member.Silence || g.peers[id].Stopping || g.peers[id].Program < fleet.RecordVersion)
 	})
-	return g.lease.Valid(now) && hash.Owner("controller", live) == g.self.ID
+	able := slices.DeleteFunc(slices.Clone(live), func(id string) bool {
+		return id == g.self.ID && !g.able(now) || id != g.self.ID && !g.peers[id].Able
+	})
+	if len(able) > 0 {
+		return hash.Owner("controller", able), true
+	}
+	return hash.Owner("controller", live), false
 }
 
 // Peers returns what the peers of this region last told, with the time of it.
@@ -329,6 +367,23 @@
 	return fleet.Record{Kind: fleet.KindLeave, Writer: g.self.ID, Leave: &fleet.Leave{Member: g.self.ID}}, is
 }
 
+// FoldedByAll reports whether every other live member that is heard has folded the log up to offset.
+func (g *group) FoldedByAll(offset int64) bool {
+	now := g.cfg.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := true
+	g.cfg.Store.View(func(st *fleet.State) {
+		for _, id := range st.LiveMembers(g.self.Region) {
+			p, known := g.peers[id]
+			if id != g.self.ID && known && now.Sub(p.At) <= member.Silence && p.Offset < offset {
+				all = false
+			}
+		}
+	})
+	return all
+}
+
 // Joined reports whether this process is a live member in its own view.
 func (g *group) Joined() bool {
 	g.mu.Lock()
--- a/io/daemon/links.go
+++ b/io/daemon/links.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
+	"sassafrasvalve/core/dedup"
 	"sassafrasvalve/core/fleet"
 	"sassafrasvalve/core/member"
 	"sassafrasvalve/core/slots"
@@ -71,6 +72,7 @@
 		return nil, err
 	}
 	l.d.addrs.Learn(p.Addr)
+	l.pool.Reachable(p.Addr)
 	promise := l.d.group.Pinged(p.Digest)
 	return Pong{Digest: l.d.digest(), Promise: promise}, nil
 }
@@ -124,10 +126,11 @@
 }
 
 // onClaims answers a call about idempotency keys. Without a view lease this entry may no longer be
-// the owner of a key, so that it grants nothing.
+// the owner of a key, so that it grants nothing. The asking entry asks again for a while: an entry
+// that has just joined, or is leaving, has no lease until all have folded that.
 func (l *links) onClaims(method string, params json.RawMessage) (any, error) {
 	if method == claims.MethodClaim && !l.d.group.Fresh() {
-		return nil, &jsonrpc2.Error{Code: peer.CodeBusy, Message: errNoLease.Error()}
+		return dedup.ClaimReply{Answer: dedup.Unknown}, nil
 	}
 	return l.d.claims.Handle(method, params)
 }
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -26,6 +26,7 @@
 	Dead     []string `json:",omitempty"` // VMs that refuse connections for at least deadAfter
 	Leaving  []string `json:",omitempty"` // VMs that the list or an operator takes away
 	Stopping bool     `json:",omitempty"`
+	Able     bool     `json:",omitempty"` // reads the log and the VM list itself, not through a peer
 }
 
 // Ping is the heartbeat between entries.
--- a/io/daemon/vms.go
+++ b/io/daemon/vms.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// Refuses reports whether the last connection attempt to a VM failed.
+func (h *vmHealth) Refuses(vm string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, refused := h.refused[vm]
+	return refused
+}
+
 // Keep forgets all VMs but those given.
 func (h *vmHealth) Keep(vms []string) {
 	h.mu.Lock()
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -159,6 +159,16 @@
 	}
 }
 
+// Reachable ends the pause after failed dials to a peer that has just called: it has started anew.
+func (p *Pool) Reachable(addr string) {
+	p.mu.Lock()
+	r := p.peers[addr]
+	p.mu.Unlock()
+	if r != nil {
+		r.resume()
+	}
+}
+
 // Close closes all connections. Calls in progress and later ones fail.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/io/peer/remote.go
+++ b/io/peer/remote.go
@@ -183,6 +183,13 @@
 	r.failures++
 }
 
+// resume ends the pause.
+func (r *remote) resume() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryAt = time.Time{}
+}
+
 func (c *clientConn) closed() bool {
 	select {
 	case <-c.rpc.DisconnectNotify():
--- a/system/load_test.go
+++ b/system/load_test.go
@@ -34,6 +34,7 @@
 
 // load is callers that send one request after the other.
 type load struct {
+	t     *testing.T
 	next  func(caller, n int) (*entryProc, request)
 	pause time.Duration
 
@@ -46,7 +47,7 @@
 
 // startLoad starts n callers. next returns the entry and the request of each turn of a caller.
 func startLoad(t *testing.T, n int, pause time.Duration, next func(caller, n int) (*entryProc, request)) *load {
-	l := &load{next: next, pause: pause, quit: make(chan struct{})}
+	l := &load{t: t, next: next, pause: pause, quit: make(chan struct{})}
 	for caller := range n {
 		l.ended.Add(1)
 		go l.run(caller)
@@ -65,6 +66,7 @@
 		case <-time.After(l.pause):
 		}
 		if n > maxLoad {
+			l.t.Errorf("the load has ended at its limit of %d requests", maxLoad)
 			return
 		}
 		e, r := l.next(caller, int(n))
