--- /dev/null
+++ b/system/pool_test.go
@@ -0,0 +1,114 @@
+package system
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/fleet"
+	"sassafrasvalve/fake/cloud"
+	"sassafrasvalve/io/admin"
+)
+
+// Guards against an entry that was frozen or cut off, and that sends work for the old pool to a VM
+// that has moved to another pool meanwhile.
+func TestVMServesOnePoolWhileEntriesFreezeAndAreCutOff(t *testing.T) {
+	sizes := map[string]int{"alpha": 3, "beta": 2, "spare": 1}
+	f := smallFleet(sizes)
+	f.Services[1].Budget.MinAvailable = 1
+	w := newWorld(t, worldConfig{Entries: 5, Pools: sizes, Fleet: f})
+	// Each caller keeps to one entry, and waits long enough to be answered by one that has been frozen.
+	l := startLoad(t, 30, 5*time.Millisecond, func(caller, n int) (*entryProc, request) {
+		return w.entries[caller%5], request{Service: []string{"holds", "scores"}[n%2], Timeout: 20 * time.Second}
+	})
+	w.eventually("the VM serves its first pool", 5*time.Second, func() error { return w.servesLast("alpha-1", "holds") })
+	frozen, cut := w.entries[4], w.entries[3]
+
+	w.order("alpha-1", "beta")
+	frozen.signal(syscall.SIGSTOP) // between the drain and its own acknowledgement, or soon after
+	w.moved("alpha-1", "beta", "scores")
+	frozen.signal(syscall.SIGCONT)
+	w.serves(frozen, 10*time.Second)
+
+	frozen.signal(syscall.SIGSTOP) // before the drain
+	w.order("alpha-1", "alpha")
+	w.moved("alpha-1", "alpha", "holds")
+	frozen.signal(syscall.SIGCONT)
+	w.serves(frozen, 10*time.Second)
+
+	cut.cutPeers("*")
+	w.fault(cloud.Fault{Clients: []string{cut.vm}, Outage: cloud.OutageRefuse})
+	w.order("alpha-1", "beta")
+	w.moved("alpha-1", "beta", "scores")
+	w.fault(cloud.Fault{Clear: true})
+	cut.cutPeers()
+	w.serves(cut, 10*time.Second)
+
+	before := l.answered(http.StatusOK)
+	w.eventually("the load goes on", 5*time.Second, func() error {
+		if n := l.answered(http.StatusOK) - before; n < 200 {
+			return fmt.Errorf("%d answers", n)
+		}
+		return nil
+	})
+	l.stop()
+	w.checkTurns()
+}
+
+func (w *world) order(vm, pool string) {
+	w.t.Helper()
+	req := vmOrder()
+	req.To = pool
+	d, err := w.client().Move(w.t.Context(), vm, req)
+	assert.NilError(w.t, err)
+	assert.Equal(w.t, d.Outcome, admin.Accepted, d.Reason)
+}
+
+// moved waits until a VM is active in a pool and its service runs there.
+func (w *world) moved(vm, pool, service string) {
+	w.t.Helper()
+	w.eventually(vm+" is active in "+pool, 20*time.Second, func() error {
+		if v := w.state().VMs[vm]; v.Pool != pool || v.Phase != fleet.Active {
+			return fmt.Errorf("pool %s, phase %s", v.Pool, v.Phase)
+		}
+		return w.servesLast(vm, service)
+	})
+}
+
+func (w *world) servesLast(vm, service string) error {
+	turns := w.counts(vm).Turns
+	if len(turns) == 0 || turns[len(turns)-1].Service != service {
+		return fmt.Errorf("%s has no start of %s yet: %v", vm, service, turns)
+	}
+	return nil
+}
+
+// checkTurns compares the order of services that each worker saw with the pools of its VM in the log.
+// A start for an old pool after the first one for the next pool makes a turn that the log does not have.
+func (w *world) checkTurns() {
+	w.t.Helper()
+	service := map[string]string{"alpha": "holds", "beta": "scores"}
+	want := map[string][]string{}
+	w.replay(func(st *fleet.State, _ fleet.Result) {
+		for id, vm := range st.VMs {
+			s := service[vm.Pool]
+			if had := want[id]; s != "" && (len(had) == 0 || had[len(had)-1] != s) {
+				want[id] = append(had, s)
+			}
+		}
+	})
+	for _, vm := range w.vms {
+		var got []string
+		turns := w.counts(vm.ID).Turns
+		for _, turn := range turns {
+			got = append(got, turn.Service)
+		}
+		w.t.Logf("%s: %v", vm.ID, turns)
+		assert.Check(w.t, slices.Equal(got, want[vm.ID]), "%s: pools in the log %v, services that ran %v", vm.ID, want[vm.ID], turns)
+	}
+}
