daemon: Give a guest the slots of the last process on its VM

Cause: an entry replaced while the log is down is no member, so it was ready but had no slots and refused every request. Ruled out: turning its readiness off (the fleet would lose the capacity of the replaced entry for the whole outage, since its home slots are kept for a silent member); a share for guests (others do not know of them). Change: for slots it takes the place of the member of its VM, whose process is gone since the port was free. Figures: TestEntryReplacedInAnOutageServes failed before (503 for 20 s) and passes twice with -race after, 6.6 s.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -69,7 +70,9 @@
 	faults        *peer.Faults
 	traffic       *peer.Stats
 
-	foldMu  sync.Mutex // orders the log reader and relaying peers
+	foldMu   sync.Mutex             // orders the log reader and relaying peers
+	slotSelf atomic.Pointer[string] // member whose slots this entry uses; nil before the first view
+
 	viewMu  sync.Mutex // one view is pushed at a time
 	version int        // of the configuration last pushed
 	viewKey viewKey    // of the view last pushed
@@ -148,7 +151,7 @@
 
 func (d *Daemon) buildPath() error {
 	d.pools = newPools(poolsConfig{Clock: d.cfg.Clock, DC: d.cfg.Settings.DC, Fresh: d.group.Fresh})
-	d.sched = sched.NewSet(sched.SetConfig{Clock: d.cfg.Clock, Exchanger: d.links, Self: d.group.Self})
+	d.sched = sched.NewSet(sched.SetConfig{Clock: d.cfg.Clock, Exchanger: d.links, Self: d.slotMember})
 	d.forwarder = proxy.New(proxy.Config{Name: d.cfg.Settings.VM})
 	limits := d.cfg.Settings.Limits
 	d.jobs = newJobs(d)
@@ -173,6 +176,14 @@
 	return err
 }
 
+// slotMember returns the member ID under which this entry shares slots.
+func (d *Daemon) slotMember() string {
+	if id := d.slotSelf.Load(); id != nil {
+		return *id
+	}
+	return d.group.Self()
+}
+
 // observe passes the fold's results on to those who wait for them.
 func (d *Daemon) observe(r fleet.Result) {
 	switch {
--- a/io/daemon/views.go
+++ b/io/daemon/views.go
@@ -167,6 +167,7 @@
 	fleet   spec.Fleet
 	version int
 	offset  int64
+	self    string // member whose slots this entry uses
 	members []string
 	live    []string
 	addrs   []string
@@ -184,7 +185,13 @@
 	var v view
 	d.store.View(func(st *fleet.State) {
 		v.fleet, v.version, v.offset = st.Config.Fleet, st.Config.Version, st.Offset
+		v.self = d.group.Self()
 		for id, m := range st.Members {
+			// A guest takes over the slots of the last process on its VM, which is gone: the
+			// listening port was free. Without them it could serve nothing before the log is back.
+			if m.VM == d.cfg.Settings.VM && st.Members[v.self] == nil {
+				v.self = id
+			}
 			v.addrs = append(v.addrs, m.Addr)
 			if m.Region == region {
 				v.members = append(v.members, id)
@@ -257,7 +264,7 @@
 		}
 		c.setMembers(vms)
 		pool.SetView(sched.View{
-			Self: d.group.Self(), Members: v.members, Workers: workers,
+			Self: v.self, Members: v.members, Workers: workers,
 			Slots: pv.pool.Slots, Connections: pv.pool.Connections,
 			Classes: v.fleet.Classes, Tenants: v.fleet.Tenants,
 		})
@@ -265,6 +272,7 @@
 	if added {
 		d.sched.SetPools(d.pools.all())
 	}
+	d.slotSelf.Store(&v.self)
 	d.forwarder.SetConnections(connectionShare(v))
 	d.forgetGone(v)
 	if v.version != d.version {
