dedup: Ask again while an own earlier ask is in the way

Cause: a new key got 409 when the claim in the way was an earlier ask of the same request, and 503 when the owner had just left. Ruled out: a longer time for asks (urgent work has 2.5 s in all). Change: Busy is asked again if this request asked before; an ask without a reply is repeated up to four times within the same second.

--- a/core/dedup/ask.go
+++ b/core/dedup/ask.go
@@ -10,6 +10,7 @@
 	askFor    = time.Second           // how long an unknown answer is asked again
 	askPause  = 50 * time.Millisecond // between two asks
 	mostMoved = 2                     // how often NotOwner is asked again
+	mostLost  = 4                     // how often an ask without a reply is repeated, while a leaving owner is still in the view
 	askMark   = "#"                   // separates the request ID from the number of the ask
 )
 
@@ -19,6 +20,7 @@
 	request string // ID without the number of the ask
 	tries   int
 	moved   int
+	lost    int
 	gen     int
 	to      string
 	until   time.Time
@@ -93,7 +95,12 @@
 			return decided(now, NotOwner)
 		}
 		return m.pause(now, a, NotOwner)
-	case Busy, Done, Conflict, Full:
+	case Busy:
+		// The claim in the way may be an earlier ask of this one, whose release is on its way.
+		if a.tries > 1 && now.Before(a.until) {
+			return Step{Kind: StepWait, Pause: askPause}
+		}
+	case Done, Conflict, Full:
 	}
 	return Step{Decision: Decide(now, r)}
 }
@@ -114,6 +121,9 @@
 // Unanswered ends an ask whose message got no reply. The claim may have been granted, so it is released.
 func (m *Member) Unanswered(now time.Time, a *Ask) Step {
 	m.release(now, a)
+	if a.lost++; a.lost <= mostLost && now.Before(a.until) {
+		return Step{Kind: StepWait, Pause: askPause}
+	}
 	return Step{Decision: Unreachable(now)}
 }
 
