dedup: Trust no key when a process takes over from a single member

Cause: a process that becomes the only member of its region after a loss takes over claims that had no second copy, and must answer keys may-have-run. The test for that was that it had seen no other view before. A starting process folds the log up to its own Join first, so that it had seen one, and granted keys that its predecessor had used: a request ran twice, against R5. core/chaos found it, with one entry in a region.

Ruled out: the rebuild; a process that is not in its view asks nobody, and there was no other member to ask.

Change: what counts is whether an earlier view already held this process as a member.

Before: testdata/single-member-restarts.txt of core/chaos fails with R5.

--- a/core/dedup/owner.go
+++ b/core/dedup/owner.go
@@ -56,9 +56,13 @@
 	return changed
 }
 
-// replaces says whether this process starts as the only member of its region.
+// replaces says whether this process becomes a member as the only one of its region.
 // After a loss it takes over from a single member, whose claims had no second copy.
-func (o *Owner) replaces(v View) bool { return len(o.tenures) == 0 && len(v.Live) == 1 }
+// Views from before its own Join do not make it a member that knows the claims.
+func (o *Owner) replaces(v View) bool {
+	member := slices.ContainsFunc(o.tenures, func(t tenure) bool { return slices.Contains(t.live, t.self) })
+	return !member && len(v.Live) == 1 && v.live(v.Self)
+}
 
 func (o *Owner) trim(now time.Time) {
 	n := 0
