daemon: Check the VM again after a job is claimed in the log

Cause: a job gets its slot on a VM first and is then claimed by a JobStart in the log. If the log is slow or down, that takes up to 30 s.

Ruled out: a stale view of routing. The entry had it in force; the slot was granted before.

Change: after the claim the VM must still be active in the pool and not leaving. Otherwise the run ends as not-run and the job is queued again.

The daemon itself was not run with a slow log.

--- a/io/daemon/jobs.go
+++ b/io/daemon/jobs.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -242,11 +243,27 @@
 		grant.Done(sched.Outcome{Verdict: retry.NotRun, Ended: r.j.d.cfg.Clock.Now()})
 		return
 	}
+	if !r.mayUse(grant.VM) {
+		grant.Done(sched.Outcome{Verdict: retry.NotRun, Ended: r.j.d.cfg.Clock.Now()})
+		r.finish(ctx, fleet.JobDone{Job: r.job.ID, Member: r.member, Run: run, Verdict: retry.NotRun})
+		return
+	}
 	done := r.send(ctx, grant, run)
 	failed = done.Again || done.Verdict == retry.NotRun
 	r.finish(ctx, done)
 }
 
+// mayUse reports whether the VM still takes work of the pool. The claim in the log may have taken
+// so long that the VM was drained since the slot was granted.
+func (r *jobRun) mayUse(vm string) bool {
+	ok := false
+	r.j.d.store.View(func(st *fleet.State) {
+		v := st.VMs[vm]
+		ok = v != nil && v.Phase == fleet.Active && v.Pool == r.pool
+	})
+	return ok && !slices.Contains(r.j.d.leaving.All(), vm)
+}
+
 // start claims the job in the log. Only an accepted claim allows the run.
 func (r *jobRun) start(ctx context.Context, run int) bool {
 	claim := fleet.JobStart{Job: r.job.ID, Member: r.member, Run: run}
