chaos: Bring moves, evictions and repeated keys closer together

Cause: single draws seldom put a move beside an eviction or a repeated key beside a change of members.

--- a/core/chaos/action_test.go
+++ b/core/chaos/action_test.go
@@ -13,6 +13,7 @@
 func (w *world) actions() map[string]func(*rapid.T) {
 	all := map[string]func(*rapid.T){
 		"call": w.oneCall, "call again": w.oneCall, "flood": w.flood, "cancel wave": w.cancelWave, "repeat key": w.repeatKey, "job": w.job,
+		"keys in a change": w.keysInChange, "isolate in a move": w.isolateInMove,
 		"configure": w.configure, "operator": w.operator, "operator again": w.operator, "wave": w.wave,
 		"worker fault": w.workerFault, "leaving": w.leaving,
 		"kill": w.kill, "freeze": w.freeze, "freeze long": w.freeze, "wake": w.wakeOne, "restart": w.restart, "leave": w.leave,
--- a/core/chaos/entry_test.go
+++ b/core/chaos/entry_test.go
@@ -224,7 +224,11 @@
 
 // fold mirrors Daemon.fold and Daemon.folded.
 func (e *entry) fold(from, next int64, read time.Time) {
+	before := e.st.Offset
 	e.w.log.foldInto(e.st, from, next, e.observe)
+	if e.st.Offset > before {
+		e.after(time.Millisecond, e.viewTick) // the loop of Daemon.viewLoop wakes up
+	}
 	e.setClaimMembers()
 	e.group.folded(read)
 }
--- a/core/chaos/jobs_test.go
+++ b/core/chaos/jobs_test.go
@@ -1,6 +1,7 @@
 package chaos
 
 import (
+	"slices"
 	"time"
 
 	"sassafrasvalve/core/admit"
@@ -141,6 +142,12 @@
 				j.end(js.ID, true)
 				return
 			}
+			if !e.mayUse(g.vm, pool) {
+				g.done(retry.NotRun, false)
+				done := fleet.JobDone{Job: js.ID, Member: self, Run: run, Verdict: retry.NotRun}
+				j.finish(fleet.Record{ID: e.w.newID("r"), Kind: fleet.KindJobDone, Writer: self, JobDone: &done}, func() { j.end(js.ID, true) })
+				return
+			}
 			e.dispatch(g, js.ID, "", js.Idempotent, true, e.w.between(50*time.Millisecond, 3*time.Second), time.Time{}, func(func()) {}, func(r response) {
 				broken := r.verdict == retry.Ran && r.status >= 500
 				g.done(r.verdict, broken || r.verdict == retry.MayHaveRun)
@@ -155,6 +162,12 @@
 	})
 }
 
+// mayUse mirrors jobRun.mayUse.
+func (e *entry) mayUse(id, pool string) bool {
+	vm := e.st.VMs[id]
+	return vm != nil && vm.Phase == fleet.Active && vm.Pool == pool && !slices.Contains(e.allLeaving, id)
+}
+
 // finish mirrors jobRun.finish.
 func (j *jobs) finish(r fleet.Record, done func()) {
 	j.e.append(r, 30*time.Second, func(o outcome) {
