daemon: Serve only from a view that knows the own Join, refuse jobs at once

Cause: the view lease was renewed at the fold, before routing followed the folded state: an entry that had just started answered 404 (1 of 2,363 requests in a rolling upgrade), and one that rejoined after an eviction could have used VMs that had changed pool. A deferrable request was held for a log outage of 9 minutes. The log did not name what a decision is about. Ruled out: pushing views inside the fold (it would hold the log reader). Change: the lease counts once the view in routing has the own Join; a job is refused at once while no read of the log is fresh and its caller waits 3 s at most; decisions and what is held back are logged with their target.

--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -63,12 +63,11 @@
 	obs := c.observe(now)
 	var actions plan.Actions
 	c.d.store.View(func(st *fleet.State) { actions = c.planner.Plan(st, obs, now) })
-	c.mu.Lock()
-	c.notes = actions.Notes
-	c.mu.Unlock()
+	c.logNotes(actions.Notes)
 	for _, r := range actions.Records {
 		r.Writer = c.d.group.Self()
-		c.d.log.Info("decision", zap.String("Rule", r.Rule), zap.String("Kind", string(r.Kind)), zap.String("Reason", r.Reason))
+		c.d.log.Info("decision", zap.String("Target", target(r)), zap.String("Rule", r.Rule),
+			zap.String("Kind", string(r.Kind)), zap.String("Reason", r.Reason))
 		c.d.submit(r, nil)
 	}
 	for _, vm := range actions.Reboots {
@@ -77,6 +76,45 @@
 	}
 }
 
+// logNotes logs what a rule has begun to hold back since the last turn.
+func (c *control) logNotes(notes []plan.Note) {
+	c.mu.Lock()
+	old := c.notes
+	c.notes = notes
+	c.mu.Unlock()
+	for _, n := range notes {
+		same := func(o plan.Note) bool { return o.VM == n.VM && o.Pool == n.Pool && o.Rule == n.Rule }
+		if !slices.ContainsFunc(old, same) {
+			c.d.log.Info("held back", zap.String("Target", n.VM), zap.String("Pool", n.Pool),
+				zap.String("Rule", n.Rule), zap.String("Reason", n.Reason))
+		}
+	}
+}
+
+// target names the VM or wave that a record of the controller is about.
+func target(r fleet.Record) string {
+	switch r.Kind {
+	case fleet.KindObserve:
+		return r.Observe.VM
+	case fleet.KindDrain:
+		return r.Drain.VM
+	case fleet.KindAssign:
+		return r.Assign.VM
+	case fleet.KindReboot:
+		return r.Reboot.VM
+	case fleet.KindActivate:
+		return r.Activate.VM
+	case fleet.KindFail:
+		return r.Fail.VM
+	case fleet.KindRemove:
+		return r.Remove.VM
+	case fleet.KindWave:
+		return r.Wave.ID
+	default:
+		return ""
+	}
+}
+
 // reboot asks the platform for the reboot of one VM.
 type reboot struct {
 	d  *Daemon
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -71,6 +71,7 @@
 	traffic       *peer.Stats
 
 	foldMu   sync.Mutex             // orders the log reader and relaying peers
+	viewed   atomic.Int64           // offset of the view that routing uses, -1 before the first
 	slotSelf atomic.Pointer[string] // member whose slots this entry uses; nil before the first view
 
 	viewMu  sync.Mutex // one view is pushed at a time
@@ -102,10 +103,12 @@
 
 		viewKey: viewKey{offset: -2},
 	}
+	d.viewed.Store(-1)
 	d.store = NewStore(d.log, d.observe)
 	d.group = newGroup(groupConfig{
 		Member: fleet.Member{VM: s.VM, Addr: s.Peer, Admin: s.Admin, DC: s.DC, Region: s.Region},
 		Clock:  cfg.Clock, Store: d.store,
+		Viewed: d.viewed.Load,
 		ListOK: func() bool { return d.vms.Err() == nil },
 	})
 	d.client = oplog.NewClient(oplog.Config{Base: s.Platform, ClientID: s.VM})
--- a/io/daemon/group.go
+++ b/io/daemon/group.go
@@ -21,7 +21,8 @@
 	Member fleet.Member // without ID and Epoch, which each join chooses anew
 	Clock  clock.Clock
 	Store  *Store
-	ListOK func() bool // the last read of the VM list succeeded
+	ListOK func() bool  // the last read of the VM list succeeded
+	Viewed func() int64 // offset of the view that routing uses
 }
 
 // group is this entry's membership: its ID, its view lease and its promises.
@@ -38,6 +39,7 @@
 	direct time.Time // likewise, only direct
 	peers  map[string]peerView
 	acked  int64 // offset at which nothing waited for an acknowledgement, -1 before
+	joinAt int64 // offset of the own Join, 0 before
 	stops  bool  // a planned stop has begun
 	leaves bool  // nothing is started any more
 }
@@ -62,7 +64,7 @@
 	m.ID = fleet.MemberID(m.VM, m.Epoch)
 	m.Version = fleet.RecordVersion
 	g.self = m
-	g.lease, g.guest, g.acked = member.Lease{}, member.GuestLease{}, -1
+	g.lease, g.guest, g.acked, g.joinAt = member.Lease{}, member.GuestLease{}, -1, 0
 	g.core = member.NewGroup(member.GroupConfig{Self: m.ID, Region: m.Region, Started: now})
 }
 
@@ -78,7 +80,9 @@
 	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.leaves || !g.valid(now) {
+	// Until routing follows the state that the Join is part of, it may use VMs that changed pool
+	// while this process was no member.
+	if g.leaves || !g.valid(now) || g.cfg.Viewed() < g.joinAt {
 		return errNoLease
 	}
 	return nil
@@ -93,7 +97,11 @@
 // log its own Join cannot be folded, and only a guest's lease lets it work.
 func (g *group) joined(st *fleet.State) bool {
 	m := st.Members[g.self.ID]
-	return m != nil && m.Phase == fleet.MemberLive
+	if m == nil || m.Phase != fleet.MemberLive {
+		return false
+	}
+	g.joinAt = m.Joined
+	return true
 }
 
 // Folded takes note of new records and of a fresh read that began at read, zero for none.
@@ -120,7 +128,7 @@
 			ended = g.self.ID
 			return
 		}
-		if m != nil && !read.IsZero() {
+		if g.joined(st) && !read.IsZero() {
 			g.lease.Renew(read)
 		}
 		g.renewByPromises(st, now)
--- a/io/daemon/jobs.go
+++ b/io/daemon/jobs.go
@@ -28,6 +28,7 @@
 	jobPause      = time.Second     // before the second try of a job, doubled for each further one
 	maxJobPause   = 5 * time.Minute // between two tries of a job
 	jobRetry      = 5 * time.Second // told to callers while no job can be accepted
+	submitTimeout = 3 * time.Second // after which a caller is told that the outcome is unknown
 )
 
 // jobs accepts deferrable requests into the log and runs those that this entry is the owner of.
@@ -52,6 +53,11 @@
 
 // Submit accepts a job into the log.
 func (j *jobs) Submit(ctx context.Context, job fleet.Job) error {
+	if !j.d.group.ReadsLog() {
+		return j.refusal(http.StatusServiceUnavailable, "the platform's log does not answer")
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
 	out, err := j.d.writer.Append(ctx, fleet.Record{Kind: fleet.KindJob, Writer: j.d.group.Self(), Job: &job})
 	switch out.Verdict {
 	case oplog.Accepted:
--- a/io/daemon/loops.go
+++ b/io/daemon/loops.go
@@ -89,7 +89,7 @@
 
 // acknowledge appends the acknowledgement that is due.
 func (d *Daemon) acknowledge() {
-	if r, due := d.group.Ack(d.pushed(), d.pools.inFlight); due {
+	if r, due := d.group.Ack(d.viewed.Load(), d.pools.inFlight); due {
 		d.submit(r, nil)
 	}
 }
--- a/io/daemon/views.go
+++ b/io/daemon/views.go
@@ -281,6 +281,7 @@
 	}
 	d.entry.SetView(v.fleet)
 	d.stats.SetNames(names(v.fleet))
+	d.viewed.Store(v.offset)
 }
 
 // names returns the configured classes and tenants.
@@ -294,13 +295,6 @@
 	return classes, tenants
 }
 
-// pushed returns the offset of the view that routing uses.
-func (d *Daemon) pushed() int64 {
-	d.viewMu.Lock()
-	defer d.viewMu.Unlock()
-	return d.viewKey.offset
-}
-
 // connectionShare returns the connections that this entry may open to each worker.
 func connectionShare(v view) int {
 	limit := spec.DefaultConnections
