plan: Ask for a reboot again soon after a takeover

Ruled out: a fault of the probes (the VM answered all the time). Change: a planner that took over asks once the list is from 3 s after it first saw the VM rebooting and shows neither a reboot under way nor a finished one.

--- a/core/plan/config.go
+++ b/core/plan/config.go
@@ -28,6 +28,7 @@
 	DrainTimeout   time.Duration
 	RebootTimeout  time.Duration
 	RebootRepeat   time.Duration // a reboot that is not seen is asked for again after that
+	TakeoverWait   time.Duration // a request of the planner before this one may arrive that late
 	ReadyFor       time.Duration // a rebooted VM must answer probes for that long
 	StableFor      time.Duration // a failed VM must answer probes for that long
 	ProbeMaxAge    time.Duration // an older probe is no evidence
@@ -60,6 +61,7 @@
 	defaultDrainTimeout   = 10 * time.Minute
 	defaultRebootTimeout  = 15 * time.Minute
 	defaultRebootRepeat   = time.Minute
+	defaultTakeoverWait   = 3 * time.Second // above the 2 s for which a request waits for its answer
 	defaultReadyFor       = 5 * time.Second
 	defaultStableFor      = 30 * time.Second
 	defaultProbeMaxAge    = 10 * time.Second
@@ -95,6 +97,7 @@
 		{&c.DrainTimeout, defaultDrainTimeout},
 		{&c.RebootTimeout, defaultRebootTimeout},
 		{&c.RebootRepeat, defaultRebootRepeat},
+		{&c.TakeoverWait, defaultTakeoverWait},
 		{&c.ReadyFor, defaultReadyFor},
 		{&c.StableFor, defaultStableFor},
 		{&c.ProbeMaxAge, defaultProbeMaxAge},
--- a/core/plan/repair.go
+++ b/core/plan/repair.go
@@ -173,18 +173,20 @@
 	}
 }
 
-// askReboot repeats the request after a while. A planner that did not see the Reboot record
-// waits first: its predecessor has most likely asked, and the list lags.
+// askReboot repeats the request after a while. A planner that took over with the VM already Rebooting
+// cannot know whether its predecessor asked: it waits for a list from after any such request.
 func (t *turn) askReboot(vm *fleet.VM, l Listed) {
 	s := t.mem.sights[vm.ID]
 	if l.Away || !s.bootedAt.IsZero() {
 		return
 	}
 	last, asked := t.mem.asked[vm.ID]
-	if !asked && s.inherited {
-		last, asked = s.at, true
-	}
-	if asked && (t.now.Sub(last) < t.cfg.RebootRepeat || !t.listFresh()) {
+	switch {
+	case asked && t.now.Sub(last) < t.cfg.RebootRepeat:
+		return
+	case !asked && s.inherited && !t.obs.List.AsOf.After(s.at.Add(t.cfg.TakeoverWait)):
+		return
+	case (asked || s.inherited) && !t.listFresh():
 		return
 	}
 	t.mem.asked[vm.ID] = t.now
