slots: Halve the byte budget of slot sharing

Cause: slot sharing alone could take 22.4 KB/s of the 28 KB/s for control, and heartbeats take up to 12.7 KB/s beside it. Ruled out: slower heartbeats (the view lease and the detection of silent peers rest on them). Change: the default budget is 14 KB/s per entry.

--- a/core/slots/pacer.go
+++ b/core/slots/pacer.go
@@ -35,8 +35,8 @@
 
 // Times and shares of the pacer.
 const (
-	// DefaultBudget leaves the other control traffic of an entry a fifth of its 28 KB/s.
-	DefaultBudget = 0.8 * 28 * 1024
+	// DefaultBudget leaves the other control traffic of an entry, heartbeats above all, half of its 28 KB/s.
+	DefaultBudget = 0.5 * 28 * 1024
 	paceWindow    = 20 * time.Second // longer than a flood of some seconds
 	paceFrom      = 0.8
 	maxStretch    = 10
