scale: Choose all ports of a run at once

Cause: a freed port was given out again, and an entry could not listen (BenchmarkControl at 1,100 VMs in one region). Ruled out: a fault of the daemon; it said which address was in use.

--- a/system/scale/scale_test.go
+++ b/system/scale/scale_test.go
@@ -119,27 +119,28 @@
 	build := exec.Command("go", "build", "-o", dir, "sassafrasvalve/cmd/sassafrasvalve", "sassafrasvalve/cmd/svfake")
 	out, err := build.CombinedOutput()
 	assert.NilError(b, err, string(out))
-	platform := addrs(b, 1)[0]
+	// All ports are chosen at once: one that was freed may be given out again.
+	free := addrs(b, 1+3*s.Entries)
+	platform := free[0]
 	list := filepath.Join(dir, "vms.json")
 	data, err := json.Marshal(vms(s))
 	assert.NilError(b, err)
 	assert.NilError(b, os.WriteFile(list, data, 0o600))
 	start(b, filepath.Join(dir, "svfake"), "cloud", "--listen", platform, "--vms", list)
 	w := &running{size: s, platform: platform, fleet: config(s)}
-	peers := addrs(b, s.Entries)
-	for i, peer := range peers {
-		w.startEntry(b, dir, platform, peer, peers, i)
+	peers, others := free[1:1+s.Entries], free[1+s.Entries:]
+	for i := range peers {
+		w.startEntry(b, dir, platform, others[2*i:2*i+2], peers, i)
 	}
 	w.client = admin.NewClient(admin.ClientConfig{Entries: w.admins})
 	w.fill(b)
 	return w
 }
 
-func (w *running) startEntry(b *testing.B, dir, platform, peer string, peers []string, i int) {
-	a := addrs(b, 2)
+func (w *running) startEntry(b *testing.B, dir, platform string, a, peers []string, i int) {
 	path := filepath.Join(dir, fmt.Sprintf("entry-%d.toml", i))
 	text := fmt.Sprintf("VM = \"entry-%d\"\nRegion = %q\nDC = \"dc-%d\"\nListen = %q\nPeer = %q\nAdmin = %q\nPeers = [\"%s\"]\nPlatform = \"http://%s\"\nLogLevel = \"error\"\n",
-		i, region(i, w.size), i%4, a[0], peer, a[1], strings.Join(peers, `", "`), platform)
+		i, region(i, w.size), i%4, a[0], peers[i], a[1], strings.Join(peers, `", "`), platform)
 	assert.NilError(b, os.WriteFile(path, []byte(text), 0o600))
 	w.entries = append(w.entries, start(b, filepath.Join(dir, "sassafrasvalve"), "daemon", "--settings", path))
 	w.admins = append(w.admins, "http://"+a[1])
