entry: Log each answered request with its ID and verdict

Cause: only refusals and broken responses were logged, so that an operator could not find what became of a request. Ruled out: info level for all (a flood would fill the log). Change: debug level, and warn for requests that may have run; the keys are in the case of the daemon's other log lines.

--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -74,7 +74,7 @@
 		x.claimed = false
 		x.s.cfg.Claims.Finish(x.key, x.q.id, dedup.Outcome{Verdict: v, Status: status})
 	}
-	x.s.observe(stats.Observation{
+	x.s.observe(x.q.id, stats.Observation{
 		Service: x.q.service.Name, Class: x.q.class.Name, Tenant: x.q.tenant, Verdict: v, Status: status,
 		Reason: reason, Attempts: x.attempts, Wait: x.wait, Total: x.s.now().Sub(x.q.arrived),
 	})
@@ -179,7 +179,7 @@
 	x.isPoison(g.VM, res)
 	x.end(res.Verdict, res.Status, "")
 	if res.Err != nil {
-		x.s.cfg.Log.Info("response broke off", zap.String("id", x.q.id), zap.String("vm", g.VM), zap.Error(res.Err))
+		x.s.cfg.Log.Info("response broke off", zap.String("RequestID", x.q.id), zap.String("VM", g.VM), zap.Error(res.Err))
 		panic(http.ErrAbortHandler)
 	}
 	x.s.budget(x.q.service.Pool, (*retry.Budget).Success)
--- a/io/entry/handle.go
+++ b/io/entry/handle.go
@@ -98,12 +98,22 @@
 		o.Service, o.Class, o.Tenant = q.service.Name, q.class.Name, q.tenant
 		o.Total = s.now().Sub(q.arrived)
 	}
-	s.observe(o)
-	s.cfg.Log.Debug("request refused", zap.String("id", id), zap.String("path", r.URL.Path),
-		zap.String("reason", ref.reason), zap.String("detail", ref.text))
+	s.observe(id, o)
+	s.cfg.Log.Debug("request refused", zap.String("RequestID", id), zap.String("Path", r.URL.Path),
+		zap.String("Reason", ref.reason), zap.String("Detail", ref.text))
 }
 
-func (s *Server) observe(o stats.Observation) {
+// observe counts and logs an answered request. Requests that may have run are logged at warn level,
+// since an operator may be asked about them.
+func (s *Server) observe(id string, o stats.Observation) {
+	level := zap.DebugLevel
+	if o.Verdict == retry.MayHaveRun {
+		level = zap.WarnLevel
+	}
+	s.cfg.Log.Log(level, "request answered", zap.String("RequestID", id), zap.String("Service", o.Service),
+		zap.String("Class", o.Class), zap.String("Tenant", o.Tenant), zap.Stringer("Verdict", o.Verdict),
+		zap.Int("Status", o.Status), zap.String("Reason", o.Reason), zap.Int("Attempts", o.Attempts),
+		zap.Duration("Wait", o.Wait), zap.Duration("Total", o.Total))
 	if s.cfg.Observer != nil {
 		s.cfg.Observer.Observe(o)
 	}
