--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -68,7 +68,7 @@
 		r.Writer = c.d.group.Self()
 		c.d.log.Info("decision", zap.String("Target", target(r)), zap.String("Rule", r.Rule),
 			zap.String("Kind", string(r.Kind)), zap.String("Reason", r.Reason))
-		c.d.submit(r, nil)
+		c.d.submit(r)
 	}
 	for _, vm := range actions.Reboots {
 		b := &reboot{d: c.d, vm: vm}
--- a/io/daemon/jobs.go
+++ b/io/daemon/jobs.go
@@ -124,7 +124,7 @@
 			go r.run(ctx)
 		}
 		for _, rec := range j.abandoned() {
-			j.d.submit(rec, nil)
+			j.d.submit(rec)
 		}
 	}
 }
--- a/io/daemon/loops.go
+++ b/io/daemon/loops.go
@@ -54,11 +54,11 @@
 
 // submit appends a record in the background unless one like it is on its way. Without room
 // the record is dropped: the loop that found it due finds it due again.
-func (d *Daemon) submit(rec fleet.Record, done func(oplog.Outcome)) {
+func (d *Daemon) submit(rec fleet.Record) {
 	if !d.pending.Begin(rec) {
 		return
 	}
-	if !d.submissions.TryPut(&submission{d: d, rec: rec, done: done}) {
+	if !d.submissions.TryPut(&submission{d: d, rec: rec}) {
 		d.pending.End(rec)
 	}
 }
@@ -69,14 +69,14 @@
 	defer tick.Stop()
 	for {
 		if r, due := d.group.Join(); due {
-			d.submit(r, nil)
+			d.submit(r)
 		}
 		for _, r := range d.group.Suspects() {
 			d.suspect(r)
 		}
 		if d.group.Acting() {
 			for _, r := range slices.Concat(d.group.Removals(), d.gone.Due()) {
-				d.submit(r, nil)
+				d.submit(r)
 			}
 		}
 		select {
@@ -112,7 +112,7 @@
 // acknowledge appends the acknowledgement that is due.
 func (d *Daemon) acknowledge() {
 	if r, due := d.group.Ack(d.viewed.Load(), d.pools.inFlight); due {
-		d.submit(r, nil)
+		d.submit(r)
 	}
 }
 
