--- a/cmd/sassafrasvalve/main.go
+++ b/cmd/sassafrasvalve/main.go
@@ -7,9 +7,10 @@
 	"sassafrasvalve/cmds"
 	"sassafrasvalve/demo"
 	"sassafrasvalve/io/daemon"
+	"sassafrasvalve/io/node"
 )
 
 func main() {
 	streams := cmds.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
-	os.Exit(cmds.Main(os.Args, streams, cmds.Runners{RunDaemon: daemon.Main, RunDemo: demo.Main}))
+	os.Exit(cmds.Main(os.Args, streams, cmds.Runners{RunDaemon: daemon.Main, RunEntry: node.Main, RunDemo: demo.Main}))
 }
--- a/cmds/daemon.go
+++ b/cmds/daemon.go
@@ -27,6 +27,22 @@
 	}, &cli.StringFlag{Name: "settings", Required: true, Usage: "TOML file with the settings of this entry"})
 }
 
+// envSettings names the variable in which the platform gives the path of the settings file.
+const envSettings = "SASSAFRASVALVE_BOOT"
+
+// entry returns the command that runs an entry on the platform.
+func (b builder) entry(r Runners) *cli.Command {
+	return b.leaf("entry", "", "Run an entry on the platform until SIGTERM, then stop gracefully", func(ctx context.Context, s *session) error {
+		if r.RunEntry == nil {
+			return failed(ExitFailed, "this build has no entry: use a build of cmd/%s that sets Runners.RunEntry", Name)
+		}
+		return r.RunEntry(ctx, s.cmd.String("settings"))
+	}, &cli.StringFlag{
+		Name: "settings", Required: true, Sources: cli.EnvVars(envSettings),
+		Usage: "TOML file with the settings of this entry",
+	})
+}
+
 // demo returns the command that shows the program at work.
 func (b builder) demo(r Runners) *cli.Command {
 	return b.leaf("demo", "", "Run a fleet of stand-ins on loopback addresses", func(ctx context.Context, s *session) error {
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -42,7 +42,9 @@
 // Their context ends at the first SIGINT or SIGTERM.
 type Runners struct {
 	RunDaemon func(ctx context.Context, s config.Settings) error
-	RunDemo   func(ctx context.Context, out io.Writer) error
+	// RunEntry runs an entry on the platform with the settings file at path.
+	RunEntry func(ctx context.Context, path string) error
+	RunDemo  func(ctx context.Context, out io.Writer) error
 }
 
 // Main runs the command line and returns the exit code. args[0] is the program's name.
@@ -100,7 +102,7 @@
 func newRoot(streams Streams, runners Runners) *cli.Command {
 	b := builder{streams: streams}
 	root := b.group("", "Run entries and drive the fleet",
-		b.daemon(runners), b.demo(runners), b.configs(), b.vms(), b.pools(), b.services(),
+		b.daemon(runners), b.entry(runners), b.demo(runners), b.configs(), b.vms(), b.pools(), b.services(),
 		b.waves(), b.members(), b.jobs(), b.version())
 	root.Name = Name
 	root.Flags = []cli.Flag{
--- /dev/null
+++ b/core/jobs/job.go
@@ -0,0 +1,177 @@
+// Package jobs holds the model of jobs that callers hand in and its fold from the log.
+package jobs
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Job is what a caller handed in. It never changes once it is stored.
+type Job struct {
+	ID         string `msg:"i"`
+	Queue      string `msg:"q"` // name of the queue it was handed in at
+	Service    string `msg:"s"` // pool whose VMs run it, as the queue said at the time
+	Spec       string `msg:"p"`
+	Steps      []Step `msg:"t"`
+	Times      int    `msg:"n"` // occurrences; 0 runs the steps once, at once
+	FirstMs    int64  `msg:"f"` // due time of occurrence 0, unix milliseconds
+	EveryMs    int64  `msg:"e"` // between occurrences
+	AcceptedMs int64  `msg:"a"` // unix milliseconds by the clock of the entry that accepted it
+}
+
+// Step is a number of equal work items of a job.
+type Step struct {
+	Count       int    `msg:"n"`
+	CPU         int64  `msg:"c"` // thousandths of a core for each item
+	MemMB       int64  `msg:"m"`
+	GPU         int64  `msg:"g"`
+	EstimateMs  int64  `msg:"e"` // run time by the caller's estimate
+	After       []int  `msg:"a"` // steps that must be done before this one starts
+	Checkpoint  bool   `msg:"k"`
+	Gang        bool   `msg:"G"`
+	SameRack    bool   `msg:"r"`
+	Speculative bool   `msg:"x"`
+	Persistent  bool   `msg:"P"` // runs until the job is cancelled
+	Fill        bool   `msg:"F"` // its CPU is not counted against the VM
+	Label       string `msg:"l"`
+	DataRack    string `msg:"d"`
+	Image       string `msg:"i"`
+	MaxPerVM    int    `msg:"v"` // items of one occurrence on one VM; 0 means no limit
+	TargetMs    int64  `msg:"T"` // bound of the tail latency that a serving item has to its own users
+	Budget      int    `msg:"b"` // items that the system's acts may keep away at once
+}
+
+// Occurrences returns how many times the steps run.
+func (j *Job) Occurrences() int { return max(j.Times, 1) }
+
+// DueMs returns the due time of occurrence k in unix milliseconds, 0 for a job without times.
+func (j *Job) DueMs(k int) int64 {
+	if j.Times == 0 {
+		return 0
+	}
+	return j.FirstMs + int64(k)*j.EveryMs
+}
+
+// Lasts reports whether the job has an item that runs until the job is cancelled.
+func (j *Job) Lasts() bool {
+	for i := range j.Steps {
+		if j.Steps[i].Persistent {
+			return true
+		}
+	}
+	return false
+}
+
+// WorkMs returns the estimated CPU time of one occurrence in core-milliseconds.
+func (j *Job) WorkMs() int64 {
+	var sum int64
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		sum += int64(s.Count) * s.EstimateMs * (s.CPU + coresPerGPU*s.GPU) / 1000
+	}
+	return sum
+}
+
+// coresPerGPU is the price of a GPU in thousandths of a core, as the platform charges it.
+const coresPerGPU = 8000
+
+// Limits of a job that an entry accepts.
+const (
+	MaxSpecBytes   = 4000   // the platform's limit
+	MaxSteps       = 256    // keeps one progress record well under a log record
+	MaxItems       = 10_000 // of one occurrence
+	MaxOccurrences = 100_000
+	MaxCPU         = 1 << 30 // thousandths of a core
+)
+
+// Check returns the first fault of a job, nil if there is none.
+func (j *Job) Check() error {
+	switch {
+	case len(j.Spec) > MaxSpecBytes:
+		return fmt.Errorf("spec has %d bytes, above %d", len(j.Spec), MaxSpecBytes)
+	case len(j.Steps) == 0:
+		return fmt.Errorf("job %s has no steps", j.ID)
+	case len(j.Steps) > MaxSteps:
+		return fmt.Errorf("job has %d steps, above %d", len(j.Steps), MaxSteps)
+	case j.Times < 0 || j.Times > MaxOccurrences:
+		return fmt.Errorf("job has %d occurrences, outside 0 to %d", j.Times, MaxOccurrences)
+	case j.Times > 1 && j.EveryMs < 0:
+		return fmt.Errorf("interval of %d ms is negative", j.EveryMs)
+	}
+	items := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].check(i); err != nil {
+			return err
+		}
+		items += j.Steps[i].Count
+	}
+	if items > MaxItems {
+		return fmt.Errorf("job has %d work items, above %d", items, MaxItems)
+	}
+	return nil
+}
+
+func (s *Step) check(i int) error {
+	if s.Count < 1 || s.Count > MaxItems {
+		return fmt.Errorf("step %d has %d work items, outside 1 to %d", i, s.Count, MaxItems)
+	}
+	if s.CPU < 0 || s.CPU > MaxCPU || s.MemMB < 0 || s.MemMB > MaxCPU || s.GPU < 0 || s.GPU > MaxCPU || s.EstimateMs < 0 {
+		return fmt.Errorf("step %d asks for a negative or absurd amount", i)
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= i {
+			return fmt.Errorf("step %d comes after step %d, which is not an earlier one", i, a)
+		}
+	}
+	return nil
+}
+
+// ValidID reports whether id has the form of a job's ID: 16 hexadecimal digits.
+func ValidID(id string) bool {
+	if len(id) != 16 {
+		return false
+	}
+	for i := range len(id) {
+		c := id[i]
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// Item names one work item of a job.
+type Item struct {
+	K     int // occurrence
+	Step  int
+	Index int
+}
+
+// Name returns the full name of an item of job id.
+func (it Item) Name(id string) string {
+	b := make([]byte, 0, len(id)+16)
+	b = append(b, id...)
+	for _, n := range [...]int{it.K, it.Step, it.Index} {
+		b = append(b, '.')
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	return string(b)
+}
+
+// ParseItem splits the full name of an item. It returns false for any other string.
+func ParseItem(name string) (id string, it Item, ok bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return "", Item{}, false
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil || v < 0 {
+			return "", Item{}, false
+		}
+		n[i] = v
+	}
+	return parts[0], Item{K: n[0], Step: n[1], Index: n[2]}, true
+}
--- /dev/null
+++ b/core/jobs/progress.go
@@ -0,0 +1,64 @@
+package jobs
+
+// State is what a caller sees of a job.
+type State int
+
+// The states of a job.
+const (
+	Queued State = iota
+	Running
+	Complete
+	Failed
+	Cancelled
+)
+
+// Final reports whether the state never changes again.
+func (s State) Final() bool { return s == Complete || s == Failed || s == Cancelled }
+
+// String returns the state's word in logs.
+func (s State) String() string {
+	switch s {
+	case Queued:
+		return "queued"
+	case Running:
+		return "running"
+	case Complete:
+		return "complete"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	default:
+		return "unknown"
+	}
+}
+
+// Progress is what the owner of a shard records of a job. The newest one counts.
+type Progress struct {
+	Rev   int64       `msg:"r"` // rises with each record of the job
+	State State       `msg:"s"`
+	Base  int         `msg:"b"` // occurrences below it are done and not listed
+	Items []ItemState `msg:"i"` // items that were started at least once
+}
+
+// ItemState is the record of one work item.
+//
+//msgp:tuple ItemState
+type ItemState struct {
+	K      int
+	Step   int
+	Index  int
+	Run    int    // number of its last start
+	VM     string // VM that was told to run it; empty when it runs nowhere
+	Fails  int    // runs that ended failed
+	Done   bool
+	Ref    string // newest checkpoint
+	VMBorn int64  // lifetime of VM, unix milliseconds of its start; 0 when unknown
+}
+
+// Claim is the ownership record of a shard.
+type Claim struct {
+	Epoch  int64  `msg:"e"` // rises with each owner
+	Owner  string `msg:"o"` // empty after a release
+	Reason string `msg:"r"`
+}
--- /dev/null
+++ b/core/pools/pools.go
@@ -0,0 +1,121 @@
+// Package pools holds what is said between the owner of a shard and the VMs of its pool.
+package pools
+
+// VM is an upstream as the platform lists it.
+type VM struct {
+	ID       string
+	Service  string
+	Addr     string
+	DC       string
+	Labels   []string // its kind and its rack
+	Born     int64    // start of its lifetime, unix milliseconds; 0 when not told
+	CPU      int64    // thousandths of a core
+	MemMB    int64
+	GPU      int64
+	Draining bool
+	Gone     bool // its entry was removed
+}
+
+// Has reports whether the VM carries a label.
+func (v *VM) Has(label string) bool {
+	for _, l := range v.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// OrderKind is what an order asks for.
+type OrderKind int
+
+// The kinds of order.
+const (
+	Start OrderKind = iota
+	Stop
+	Pace
+)
+
+// Order is sent to one VM about one run of an item.
+type Order struct {
+	Kind    OrderKind
+	VM      string
+	JobID   string
+	Item    string // full name
+	Run     int
+	Spec    string
+	Ref     string // checkpoint to resume from
+	LeaseMs int64  // end of the lease by the VM's clock; a start that arrives later is refused
+	Fence   int64
+	Percent int // of its speed
+}
+
+// ReplyKind is what became of an order.
+type ReplyKind int
+
+// The kinds of reply. The zero value is the cautious one.
+const (
+	NoReply   ReplyKind = iota // it may be carried out, also seconds later
+	Done                       // carried out
+	Unsent                     // surely never carried out
+	Fenced                     // the VM has seen a higher fence number
+	OldRun                     // the run ended or was stopped there before
+	Late                       // the lease named is over
+	NoRoom                     // it does not fit
+	NoTicket                   // the policy's ticket is missing or over
+	OtherLife                  // the VM is in another lifetime
+	Unwell                     // the VM refuses work and has done nothing
+	Rejected                   // malformed for the VM
+)
+
+// Reply is the answer to an order.
+type Reply struct {
+	Kind    ReplyKind
+	ClockMs int64 // of the VM, 0 when not told
+}
+
+// LookCall asks a VM what it runs.
+type LookCall struct {
+	VM      string
+	Fence   int64
+	Acked   int64 // ends up to it are recorded
+	LeaseMs int64 // new end of the lease by the VM's clock; 0 leaves it
+	WaitMs  int64 // how long the VM waits for an end
+}
+
+// Look is what a VM says of its runs.
+type Look struct {
+	Kind    ReplyKind
+	ClockMs int64
+	Born    int64 // start of the VM's lifetime, unix milliseconds; 0 when not told
+	Running []RunRow
+	Ended   []EndRow
+}
+
+// RunRow is a run that is there.
+type RunRow struct {
+	Item    string
+	Run     int
+	Ref     string // newest checkpoint
+	Percent int    // of its speed at which it works; 100 is at work
+	Load    int64  // tail latency in ms of a serving item, thousandths of a core of any other
+}
+
+// EndKind is how a run ended.
+type EndKind int
+
+// The kinds of end.
+const (
+	EndStopped EndKind = iota // not by its own doing: it may run again
+	EndDone
+	EndFailed
+)
+
+// EndRow is a run that ended.
+type EndRow struct {
+	Seq  int64 // rises within a lifetime
+	Item string
+	Run  int
+	How  EndKind
+	Ref  string
+}
--- /dev/null
+++ b/core/shard/engine.go
@@ -0,0 +1,313 @@
+// Package shard decides, for one shard that this process owns, what runs on which VM.
+// It is pure: no I/O, and the clock is handed in. Times are local milliseconds that also
+// count a suspension of the machine, unless a name says otherwise.
+package shard
+
+import (
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/pools"
+)
+
+// Timing of the orders, in milliseconds.
+const (
+	// leaseMs is how long a VM keeps its runs without word from the owner. It outlives the
+	// detection of a lost owner and the takeover, and ends before the platform's longest lease.
+	leaseMs = 6000
+	// startLeaseMs is how long a start may be under way. One that is carried out later is refused by the VM.
+	startLeaseMs = 1500
+	// contactMs is how long after its last contact with the store an owner prolongs leases.
+	contactMs = 4000
+	// adoptMs bounds the lease that an earlier owner may have given: contactMs + leaseMs, on a
+	// clock that is up to 2% slow, and the time between two looks.
+	adoptMs = 10_500
+	// clockSlow is the rate of the slowest VM clock against a true one.
+	clockSlow = 0.98
+	// silentMs without an answered look ends new work on a VM; looks come back within lookWaitMs.
+	silentMs = 2000
+	// missingMs is how long the entry of a VM may be missing before the VM is given no work.
+	// The platform restores entries that lapsed during an outage within about 2 s.
+	missingMs = 2500
+	// stopRetryMs is the pause before an unanswered stop is repeated.
+	stopRetryMs = 300
+	// roomRetryMs is the pause after a VM refused a start for want of room.
+	roomRetryMs = 150
+	// unwellMs is the pause after a VM refused work as unhealthy.
+	unwellMs = 1000
+	// rejectedMs is the pause before an item that was refused as malformed is sent again.
+	rejectedMs = 1000
+)
+
+// Config is what an engine needs.
+type Config struct {
+	Service  string
+	Epoch    int64 // of the ownership, and the fence number of all orders
+	StatusMs int64 // how long a finished job stays known
+	EarlyMs  int64 // how much before its time an occurrence may start
+	PaceMs   int64 // until an order to pace takes effect
+	HarmMs   int64 // how long a serving item may be over its target
+	NoticeMs int64 // how long an item may be away before it counts against its budget
+}
+
+// Engine is the state of one owned shard. It is not safe for concurrent use.
+type Engine struct {
+	cfg     Config
+	catalog *jobs.Catalog
+	jobs    map[string]*job
+	vms     map[string]*vm
+	dirty   map[string]*job
+	orders  []pools.Order
+	drops   []string // finished jobs to drop from the log
+	done    []finished
+	lost    bool
+	// recording is set while a batch is being appended.
+	recording bool
+	contact   int64 // last time the store answered this owner
+	notes     []Note
+	nextPace  int64
+}
+
+// finished is a job that is kept for callers' questions until a time.
+type finished struct {
+	id   string
+	drop int64
+}
+
+// Note is a decision for the log of the process.
+type Note struct {
+	JobID  string
+	VM     string
+	What   string
+	Reason string
+	N      int
+}
+
+// New returns an engine for a shard that was just claimed.
+func New(cfg Config, catalog *jobs.Catalog, now int64) *Engine {
+	return &Engine{
+		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
+		dirty: map[string]*job{}, contact: now,
+	}
+}
+
+// Lost reports whether a VM has seen a higher fence number: another process owns the shard.
+func (e *Engine) Lost() bool { return e.lost }
+
+// Contact notes that the store answered this owner.
+func (e *Engine) Contact(now int64) { e.contact = max(e.contact, now) }
+
+// SetCatalog puts a configuration in force.
+func (e *Engine) SetCatalog(c *jobs.Catalog) { e.catalog = c }
+
+// TakeOrders returns the orders that are due at once, and forgets them.
+func (e *Engine) TakeOrders() []pools.Order {
+	o := e.orders
+	e.orders = nil
+	return o
+}
+
+// TakeNotes returns the decisions since the last call.
+func (e *Engine) TakeNotes() []Note {
+	n := e.notes
+	e.notes = nil
+	return n
+}
+
+func (e *Engine) note(n Note) { e.notes = append(e.notes, n) }
+
+// Load takes a job over from the log. wall is the time of day in unix milliseconds.
+func (e *Engine) Load(id string, entry *jobs.Entry, now, wall int64) {
+	if entry.Job == nil || e.jobs[id] != nil {
+		return
+	}
+	if entry.Progress.State.Final() {
+		e.done = append(e.done, finished{id, now + e.cfg.StatusMs})
+		return
+	}
+	j := newJob(entry.Job, now, wall)
+	j.rev, j.base = entry.Progress.Rev, entry.Progress.Base
+	j.state, j.saved = entry.Progress.State, entry.Progress.State
+	e.jobs[id] = j
+	j.open(wall, e.cfg.EarlyMs)
+	for _, s := range entry.Progress.Items {
+		e.adopt(j, s, now)
+	}
+	j.recount()
+	if entry.Cancelled {
+		e.Cancel(id, now)
+	}
+}
+
+// adopt restores one item of a job that an earlier owner started.
+func (e *Engine) adopt(j *job, s jobs.ItemState, now int64) {
+	key := jobs.Item{K: s.K, Step: s.Step, Index: s.Index}
+	if s.Step >= len(j.Steps) || s.K < j.base {
+		return
+	}
+	j.openOccurrence(s.K)
+	it := j.items[key]
+	if it == nil {
+		return
+	}
+	it.run, it.fails, it.done, it.ref = s.Run, s.Fails, s.Done, s.Ref
+	if s.VM == "" || s.Done {
+		return
+	}
+	v := e.vm(s.VM)
+	if v.born == 0 {
+		v.born = s.VMBorn
+	}
+	v.riskUntil = max(v.riskUntil, now+adoptMs)
+	v.attach(it)
+	it.phase = adopted
+	it.since = now
+}
+
+// Submit adds a job that was just handed in.
+func (e *Engine) Submit(entry *jobs.Entry, now, wall int64) {
+	if entry.Job != nil {
+		e.Load(entry.Job.ID, entry, now, wall)
+	}
+}
+
+// Cancel ends a job. Its runs are stopped, and none starts from now on.
+func (e *Engine) Cancel(id string, now int64) {
+	j := e.jobs[id]
+	if j == nil || j.state.Final() {
+		return
+	}
+	j.state = jobs.Cancelled
+	e.retire(j, now)
+	e.note(Note{JobID: id, What: "cancel", N: j.active()})
+}
+
+// retire stops what runs of a job that is over, and forgets the job once nothing runs.
+func (e *Engine) retire(j *job, now int64) {
+	for _, it := range j.order {
+		switch it.phase {
+		case idle, planned:
+		default:
+			e.stop(it, now)
+		}
+	}
+	e.forgetIfOver(j, now)
+}
+
+func (e *Engine) forgetIfOver(j *job, now int64) {
+	if !j.state.Final() || j.active() > 0 {
+		return
+	}
+	if j.state != jobs.Cancelled && j.saved != j.state {
+		return // its last record is not written yet
+	}
+	if e.jobs[j.ID] == j {
+		delete(e.jobs, j.ID)
+		e.done = append(e.done, finished{j.ID, now + e.cfg.StatusMs})
+	}
+}
+
+// stop asks the VM of an item to end its run, or never to begin it.
+func (e *Engine) stop(it *item, now int64) {
+	if it.vm == nil || it.phase == stopping {
+		return
+	}
+	it.phase = stopping
+	it.since = now
+	it.stopAcked = 0
+	e.sendStop(it, now)
+}
+
+func (e *Engine) sendStop(it *item, now int64) {
+	it.stopSent = now
+	e.orders = append(e.orders, pools.Order{
+		Kind: pools.Stop, VM: it.vm.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Fence: e.cfg.Epoch,
+	})
+}
+
+// SetVMs takes the VMs over as the platform lists them. A VM that is no longer listed gets no new work after a while.
+func (e *Engine) SetVMs(listed []pools.VM, now int64) {
+	seen := make(map[string]bool, len(listed))
+	for i := range listed {
+		l := &listed[i]
+		if l.Service != e.cfg.Service {
+			continue
+		}
+		seen[l.ID] = true
+		v := e.vm(l.ID)
+		if l.Born != 0 && v.born != 0 && l.Born > v.born {
+			e.endLife(v, l.Born, now)
+		}
+		if v.born == 0 {
+			v.born = l.Born
+		}
+		wasDraining := v.Draining
+		v.VM, v.listed, v.missing = *l, true, 0
+		v.rack = rackOf(l.Labels)
+		if l.Draining && !wasDraining {
+			e.evacuate(v, now)
+		}
+	}
+	for id, v := range e.vms {
+		if v.listed && !seen[id] {
+			if v.missing == 0 {
+				v.missing = now
+			} else if now-v.missing > missingMs {
+				v.listed = false
+				e.note(Note{VM: id, What: "vm gone", Reason: "its entry is missing"})
+			}
+		}
+		if !v.listed && len(v.runs) == 0 && v.foreign == 0 {
+			delete(e.vms, id)
+		}
+	}
+}
+
+// evacuate moves what lasts off a VM that is leaving; the rest may finish there.
+func (e *Engine) evacuate(v *vm, now int64) {
+	for _, it := range v.runs {
+		if it.step.Persistent && it.phase == running {
+			e.stop(it, now)
+		}
+	}
+	e.note(Note{VM: v.ID, What: "vm draining", N: len(v.runs)})
+}
+
+// endLife frees everything on a VM whose lifetime ended. born is the start of its next one, 0 if unknown.
+func (e *Engine) endLife(v *vm, born, now int64) {
+	e.note(Note{VM: v.ID, What: "vm lifetime ended", N: len(v.runs)})
+	for _, it := range v.runs {
+		e.free(it, now)
+	}
+	v.newLife(born)
+}
+
+func (e *Engine) vm(id string) *vm {
+	v := e.vms[id]
+	if v == nil {
+		v = &vm{VM: pools.VM{ID: id}, runs: map[string]*item{}}
+		e.vms[id] = v
+	}
+	return v
+}
+
+// free takes an item off its VM, so that it may run elsewhere.
+func (e *Engine) free(it *item, now int64) {
+	if it.vm != nil {
+		it.vm.detach(it)
+	}
+	it.phase = idle
+	it.since = now
+	if it.job.state.Final() {
+		e.forgetIfOver(it.job, now)
+	}
+}
+
+// VMs returns the listed VMs, for the loops that talk to them.
+func (e *Engine) VMs() []pools.VM {
+	list := make([]pools.VM, 0, len(e.vms))
+	for _, v := range e.vms {
+		if v.listed {
+			list = append(list, v.VM)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/core/shard/look.go
@@ -0,0 +1,290 @@
+package shard
+
+import (
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/pools"
+)
+
+// LookWaitMs is how long a VM may hold a look back until something ends. A shorter wait costs
+// calls, a longer one delays the detection of silence.
+const LookWaitMs = 700
+
+// NextLook returns the look to send to a VM. It returns false for a VM that is no longer listed.
+func (e *Engine) NextLook(id string, now int64) (pools.LookCall, bool) {
+	v := e.vms[id]
+	if v == nil || !v.listed {
+		return pools.LookCall{}, false
+	}
+	c := pools.LookCall{VM: id, Fence: e.cfg.Epoch, Acked: v.acked}
+	if !v.met || v.failing {
+		return c, true // its clock is not known, or it may have changed
+	}
+	if now-e.contact < contactMs {
+		c.LeaseMs = v.clockNow(now) + leaseMs
+		v.lease = max(v.lease, c.LeaseMs)
+	}
+	if v.acked >= v.seen {
+		c.WaitMs = LookWaitMs
+	}
+	return c, true
+}
+
+// LookFailed notes that a look brought no answer.
+func (e *Engine) LookFailed(id string, now int64) {
+	if v := e.vms[id]; v != nil && !v.failing {
+		v.failing = true
+		e.note(Note{VM: id, What: "vm silent", N: len(v.runs)})
+	}
+}
+
+// Looked takes over what a VM said. begun is when the look was sent.
+// It returns whether the next plan may differ from the last one.
+func (e *Engine) Looked(id string, look pools.Look, begun, now int64) bool {
+	v := e.vms[id]
+	if v == nil {
+		return false
+	}
+	switch look.Kind {
+	case pools.Done:
+	case pools.Fenced:
+		e.lost = true
+		return true
+	case pools.OtherLife:
+		e.endLife(v, 0, now)
+		v.failing = true
+		return true
+	default:
+		e.LookFailed(id, now)
+		return false
+	}
+	if look.Born != 0 && v.born != 0 && look.Born != v.born {
+		if look.Born < v.born {
+			return false // of a lifetime that is over
+		}
+		e.endLife(v, look.Born, now)
+	}
+	news := !v.met || v.failing || len(look.Ended) > 0
+	before := len(v.runs)
+	if v.born == 0 {
+		v.born = look.Born
+	}
+	if v.failing {
+		e.note(Note{VM: id, What: "vm answers again", N: len(v.runs)})
+	}
+	v.met, v.failing, v.lastLook = true, false, now
+	if look.ClockMs >= v.clock {
+		v.clock, v.clockAt = look.ClockMs, now
+	}
+	for _, end := range look.Ended {
+		if end.Seq > v.seen {
+			v.seen = end.Seq
+			e.ended(v, end, now)
+		}
+	}
+	e.compare(v, look.Running, begun, now)
+	e.ackIfClean()
+	return news || len(v.runs) != before || len(e.orders) > 0
+}
+
+// Behind reports whether a VM has listed ends that are not recorded yet.
+func (e *Engine) Behind(id string) bool {
+	v := e.vms[id]
+	return v != nil && v.acked < v.seen
+}
+
+// compare sets what runs on a VM against what should.
+func (e *Engine) compare(v *vm, rows []pools.RunRow, begun, now int64) {
+	there := make(map[string]bool, len(rows))
+	v.foreign = 0
+	for i := range rows {
+		r := &rows[i]
+		it := v.runs[r.Item]
+		if it == nil || it.run != r.Run {
+			v.foreign++
+			e.stopForeign(v, r)
+			continue
+		}
+		there[r.Item] = true
+		e.observe(it, r, now)
+	}
+	for name, it := range v.runs {
+		if !there[name] && it.overWithout(begun) {
+			e.note(Note{JobID: it.job.ID, VM: v.ID, What: "run missing", Reason: phaseNames[it.phase], N: it.run})
+			e.free(it, now)
+		}
+	}
+}
+
+// phaseNames are the words of the phases in logs.
+var phaseNames = map[phase]string{
+	idle: "idle", planned: "planned", sent: "sent", running: "running", adopted: "adopted", stopping: "stopping",
+}
+
+// overWithout reports whether an item that a look did not show is surely not on its VM.
+// begun is when the look was sent: an earlier one may have overtaken the order.
+func (it *item) overWithout(begun int64) bool {
+	switch it.phase {
+	case running:
+		return it.startedAt < begun
+	case adopted:
+		return true // the look raised the fence number, which bars every earlier order
+	case stopping:
+		return it.stopAcked > 0 && it.stopAcked < begun
+	default:
+		return false
+	}
+}
+
+// observe takes over what a VM says of one run.
+func (e *Engine) observe(it *item, r *pools.RunRow, now int64) {
+	switch it.phase {
+	case sent, adopted:
+		it.phase, it.startedAt, it.since, it.movedAt = running, now, now, now
+	default:
+	}
+	if it.job.state.Final() || it.done {
+		e.stop(it, now)
+	}
+	if r.Percent != it.percent {
+		it.percent, it.movedAt = r.Percent, now
+	}
+	it.load = r.Load
+	if r.Ref != "" {
+		it.ref = r.Ref
+	}
+}
+
+// stopForeign ends a run that no item here accounts for.
+func (e *Engine) stopForeign(v *vm, r *pools.RunRow) {
+	id, _, _ := jobs.ParseItem(r.Item)
+	e.note(Note{JobID: id, VM: v.ID, What: "stop unknown run", N: r.Run})
+	e.orders = append(e.orders, pools.Order{
+		Kind: pools.Stop, VM: v.ID, JobID: id, Item: r.Item, Run: r.Run, Fence: e.cfg.Epoch,
+	})
+}
+
+// ended takes over the end of a run.
+func (e *Engine) ended(v *vm, end pools.EndRow, now int64) {
+	id, key, ok := jobs.ParseItem(end.Item)
+	if !ok {
+		return
+	}
+	j := e.jobs[id]
+	if j == nil {
+		return
+	}
+	it := j.items[key]
+	if it == nil {
+		return
+	}
+	current := it.vm == v && it.run == end.Run
+	if end.Ref != "" && !it.done {
+		it.ref = end.Ref
+	}
+	if current {
+		e.free(it, now)
+	}
+	if j.state.Final() || it.done {
+		return
+	}
+	switch end.How {
+	case pools.EndDone:
+		v.result(false)
+		if !it.step.Persistent {
+			e.finish(j, it, now)
+		}
+	case pools.EndFailed:
+		if current {
+			e.failed(j, it, v, now)
+		}
+	case pools.EndStopped:
+		if it.ref != "" {
+			e.touch(j)
+		}
+		if current && it.step.Gang {
+			e.breakGang(j, it, now)
+		}
+	}
+}
+
+// finish marks an item, or the whole gang that it belongs to, as done.
+func (e *Engine) finish(j *job, it *item, now int64) {
+	for _, m := range j.members(it) {
+		if m.done {
+			continue
+		}
+		m.done = true
+		j.left[[2]int{m.K, m.Step}]--
+		if m.vm != nil && m.phase != planned {
+			e.stop(m, now)
+		}
+	}
+	e.touch(j)
+	j.trim()
+	if j.complete() {
+		j.state = jobs.Complete
+		e.retire(j, now)
+	}
+}
+
+// members returns the items that end together with it: itself, or its gang.
+func (j *job) members(it *item) []*item {
+	if !it.step.Gang {
+		return []*item{it}
+	}
+	list := make([]*item, 0, it.step.Count)
+	for i := range it.step.Count {
+		if m := j.items[jobs.Item{K: it.K, Step: it.Step, Index: i}]; m != nil {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// breakGang stops the other members of a gang of which one ended.
+func (e *Engine) breakGang(j *job, it *item, now int64) {
+	for _, m := range j.members(it) {
+		m.ref = it.ref
+		if m.vm != nil && m.phase != planned {
+			e.stop(m, now)
+		}
+	}
+}
+
+// failed counts a failed run, and fails the job once there were as many as its queue allows.
+func (e *Engine) failed(j *job, it *item, v *vm, now int64) {
+	it.fails++
+	it.avoid = append(it.avoid, v.ID)
+	e.touch(j)
+	e.judge(v, v.result(true), now)
+	if it.step.Gang {
+		e.breakGang(j, it, now)
+	}
+	if it.step.Persistent {
+		return
+	}
+	fails := 0
+	for _, m := range j.members(it) {
+		fails += m.fails
+	}
+	q := e.catalog.Queue(j.Queue)
+	if q == nil || q.Attempts <= 0 || fails < q.Attempts {
+		return
+	}
+	j.state = jobs.Failed
+	e.note(Note{JobID: j.ID, VM: v.ID, What: "job failed", Reason: "all attempts of " + it.name + " failed", N: fails})
+	e.retire(j, now)
+}
+
+// touch has the progress of a job recorded.
+func (e *Engine) touch(j *job) { e.dirty[j.ID] = j }
+
+// ackIfClean lets the VMs forget ends of which nothing needs to be recorded.
+func (e *Engine) ackIfClean() {
+	if len(e.dirty) > 0 || e.recording {
+		return
+	}
+	for _, v := range e.vms {
+		v.acked = max(v.acked, v.seen)
+	}
+}
--- /dev/null
+++ b/core/shard/plan.go
@@ -0,0 +1,171 @@
+package shard
+
+import (
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/pools"
+)
+
+// Batch is what has to be recorded before any of its starts is sent.
+type Batch struct {
+	Records []jobs.Record
+	starts  []start
+	touched []recorded
+	acks    map[string]int64 // by VM: ends that the records account for
+}
+
+// start is one planned start.
+type start struct {
+	it  *item
+	run int
+	vm  *vm
+}
+
+// recorded is a job whose progress is in a batch.
+type recorded struct {
+	job   *job
+	state jobs.State
+}
+
+// maxBatchBytes keeps a batch under the size of one call to the log.
+const maxBatchBytes = 1 << 20
+
+// Plan decides what starts now and returns what has to be recorded first, nil if there is nothing.
+// It must not be called again before Committed or Abandoned. wall is the time of day in unix milliseconds.
+func (e *Engine) Plan(now, wall int64) (*Batch, error) {
+	e.tick(now, wall)
+	b := &Batch{acks: map[string]int64{}}
+	b.starts = e.place(now)
+	if len(e.dirty) == 0 && len(e.drops) == 0 {
+		return nil, nil
+	}
+	size := 0
+	for id, j := range e.dirty {
+		if size > maxBatchBytes {
+			break
+		}
+		j.rev++
+		p := j.progress()
+		value, err := p.MarshalMsg(nil)
+		if err != nil {
+			return nil, err
+		}
+		size += len(value)
+		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id), Value: value})
+		b.touched = append(b.touched, recorded{j, j.state})
+		delete(e.dirty, id)
+	}
+	for _, id := range e.drops {
+		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id)}, jobs.Record{Key: jobs.CancelKey(id)},
+			jobs.Record{Key: jobs.JobKey(id)})
+	}
+	e.drops = nil
+	if len(e.dirty) == 0 {
+		for id, v := range e.vms {
+			b.acks[id] = v.seen
+		}
+	}
+	e.recording = true
+	return b, nil
+}
+
+// Committed returns the orders of a batch that is stored.
+func (e *Engine) Committed(b *Batch, now int64) []pools.Order {
+	e.recording = false
+	e.contact = now
+	for id, seq := range b.acks {
+		if v := e.vms[id]; v != nil && seq <= v.seen {
+			v.acked = max(v.acked, seq)
+		}
+	}
+	var orders []pools.Order
+	for _, s := range b.starts {
+		it := s.it
+		if it.phase != planned || it.run != s.run || it.vm != s.vm {
+			continue // freed meanwhile
+		}
+		if it.job.state.Final() || it.done || !s.vm.usable(now) {
+			e.free(it, now)
+			continue
+		}
+		it.phase, it.since = sent, now
+		lease := s.vm.clockNow(now) + startLeaseMs
+		s.vm.lease = max(s.vm.lease, lease)
+		orders = append(orders, pools.Order{
+			Kind: pools.Start, VM: s.vm.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Spec: it.job.Spec,
+			Ref: it.ref, LeaseMs: lease, Fence: e.cfg.Epoch,
+		})
+	}
+	for _, r := range b.touched {
+		r.job.saved = r.state
+		e.forgetIfOver(r.job, now)
+	}
+	return orders
+}
+
+// Replied takes over what became of an order.
+func (e *Engine) Replied(o pools.Order, r pools.Reply, now int64) {
+	v := e.vms[o.VM]
+	if v == nil {
+		return
+	}
+	switch r.Kind {
+	case pools.Fenced:
+		e.lost = true
+		return
+	case pools.OtherLife:
+		e.endLife(v, 0, now)
+		v.failing = true
+		return
+	default:
+	}
+	it := v.runs[o.Item]
+	if it == nil || it.run != o.Run {
+		return
+	}
+	switch o.Kind {
+	case pools.Start:
+		e.startReplied(it, v, r, now)
+	case pools.Stop:
+		if r.Kind == pools.Done {
+			it.stopAcked = now
+		}
+	case pools.Pace:
+		if r.Kind != pools.Done {
+			it.paceSent = 0 // said again at the next turn
+		}
+	}
+}
+
+func (e *Engine) startReplied(it *item, v *vm, r pools.Reply, now int64) {
+	if it.phase != sent {
+		return
+	}
+	switch r.Kind {
+	case pools.Done:
+		it.phase, it.since, it.startedAt, it.movedAt = running, now, now, now
+		it.percent = 0
+		if it.job.state.Final() || it.done {
+			e.stop(it, now)
+		}
+		return
+	case pools.NoReply:
+		e.note(Note{JobID: it.job.ID, VM: v.ID, What: "start unanswered", N: it.run})
+		e.stop(it, now)
+		return
+	case pools.NoRoom:
+		v.fullUntil = now + roomRetryMs
+	case pools.Unwell:
+		v.badUntil = now + unwellMs
+	case pools.Rejected:
+		it.notBefore = now + rejectedMs
+	default:
+	}
+	e.note(Note{JobID: it.job.ID, VM: v.ID, What: "start refused", Reason: replyNames[r.Kind], N: it.run})
+	e.free(it, now)
+}
+
+// replyNames are the words of refusals in logs.
+var replyNames = map[pools.ReplyKind]string{
+	pools.Unsent: "not sent", pools.OldRun: "run is over", pools.Late: "came late", pools.NoRoom: "no room",
+	pools.NoTicket: "no ticket", pools.Unwell: "unhealthy", pools.Rejected: "malformed",
+}
--- /dev/null
+++ b/io/feed/feed.go
@@ -0,0 +1,123 @@
+// Package feed follows a keyed topic that others write.
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/clock"
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/platform"
+)
+
+// Pace of the reads.
+const (
+	// readSlack is how long an answer may take beyond the wait asked for.
+	readSlack = 800 * time.Millisecond
+	// retryPause is the pause after a failed read.
+	retryPause = 150 * time.Millisecond
+	// loadTimeout bounds a reload of the topic.
+	loadTimeout = 4 * time.Second
+)
+
+// Reader is what a feed reads from.
+type Reader interface {
+	Read(r platform.Read) (platform.Page, error)
+	Newest(topic string, part int, deadline time.Time) (platform.Page, error)
+}
+
+// Config is what a feed needs.
+type Config struct {
+	Store Reader
+	Topic string
+	Wait  time.Duration // how long the store holds a read back
+	Pause time.Duration // between two reads
+	Log   *zap.Logger
+	// Take gets the records in order. whole is set if they are all that the topic holds.
+	Take func(records []jobs.Record, whole bool)
+}
+
+// Feed follows partition 0 of a topic.
+type Feed struct {
+	cfg     Config
+	cursor  int64
+	freshAt atomic.Int64
+	failed  atomic.Bool
+}
+
+// New returns a feed that has read nothing yet.
+func New(cfg Config) *Feed { return &Feed{cfg: cfg, cursor: -1} }
+
+// FreshAt returns the local ms at which the newest answered read was sent, 0 before the first.
+func (f *Feed) FreshAt() int64 { return f.freshAt.Load() }
+
+// Failed reports whether the last read brought no answer.
+func (f *Feed) Failed() bool { return f.failed.Load() }
+
+// Cursor returns the offset of the next read. It may be called by Take only.
+func (f *Feed) Cursor() int64 { return f.cursor }
+
+// Run follows the topic until ctx ends.
+func (f *Feed) Run(ctx context.Context) { f.loop(ctx) }
+
+func (f *Feed) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.cfg.Pause
+		err := f.Step(f.cfg.Wait)
+		if err != nil {
+			pause = retryPause
+		}
+		if was := f.failed.Swap(err != nil); was != (err != nil) {
+			if err != nil {
+				f.cfg.Log.Warn("topic cannot be read", zap.String("topic", f.cfg.Topic), zap.Error(err))
+			} else {
+				f.cfg.Log.Info("topic can be read again", zap.String("topic", f.cfg.Topic))
+			}
+		}
+		if pause == 0 {
+			continue
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// Step reads once. It must not run beside Run.
+func (f *Feed) Step(wait time.Duration) error {
+	begun := clock.BootMs()
+	if f.cursor >= 0 {
+		page, err := f.cfg.Store.Read(platform.Read{
+			Topic: f.cfg.Topic, From: f.cursor, WaitMs: wait.Milliseconds(), Deadline: time.Now().Add(wait + readSlack),
+		})
+		if err != nil {
+			return err
+		}
+		if !page.Lost {
+			f.cursor = page.Next
+			if len(page.Records) > 0 {
+				f.cfg.Take(page.Records, false)
+			}
+			if page.Next >= page.End {
+				f.freshAt.Store(begun)
+			}
+			return nil
+		}
+		f.cfg.Log.Info("topic reloaded: the records at the offset are no longer kept",
+			zap.String("topic", f.cfg.Topic), zap.Int64("offset", f.cursor))
+	}
+	page, err := f.cfg.Store.Newest(f.cfg.Topic, 0, time.Now().Add(loadTimeout))
+	if err != nil {
+		return err
+	}
+	f.cursor = page.Next
+	f.cfg.Take(page.Records, true)
+	f.freshAt.Store(begun)
+	return nil
+}
--- /dev/null
+++ b/io/node/catalog.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/clock"
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/io/feed"
+	"sassafrasvalve/platform"
+)
+
+// catalog keeps the operator's newest configuration.
+type catalog struct {
+	log     *zap.Logger
+	feed    *feed.Feed
+	current atomic.Pointer[jobs.Catalog]
+}
+
+// take folds records of the operator's topic. A lower version than the present one is ignored.
+func (c *catalog) take(records []jobs.Record, _ bool) {
+	for _, r := range records {
+		next, err := platform.DecodeCatalog(r)
+		if err != nil {
+			c.log.Warn("configuration ignored", zap.Error(err))
+			continue
+		}
+		if next == nil {
+			continue
+		}
+		if old := c.current.Load(); old != nil && next.Version <= old.Version {
+			continue
+		}
+		c.current.Store(next)
+		c.log.Info("configuration in force", zap.Int64("version", next.Version), zap.Int("queues", len(next.Queues)))
+	}
+}
+
+// Catalog returns the configuration, nil before the first, and its age in ms.
+func (c *catalog) Catalog() (*jobs.Catalog, int64) {
+	return c.current.Load(), clock.BootMs() - c.feed.FreshAt()
+}
+
+// Current returns the configuration, nil before the first.
+func (c *catalog) Current() *jobs.Catalog { return c.current.Load() }
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"sassafrasvalve/core/shard"
+	"sassafrasvalve/io/desk"
+	"sassafrasvalve/io/feed"
+	"sassafrasvalve/io/owner"
+	"sassafrasvalve/io/regis"
+	"sassafrasvalve/io/tail"
+	"sassafrasvalve/platform"
+)
+
+// Life cycle of an entry.
+const (
+	// configWait is how long the store holds a read of the configuration back. Its age decides whether
+	// requests are served, so it stays well under the bound on the age.
+	configWait = 900 * time.Millisecond
+	// leaveWait is how long an entry that is no longer ready goes on accepting, until the balancer has
+	// missed two checks.
+	leaveWait = 2300 * time.Millisecond
+	// finishWait bounds the wait for open requests at a stop.
+	finishWait = 2500 * time.Millisecond
+	// readyAge is the age of the configuration, in ms, up to which an entry reports itself ready.
+	readyAge = 2500
+	// memoryShare is the part of the memory limit that the runtime keeps to, in percent.
+	memoryShare = 70
+	// gcPercent trades memory, which is priced at its peak, against processor time.
+	gcPercent = 100
+	// headerTimeout and idleTimeout hold until a configuration sets others.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+)
+
+// Node is one entry on the platform.
+type Node struct {
+	cfg     *Settings
+	log     *zap.Logger
+	member  string
+	store   *platform.Store
+	catalog *catalog
+	shards  *shards
+	regis   *regis.Registry
+	stats   *owner.Stats
+	metrics metrics.Registry
+	owned   atomic.Int64
+	leaving atomic.Bool
+
+	ctx          context.Context // of the followers and of owners
+	owners       sync.WaitGroup
+	cancelOwners context.CancelFunc
+	ownersCtx    context.Context
+}
+
+// Main runs an entry with the settings at path until ctx ends, then stops it gracefully.
+func Main(ctx context.Context, path string) error {
+	s, err := LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	n, err := New(s)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+// New returns an entry that does not run yet.
+func New(s *Settings) (*Node, error) {
+	log, err := newLogger(s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(s.MemoryMB * memoryShare / 100 << 20)
+	}
+	debug.SetGCPercent(gcPercent)
+	registry := metrics.NewRegistry()
+	n := &Node{
+		cfg: s, log: log, member: fmt.Sprintf("%s#%d", s.Node, time.Now().UnixMilli()),
+		store: platform.NewStore(s.Store.Addr), metrics: registry, stats: owner.NewStats(registry),
+	}
+	n.catalog = &catalog{log: log}
+	n.catalog.feed = feed.New(feed.Config{
+		Store: n.store, Topic: platform.TopicOperator, Wait: configWait, Log: log, Take: n.catalog.take,
+	})
+	n.shards = newShards(shardsConfig{Store: n.store, Parts: s.Store.Parts, Log: log, Open: n.open})
+	return n, nil
+}
+
+// newLogger returns a logger that writes JSON lines to standard output.
+func newLogger(level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("LogLevel: %w", err)
+	}
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.EpochMillisTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stdout), l)
+	return zap.New(core), nil
+}
+
+// Run serves until ctx ends, then hands the shards over, finishes open requests and returns.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("entry starts", zap.String("member", n.member), zap.String("dc", n.cfg.DC))
+	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.ctx = base
+	n.ownersCtx, n.cancelOwners = context.WithCancel(base)
+	n.regis = regis.New(base, regis.Config{Store: n.store, Log: n.log})
+	front, err := net.Listen("tcp", n.cfg.Front)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	ready, err := net.Listen("tcp", n.cfg.Ready)
+	if err != nil {
+		return fmt.Errorf("listen for readiness checks: %w", err)
+	}
+	go n.catalog.feed.Run(base)
+	go n.shards.loop(base, n.catalog.Current)
+	d := desk.New(desk.Config{Store: n.store, Catalog: n.catalog, Shards: n.shards, Log: n.log, Stats: n.stats})
+	server := &http.Server{
+		Handler: &platform.Front{Desk: d}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+	checks := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 3)
+	go n.serve(server, front, failed)
+	go n.serve(checks, ready, failed)
+	n.serveMetrics(failed)
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return err
+	}
+	n.stop(server)
+	_ = checks.Close() // the process ends
+	n.log.Info("entry stops", zap.String("member", n.member))
+	return nil
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener, failed chan<- error) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		failed <- err
+	}
+}
+
+// stop ends an entry gracefully: shards first, since nothing is placed until another owner has them.
+func (n *Node) stop(server *http.Server) {
+	n.log.Info("stop requested", zap.Int64("owned", n.owned.Load()))
+	n.leaving.Store(true)
+	n.cancelOwners()
+	until := time.Now().Add(leaveWait)
+	n.owners.Wait()
+	time.Sleep(time.Until(until))
+	ctx, cancel := context.WithTimeout(context.Background(), finishWait)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		n.log.Warn("requests open at the end of the stop", zap.Error(err))
+	}
+}
+
+// open follows a shard and takes part in its ownership.
+func (n *Node) open(service string, t *tail.Tail) {
+	go t.Run(n.ctx)
+	o := owner.New(owner.Config{
+		Member: n.member, Service: service, Part: t.Part(), Store: n.store, Tail: t, Pool: n.regis,
+		Catalog: n.catalog.Current, Owned: &n.owned, Log: n.log, Stats: n.stats,
+		Engine: shard.Config{
+			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
+			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs,
+		},
+	})
+	n.owners.Add(1)
+	go func() {
+		defer n.owners.Done()
+		o.Run(n.ownersCtx)
+	}()
+}
+
+// statusMargin is how much longer than asked a finished job stays known, in ms.
+const statusMargin = 20_000
+
+// serveReady answers the balancer's checks.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := n.unready(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) unready() string {
+	c, age := n.catalog.Catalog()
+	switch {
+	case n.leaving.Load():
+		return "the entry is stopping"
+	case c == nil:
+		return "no configuration has been read yet"
+	case age > readyAge:
+		return "the configuration cannot be read at present"
+	}
+	for i := range c.Queues {
+		t := n.shards.Tail(c.Queues[i].Service)
+		if t == nil || t.View().Cursor < 0 {
+			return "a shard has not been read yet"
+		}
+	}
+	return ""
+}
+
+// serveMetrics serves counters and histograms as text, if the settings name an address.
+func (n *Node) serveMetrics(failed chan<- error) {
+	addr, path, _ := strings.Cut(n.cfg.Metrics, "/")
+	if addr == "" {
+		return
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		n.log.Error("metrics are not served", zap.Error(err))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/"+path, func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WriteOnce(n.metrics, w)
+	})
+	go n.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, l, failed)
+}
+
+var _ desk.Catalog = (*catalog)(nil)
--- /dev/null
+++ b/io/node/shards.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/io/feed"
+	"sassafrasvalve/io/tail"
+	"sassafrasvalve/platform"
+)
+
+// Pace of the shards' directory.
+const (
+	// directoryPause is the pause between two reads of the directory, which changes with new services only.
+	directoryPause = 2 * time.Second
+	// directoryRetry replaces it while a service has no shard.
+	directoryRetry = 20 * time.Millisecond
+	// directoryTimeout bounds an append to the directory.
+	directoryTimeout = 700 * time.Millisecond
+)
+
+// shards is the directory of which service has which partition. An entry of it never changes.
+type shards struct {
+	cfg   shardsConfig
+	feed  *feed.Feed
+	mu    sync.Mutex
+	parts map[string]int
+	tails map[string]*tail.Tail
+}
+
+// shardsConfig is what the directory needs.
+type shardsConfig struct {
+	Store *platform.Store
+	Parts int
+	Log   *zap.Logger
+	// Open begins to follow a shard.
+	Open func(service string, t *tail.Tail)
+}
+
+func newShards(cfg shardsConfig) *shards {
+	s := &shards{cfg: cfg, parts: map[string]int{}, tails: map[string]*tail.Tail{}}
+	s.feed = feed.New(feed.Config{Store: cfg.Store, Topic: platform.TopicShards, Log: cfg.Log, Take: s.take})
+	return s
+}
+
+func (s *shards) take(records []jobs.Record, _ bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		part, err := strconv.Atoi(string(r.Value))
+		if err != nil || r.Key == "" {
+			s.cfg.Log.Warn("entry of the shards' directory ignored", zap.String("service", r.Key), zap.Error(err))
+			continue
+		}
+		if _, known := s.parts[r.Key]; known {
+			continue
+		}
+		s.parts[r.Key] = part
+		t := tail.New(tail.Config{Store: s.cfg.Store, Part: part, Log: s.cfg.Log})
+		s.tails[r.Key] = t
+		s.cfg.Log.Info("shard found", zap.String("service", r.Key), zap.Int("shard", part))
+		s.cfg.Open(r.Key, t)
+	}
+}
+
+// Tail returns the tail of a service's shard, nil if it has none yet.
+func (s *shards) Tail(service string) *tail.Tail {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tails[service]
+}
+
+// All returns the tails of all shards.
+func (s *shards) All() []*tail.Tail {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*tail.Tail, 0, len(s.tails))
+	for _, t := range s.tails {
+		list = append(list, t)
+	}
+	return list
+}
+
+// loop keeps the directory complete: a service that a queue names gets the lowest free partition.
+func (s *shards) loop(ctx context.Context, catalog func() *jobs.Catalog) {
+	for ctx.Err() == nil {
+		pause := directoryPause
+		if err := s.feed.Step(0); err != nil {
+			pause = directoryRetry * 10
+		} else if service := s.missing(catalog()); service != "" {
+			s.add(service)
+			pause = directoryRetry
+		} else if catalog() == nil {
+			pause = directoryRetry
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// missing returns a service without a shard, empty if there is none.
+func (s *shards) missing(c *jobs.Catalog) string {
+	if c == nil {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for i := range c.Queues {
+		if _, known := s.parts[c.Queues[i].Service]; !known {
+			names = append(names, c.Queues[i].Service)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	sort.Strings(names)
+	return names[0]
+}
+
+// add writes an entry behind all that this process has read, so that one process alone succeeds.
+func (s *shards) add(service string) {
+	part := s.lowestFree()
+	if part < 0 {
+		s.cfg.Log.Error("no partition is left for a service", zap.String("service", service), zap.Int("partitions", s.cfg.Parts))
+		return
+	}
+	res, err := s.cfg.Store.Append(platform.Append{
+		Topic: platform.TopicShards, At: s.feed.Cursor(), Deadline: time.Now().Add(directoryTimeout),
+		Records: []jobs.Record{{Key: service, Value: []byte(strconv.Itoa(part))}},
+	})
+	if err != nil {
+		s.cfg.Log.Warn("entry of the shards' directory not confirmed", zap.String("service", service), zap.Error(err))
+		return
+	}
+	s.cfg.Log.Info("shard given to a service", zap.String("service", service), zap.Int("shard", part),
+		zap.Bool("stored", res.Outcome == platform.Appended))
+}
+
+func (s *shards) lowestFree() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := map[int]bool{}
+	for _, p := range s.parts {
+		taken[p] = true
+	}
+	for p := range s.cfg.Parts {
+		if !taken[p] {
+			return p
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/io/owner/link.go
@@ -0,0 +1,167 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"sassafrasvalve/core/clock"
+	"sassafrasvalve/core/pools"
+	"sassafrasvalve/core/retry"
+	"sassafrasvalve/platform"
+)
+
+// Calls to a VM.
+const (
+	// orderTimeout bounds an order. An unanswered start is stopped, so that its item can go elsewhere.
+	orderTimeout = 500 * time.Millisecond
+	// lookSlack is how long the answer to a look may take beyond the wait asked for.
+	lookSlack = 600 * time.Millisecond
+	// lookPause is the pause after a look that brought no answer.
+	lookPause = 150 * time.Millisecond
+	// lookSpacing is the shortest time between two looks: ends that come close together share one.
+	lookSpacing = 8 * time.Millisecond
+	// ackWait bounds the wait for ends to be recorded before the next look.
+	ackWait = 60 * time.Millisecond
+	// ordersWaiting bounds the orders that wait for one VM.
+	ordersWaiting = 256
+)
+
+// vmLink carries the orders and the looks of one epoch to one VM.
+type vmLink struct {
+	r      *run
+	id     string
+	addr   string
+	client VMClient
+	orders chan pools.Order
+	acked  chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newVMLink(r *run, v pools.VM) *vmLink {
+	l := &vmLink{
+		r: r, id: v.ID, addr: v.Addr, client: r.o.cfg.Pool.Client(v),
+		orders: make(chan pools.Order, ordersWaiting), acked: make(chan struct{}, 1),
+	}
+	l.ctx, l.cancel = context.WithCancel(r.ctx)
+	r.wg.Add(2)
+	go l.looks()
+	go l.loop()
+	return l
+}
+
+func (l *vmLink) close() { l.cancel() }
+
+// push queues an order. It returns false if too many wait.
+func (l *vmLink) push(o pools.Order) bool {
+	select {
+	case l.orders <- o:
+		return true
+	default:
+		return false
+	}
+}
+
+// nudge has the next look sent at once, since ends were recorded.
+func (l *vmLink) nudge() {
+	select {
+	case l.acked <- struct{}{}:
+	default:
+	}
+}
+
+// loop sends the orders, one at a time.
+func (l *vmLink) loop() {
+	defer l.r.wg.Done()
+	defer l.client.Close()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case o := <-l.orders:
+			reply := l.order(o)
+			l.r.mu.Lock()
+			l.r.engine.Replied(o, reply, clock.BootMs())
+			l.r.mu.Unlock()
+			if reply.Kind != pools.Done {
+				l.r.signal()
+			}
+		}
+	}
+}
+
+func (l *vmLink) order(o pools.Order) pools.Reply {
+	begun := time.Now()
+	deadline := begun.Add(orderTimeout)
+	var reply pools.Reply
+	var err error
+	switch o.Kind {
+	case pools.Start:
+		reply, err = l.client.Start(o, deadline)
+		l.r.o.cfg.Stats.Time("start", time.Since(begun))
+	case pools.Stop:
+		reply, err = l.client.Stop(o, deadline)
+	case pools.Pace:
+		reply, err = l.client.Pace(o, deadline)
+	}
+	if err == nil {
+		return reply
+	}
+	l.r.o.cfg.Stats.Count("order.failed", 1)
+	if platform.VerdictOf(err) == retry.NotRun {
+		return pools.Reply{Kind: pools.Unsent}
+	}
+	return pools.Reply{Kind: pools.NoReply}
+}
+
+// looks asks the VM again and again what it runs, which also keeps its lease.
+func (l *vmLink) looks() {
+	defer l.r.wg.Done()
+	for l.ctx.Err() == nil {
+		if !l.look() {
+			wait(l.ctx, lookPause)
+		}
+	}
+}
+
+// look asks once. It returns false if no answer came.
+func (l *vmLink) look() bool {
+	begun := clock.BootMs()
+	l.r.mu.Lock()
+	call, ok := l.r.engine.NextLook(l.id, begun)
+	l.r.mu.Unlock()
+	if !ok {
+		return false
+	}
+	look, err := l.client.Look(call, time.Now().Add(time.Duration(call.WaitMs)*time.Millisecond+lookSlack))
+	now := clock.BootMs()
+	l.r.mu.Lock()
+	news := err != nil
+	if err != nil {
+		l.r.engine.LookFailed(l.id, now)
+	} else {
+		news = l.r.engine.Looked(l.id, look, begun, now)
+	}
+	behind := l.r.engine.Behind(l.id)
+	l.r.mu.Unlock()
+	if news {
+		l.r.signal()
+	}
+	if err != nil {
+		l.r.o.cfg.Stats.Count("look.failed", 1)
+		return false
+	}
+	if behind {
+		timer := time.NewTimer(ackWait)
+		select {
+		case <-l.acked:
+		case <-timer.C:
+		case <-l.ctx.Done():
+		}
+		timer.Stop()
+	}
+	if spent := clock.BootMs() - begun; spent < lookSpacing.Milliseconds() {
+		wait(l.ctx, lookSpacing-time.Duration(spent)*time.Millisecond)
+	}
+	return look.Kind == pools.Done
+}
--- /dev/null
+++ b/io/owner/run.go
@@ -0,0 +1,246 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/clock"
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/pools"
+	"sassafrasvalve/core/shard"
+)
+
+// Pool tells which VMs the platform lists, and makes clients of them.
+type Pool interface {
+	// Watch signals w when the list changes, until the returned function is called.
+	Watch(w chan<- struct{}) (cancel func())
+	// VMs returns the list and its version, which changes with the list.
+	VMs() ([]pools.VM, int64)
+	Client(vm pools.VM) VMClient
+}
+
+// VMClient sends orders to one VM.
+type VMClient interface {
+	Start(o pools.Order, deadline time.Time) (pools.Reply, error)
+	Stop(o pools.Order, deadline time.Time) (pools.Reply, error)
+	Pace(o pools.Order, deadline time.Time) (pools.Reply, error)
+	Look(l pools.LookCall, deadline time.Time) (pools.Look, error)
+	Close()
+}
+
+// relistEvery is how often an unchanged list is handed over again, so that a missing VM is noticed, in milliseconds.
+const relistEvery = 500
+
+// run is one epoch of ownership.
+type run struct {
+	o      *Owner
+	log    *zap.Logger
+	mu     sync.Mutex // guards engine
+	engine *shard.Engine
+	links  map[string]*vmLink
+	wake   chan struct{}
+	batch  *shard.Batch // being appended
+	// listed is the version of the VM list that the engine has, listedAt the local ms at which it got it.
+	listed, listedAt int64
+	beatAt           int64 // local ms of the last renewal written
+	ctx              context.Context
+	cancel           context.CancelFunc
+	wg               sync.WaitGroup
+}
+
+func newRun(o *Owner) *run {
+	return &run{o: o, log: o.log.With(zap.Int64("epoch", o.epoch)), links: map[string]*vmLink{}, wake: make(chan struct{}, 1)}
+}
+
+// signal has the loop take a turn soon.
+func (r *run) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// serve runs until the shard is lost (true) or ctx ends (false).
+func (r *run) serve(ctx context.Context) bool {
+	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	defer r.wg.Wait()
+	defer r.cancel()
+	now, wall := clock.BootMs(), time.Now().UnixMilli()
+	cfg := r.o.cfg.Engine
+	cfg.Service, cfg.Epoch = r.o.cfg.Service, r.o.epoch
+	r.engine = shard.New(cfg, r.o.cfg.Catalog(), now)
+	r.beatAt = now
+	r.o.cfg.Tail.Attach(r.wake, func(b *jobs.Book) {
+		for id, e := range b.Entries {
+			r.engine.Load(id, e, now, wall)
+		}
+	})
+	defer r.o.cfg.Tail.Detach()
+	defer r.o.cfg.Pool.Watch(r.wake)()
+	r.log.Info("shard taken over", zap.Any("counts", r.engine.Counts(now)))
+	return r.loop(ctx)
+}
+
+func (r *run) loop(ctx context.Context) bool {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	appended := make(chan bool, 1)
+	batches := make(chan []jobs.Record, 1)
+	defer close(batches)
+	r.wg.Add(1)
+	go r.appendLoop(batches, appended)
+	ended := ctx.Done()
+	for {
+		select {
+		case ok := <-appended:
+			if !ok {
+				return true
+			}
+			r.committed()
+		case <-r.wake:
+		case <-ticker.C:
+		case <-ended:
+			if r.batch == nil {
+				return false
+			}
+			ended = nil // the batch under way is finished first
+			if ok := <-appended; !ok {
+				return true
+			}
+			r.committed()
+			return false
+		}
+		if r.turn(batches) {
+			r.log.Info("shard lost: a VM has seen a higher fence number")
+			return true
+		}
+	}
+}
+
+// appendLoop appends one batch at a time.
+func (r *run) appendLoop(batches <-chan []jobs.Record, appended chan<- bool) {
+	defer r.wg.Done()
+	for records := range batches {
+		appended <- r.o.write(r.ctx, records)
+	}
+}
+
+// turn takes over what changed and begins the next batch. It returns true once the shard is lost.
+func (r *run) turn(batches chan<- []jobs.Record) bool {
+	now, wall := clock.BootMs(), time.Now().UnixMilli()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.engine.SetCatalog(r.o.cfg.Catalog())
+	if list, version := r.o.cfg.Pool.VMs(); version != r.listed || now-r.listedAt > relistEvery {
+		r.engine.SetVMs(list, now)
+		r.listed, r.listedAt = version, now
+	}
+	r.o.cfg.Tail.Changes(func(c jobs.Change, e *jobs.Entry) {
+		if c.Submitted {
+			r.engine.Submit(e, now, wall)
+		}
+		if c.Cancelled {
+			r.engine.Cancel(c.ID, now)
+		}
+	})
+	if v := r.o.cfg.Tail.View(); !v.Failed {
+		r.engine.Contact(v.FreshAt)
+	}
+	if r.engine.Lost() {
+		return true
+	}
+	if r.batch == nil {
+		r.begin(batches, now, wall)
+	}
+	r.syncLinks()
+	r.send(r.engine.TakeOrders())
+	r.report()
+	return false
+}
+
+// begin plans a batch, with a renewal of the claim when one is due.
+func (r *run) begin(batches chan<- []jobs.Record, now, wall int64) {
+	b, err := r.engine.Plan(now, wall)
+	if err != nil {
+		r.log.Error("batch not encoded", zap.Error(err))
+		return
+	}
+	var records []jobs.Record
+	if b != nil {
+		records = b.Records
+	}
+	if now-r.beatAt >= beatEvery {
+		rec, err := claimRecord(jobs.Claim{Epoch: r.o.epoch, Owner: r.o.cfg.Member, Reason: "renewed"})
+		if err != nil {
+			r.log.Error("claim not encoded", zap.Error(err))
+		} else {
+			records = append(records, rec)
+			r.beatAt = now
+		}
+	}
+	if len(records) == 0 {
+		return
+	}
+	if b == nil {
+		b = &shard.Batch{}
+	}
+	b.Records = records
+	r.batch = b
+	batches <- records
+}
+
+// committed sends the orders of the batch that was stored.
+func (r *run) committed() {
+	now := clock.BootMs()
+	r.o.cfg.Tail.Put(r.batch.Records)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	orders := r.engine.Committed(r.batch, now)
+	r.batch = nil
+	r.send(orders)
+	for _, l := range r.links {
+		l.nudge()
+	}
+}
+
+// send hands orders to the links of their VMs. An order that finds no room is reported as unsent.
+func (r *run) send(orders []pools.Order) {
+	now := clock.BootMs()
+	for _, o := range orders {
+		if l := r.links[o.VM]; l == nil || !l.push(o) {
+			r.engine.Replied(o, pools.Reply{Kind: pools.Unsent}, now)
+		}
+	}
+}
+
+// syncLinks opens a link for each listed VM, and closes those of VMs that are gone or have moved.
+func (r *run) syncLinks() {
+	listed := map[string]bool{}
+	for _, v := range r.engine.VMs() {
+		listed[v.ID] = true
+		if l := r.links[v.ID]; l != nil {
+			if l.addr == v.Addr {
+				continue
+			}
+			l.close()
+		}
+		r.links[v.ID] = newVMLink(r, v)
+	}
+	for id, l := range r.links {
+		if !listed[id] {
+			l.close()
+			delete(r.links, id)
+		}
+	}
+}
+
+// report writes the engine's decisions to the log.
+func (r *run) report() {
+	for _, n := range r.engine.TakeNotes() {
+		r.log.Info(n.What, zap.String("job", n.JobID), zap.String("vm", n.VM), zap.String("reason", n.Reason), zap.Int("n", n.N))
+		r.o.cfg.Stats.Count("decision."+n.What, 1)
+	}
+}
