shard: Carry out waves of upkeep, keep claims of two processes apart

Ruled out: the condition on the partition's end failing; a lost answer. Change: a claim begins at a random sequence number. Machines of a wave are dealt into as many lanes as may be down at once; each owner empties and takes down those of its pool, so no process directs the others.

--- a/core/jobs/book.go
+++ b/core/jobs/book.go
@@ -31,10 +31,11 @@
 	Entries map[string]*Entry
 	Claim   Claim
 	Claims  int // claim records seen, also renewals
+	Upkeeps map[Upkeep]bool
 }
 
 // NewBook returns an empty fold.
-func NewBook() *Book { return &Book{Entries: map[string]*Entry{}} }
+func NewBook() *Book { return &Book{Entries: map[string]*Entry{}, Upkeeps: map[Upkeep]bool{}} }
 
 // Change says what a record changed.
 type Change struct {
@@ -59,6 +60,11 @@
 		return Change{}, nil
 	}
 	switch r.Key[0] {
+	case keyUpkeep:
+		if u, ok := parseUpkeep(id); ok {
+			b.Upkeeps[u] = true
+		}
+		return Change{}, nil
 	case keyJob:
 		return b.applyJob(id, r.Value)
 	case keyProgress:
--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -2,11 +2,17 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file . -o codec_gen.go -tests=false -io=false -unexported=false
 
+import (
+	"strconv"
+	"strings"
+)
+
 // The kinds of key in a shard's partition. The ID of the job follows the letter.
 const (
 	keyJob      = 'j'
 	keyProgress = 'p'
 	keyCancel   = 'c'
+	keyUpkeep   = 'u'
 	// KeyClaim is the key of the ownership record.
 	KeyClaim = "h"
 )
@@ -19,3 +25,19 @@
 
 // CancelKey returns the key under which the cancelling of a job is stored.
 func CancelKey(id string) string { return string(keyCancel) + id }
+
+// Upkeep names the upkeep of a machine in a wave.
+type Upkeep struct {
+	Wave    int
+	Machine string
+}
+
+// Key returns the key under which an upkeep is recorded as done.
+func (u Upkeep) Key() string { return string(keyUpkeep) + strconv.Itoa(u.Wave) + "/" + u.Machine }
+
+// parseUpkeep reads what follows the letter of an upkeep's key.
+func parseUpkeep(s string) (Upkeep, bool) {
+	wave, machine, ok := strings.Cut(s, "/")
+	n, err := strconv.Atoi(wave)
+	return Upkeep{Wave: n, Machine: machine}, ok && err == nil
+}
--- a/core/pools/pools.go
+++ b/core/pools/pools.go
@@ -34,6 +34,7 @@
 	Start OrderKind = iota
 	Stop
 	Pace
+	Upkeep // Item names the machine, Run the wave
 )
 
 // Order is sent to one VM about one run of an item.
@@ -119,3 +120,27 @@
 	How  EndKind
 	Ref  string
 }
+
+// Wave asks for the upkeep of machines.
+type Wave struct {
+	N        int
+	Machines []string
+	MaxDown  int // machines that may be down for it at once
+}
+
+// MachineState is where a machine stands.
+type MachineState int
+
+// The states of a machine.
+const (
+	MachineDown MachineState = iota // also moving, or in its upkeep
+	MachineUp
+)
+
+// Machine is a machine as the platform lists it. A VM is one lifetime of a machine.
+type Machine struct {
+	ID    string
+	Pool  string
+	VM    string
+	State MachineState
+}
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -41,6 +41,7 @@
 type Config struct {
 	Service  string
 	Epoch    int64 // of the ownership, and the fence number of all orders
+	First    bool  // the shard speaks for what belongs to no pool
 	StatusMs int64 // how long a finished job stays known
 	EarlyMs  int64 // how much before its time an occurrence may start
 	PaceMs   int64 // until an order to pace takes effect
@@ -64,6 +65,12 @@
 	contact   int64 // last time the store answered this owner
 	notes     []Note
 	nextPace  int64
+
+	upkeeps Upkeeps
+	dues    map[string]*due // by machine
+	missing map[string]int64
+	overNow map[jobs.Upkeep]bool // done, recorded or about to be
+	upkept  []jobs.Upkeep        // to be recorded
 }
 
 // finished is a job that is kept for callers' questions until a time.
@@ -85,7 +92,8 @@
 func New(cfg Config, catalog *jobs.Catalog, now int64) *Engine {
 	return &Engine{
 		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
-		dirty: map[string]*job{}, contact: now,
+		dirty: map[string]*job{}, contact: now, dues: map[string]*due{}, missing: map[string]int64{},
+		overNow: map[jobs.Upkeep]bool{},
 	}
 }
 
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -178,6 +178,7 @@
 	weightFailed = 4000 // the item failed there before
 	weightSame   = 700  // items of one lasting step share the fate of their VM
 	weightRack   = 200  // and of their rack
+	weightWave   = 500  // the VM will be taken down soon
 	weightBeside = 400  // an item that fills disturbs each item that serves
 )
 
@@ -229,6 +230,9 @@
 	if !s.Persistent && !s.Fill {
 		return cost
 	}
+	if v.pending {
+		cost += weightWave
+	}
 	for _, o := range v.runs {
 		if o.job == j && o.Step == it.Step {
 			cost += weightSame
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -35,7 +35,7 @@
 	e.tick(now, wall)
 	b := &Batch{acks: map[string]int64{}}
 	b.starts = e.place(now)
-	if len(e.dirty) == 0 && len(e.drops) == 0 {
+	if len(e.dirty) == 0 && len(e.drops) == 0 && len(e.upkept) == 0 {
 		return nil, nil
 	}
 	size := 0
@@ -59,6 +59,10 @@
 			jobs.Record{Key: jobs.JobKey(id)})
 	}
 	e.drops = nil
+	for _, u := range e.upkept {
+		b.Records = append(b.Records, jobs.Record{Key: u.Key(), Value: []byte{1}})
+	}
+	e.upkept = nil
 	if len(e.dirty) == 0 {
 		for id, v := range e.vms {
 			b.acks[id] = v.seen
@@ -104,6 +108,10 @@
 
 // Replied takes over what became of an order.
 func (e *Engine) Replied(o pools.Order, r pools.Reply, now int64) {
+	if o.Kind == pools.Upkeep {
+		e.upkeepReplied(o, r, now)
+		return
+	}
 	v := e.vms[o.VM]
 	if v == nil {
 		return
@@ -123,6 +131,7 @@
 		return
 	}
 	switch o.Kind {
+	case pools.Upkeep:
 	case pools.Start:
 		e.startReplied(it, v, r, now)
 	case pools.Stop:
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -32,7 +32,8 @@
 
 	runs          map[string]*item
 	cpu, mem, gpu int64 // taken by runs
-	cordoned      bool
+	cordoned      bool  // it is being emptied for upkeep
+	pending       bool  // a wave will take it down later
 }
 
 // rackPrefix begins the label that names a VM's rack.
--- a/io/node/catalog.go
+++ b/io/node/catalog.go
@@ -14,6 +14,7 @@
 // catalog keeps the operator's newest configuration.
 type catalog struct {
 	log     *zap.Logger
+	waves   *waves
 	feed    *feed.Feed
 	current atomic.Pointer[jobs.Catalog]
 }
@@ -27,6 +28,7 @@
 			continue
 		}
 		if next == nil {
+			c.waves.take(r)
 			continue
 		}
 		if old := c.current.Load(); old != nil && next.Version <= old.Version {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"sassafrasvalve/core/pools"
 	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/desk"
 	"sassafrasvalve/io/feed"
@@ -55,10 +56,12 @@
 	store   *platform.Store
 	catalog *catalog
 	shards  *shards
+	waves   *waves
 	regis   *regis.Registry
 	stats   *owner.Stats
 	metrics metrics.Registry
 	owned   atomic.Int64
+	first   atomic.Pointer[owner.Owner]
 	leaving atomic.Bool
 
 	ctx          context.Context // of the followers and of owners
@@ -95,11 +98,17 @@
 		cfg: s, log: log, member: fmt.Sprintf("%s#%d", s.Node, time.Now().UnixMilli()),
 		store: platform.NewStore(s.Store.Addr), metrics: registry, stats: owner.NewStats(registry),
 	}
-	n.catalog = &catalog{log: log}
+	n.waves = &waves{
+		log: log, store: n.store, cloud: platform.NewCloud(s.Cloud.Addr, n.member),
+		owns: func() bool { return n.owned.Load() > 0 }, first: n.ownsFirst,
+		waves: map[int]pools.Wave{}, told: map[int]string{},
+	}
+	n.catalog = &catalog{log: log, waves: n.waves}
 	n.catalog.feed = feed.New(feed.Config{
 		Store: n.store, Topic: platform.TopicOperator, Wait: configWait, Log: log, Take: n.catalog.take,
 	})
 	n.shards = newShards(shardsConfig{Store: n.store, Parts: s.Store.Parts, Log: log, Open: n.open})
+	n.waves.shards = n.shards
 	return n, nil
 }
 
@@ -133,6 +142,7 @@
 	}
 	go n.catalog.feed.Run(base)
 	go n.shards.loop(base, n.catalog.Current)
+	go n.waves.loop(base)
 	d := desk.New(desk.Config{Store: n.store, Catalog: n.catalog, Shards: n.shards, Log: n.log, Stats: n.stats})
 	server := &http.Server{
 		Handler: &platform.Front{Desk: d}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -178,13 +188,17 @@
 func (n *Node) open(service string, t *tail.Tail) {
 	go t.Run(n.ctx)
 	o := owner.New(owner.Config{
-		Member: n.member, Service: service, Part: t.Part(), Store: n.store, Tail: t, Pool: n.regis,
+		Member: n.member, Service: service, Part: t.Part(), Store: n.store, Tail: t, Pool: n.regis, Machines: n.waves,
 		Catalog: n.catalog.Current, Owned: &n.owned, Log: n.log, Stats: n.stats,
 		Engine: shard.Config{
+			First:    t.Part() == firstPart,
 			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
 			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs,
 		},
 	})
+	if t.Part() == firstPart {
+		n.first.Store(o)
+	}
 	n.owners.Add(1)
 	go func() {
 		defer n.owners.Done()
@@ -192,6 +206,15 @@
 	}()
 }
 
+// firstPart is the shard whose owner speaks for the waves.
+const firstPart = 0
+
+// ownsFirst reports whether this process owns the shard that speaks for the waves.
+func (n *Node) ownsFirst() bool {
+	o := n.first.Load()
+	return o != nil && o.Owns()
+}
+
 // statusMargin is how much longer than asked a finished job stays known, in ms.
 const statusMargin = 20_000
 
--- a/io/node/shards.go
+++ b/io/node/shards.go
@@ -87,7 +87,7 @@
 	return list
 }
 
-// loop keeps the directory complete: a service that a queue names gets the lowest free partition.
+// loop keeps the directory complete: each service gets the lowest free partition.
 func (s *shards) loop(ctx context.Context, catalog func() *jobs.Catalog) {
 	for ctx.Err() == nil {
 		pause := directoryPause
@@ -116,9 +116,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var names []string
-	for i := range c.Queues {
-		if _, known := s.parts[c.Queues[i].Service]; !known {
-			names = append(names, c.Queues[i].Service)
+	for i := range c.Pools {
+		if _, known := s.parts[c.Pools[i].Service]; !known {
+			names = append(names, c.Pools[i].Service)
 		}
 	}
 	if len(names) == 0 {
--- a/io/owner/link.go
+++ b/io/owner/link.go
@@ -103,6 +103,8 @@
 		reply, err = l.client.Stop(o, deadline)
 	case pools.Pace:
 		reply, err = l.client.Pace(o, deadline)
+	case pools.Upkeep:
+		return pools.Reply{Kind: pools.Unsent} // not an order to a VM
 	}
 	if err == nil {
 		return reply
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/pools"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/tail"
@@ -36,6 +36,8 @@
 	slowAppendTimeout = 2 * time.Second
 	// appendPause is the pause before an append is repeated.
 	appendPause = 60 * time.Millisecond
+	// maxFirstSeq bounds the first sequence number of an epoch.
+	maxFirstSeq = 1 << 40
 	// tickEvery is the pause between two turns without an event.
 	tickEvery = 100 * time.Millisecond
 	// releaseTimeout bounds the release of a shard at a stop.
@@ -50,19 +52,26 @@
 	Append(a platform.Append) (platform.AppendResult, error)
 }
 
+// Machines tells about waves of upkeep, and takes machines down.
+type Machines interface {
+	Upkeeps() shard.Upkeeps
+	Upkeep(o pools.Order) pools.Reply
+}
+
 // Config is what an owner needs.
 type Config struct {
-	Member  string // of this process and its lifetime
-	Service string
-	Part    int
-	Store   Store
-	Tail    *tail.Tail
-	Pool    Pool
-	Catalog func() *jobs.Catalog
-	Owned   *atomic.Int64 // shards owned by this process
-	Engine  shard.Config
-	Log     *zap.Logger
-	Stats   *Stats
+	Member   string // of this process and its lifetime
+	Service  string
+	Part     int
+	Store    Store
+	Tail     *tail.Tail
+	Pool     Pool
+	Machines Machines
+	Catalog  func() *jobs.Catalog
+	Owned    *atomic.Int64 // shards owned by this process
+	Engine   shard.Config
+	Log      *zap.Logger
+	Stats    *Stats
 }
 
 // Owner takes part in the election of one shard.
@@ -72,18 +81,16 @@
 	epoch int64
 	seq   int64 // of the last append of the epoch
 
-	claims  int   // renewals seen
-	beatAt  int64 // local ms at which the last renewal was seen
-	owner   string
-	release atomic.Bool
-	stopped chan struct{}
-	stop    sync.Once
+	claims int   // renewals seen
+	beatAt int64 // local ms at which the last renewal was seen
+	owner  string
+	owning atomic.Bool
 }
 
 // New returns an owner that does not run yet.
 func New(cfg Config) *Owner {
 	return &Owner{
-		cfg: cfg, stopped: make(chan struct{}),
+		cfg: cfg,
 		log: cfg.Log.With(zap.Int("shard", cfg.Part), zap.String("service", cfg.Service)),
 	}
 }
@@ -105,6 +112,9 @@
 	}
 }
 
+// Owns reports whether this process owns the shard.
+func (o *Owner) Owns() bool { return o.owning.Load() }
+
 // free returns why the shard may be claimed, empty if it may not.
 func (o *Owner) free() string {
 	v := o.cfg.Tail.View()
@@ -158,16 +168,19 @@
 			o.log.Error("claim not encoded", zap.Error(err))
 			return false
 		}
+		// The store answers a repeat of an epoch and a sequence number as it answered the first call, whoever
+		// sends it. A random first number keeps the claims of two processes apart.
+		seq := rand.Int64N(maxFirstSeq)
 		res, err := o.cfg.Store.Append(platform.Append{
 			Topic: platform.TopicJobs, Part: o.cfg.Part, Records: []jobs.Record{rec}, At: v.Cursor,
-			Producer: producer, Epoch: epoch, Seq: 1, Deadline: time.Now().Add(appendTimeout),
+			Producer: producer, Epoch: epoch, Seq: seq, Deadline: time.Now().Add(appendTimeout),
 		})
 		switch {
 		case err != nil:
 			o.log.Warn("claim not confirmed", zap.Int64("epoch", epoch), zap.Error(err))
 			return false
 		case res.Outcome == platform.Appended:
-			o.epoch, o.seq = epoch, 1
+			o.epoch, o.seq = epoch, seq
 			o.log.Info("shard claimed", zap.Int64("epoch", epoch), zap.String("reason", reason),
 				zap.String("previous", v.Claim.Owner), zap.Int64("offset", v.Cursor))
 			return true
@@ -225,6 +238,8 @@
 func (o *Owner) own(ctx context.Context) {
 	o.cfg.Owned.Add(1)
 	defer o.cfg.Owned.Add(-1)
+	o.owning.Store(true)
+	defer o.owning.Store(false)
 	r := newRun(o)
 	lost := r.serve(ctx)
 	if lost {
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -134,6 +134,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.engine.SetCatalog(r.o.cfg.Catalog())
+	r.engine.SetUpkeeps(r.o.cfg.Machines.Upkeeps())
 	if list, version := r.o.cfg.Pool.VMs(); version != r.listed || now-r.listedAt > relistEvery {
 		r.engine.SetVMs(list, now)
 		r.listed, r.listedAt = version, now
@@ -210,12 +211,27 @@
 func (r *run) send(orders []pools.Order) {
 	now := clock.BootMs()
 	for _, o := range orders {
+		if o.Kind == pools.Upkeep {
+			r.wg.Add(1)
+			go r.upkeep(o)
+			continue
+		}
 		if l := r.links[o.VM]; l == nil || !l.push(o) {
 			r.engine.Replied(o, pools.Reply{Kind: pools.Unsent}, now)
 		}
 	}
 }
 
+// upkeep takes a machine down. The engine bounds how many such orders are under way.
+func (r *run) upkeep(o pools.Order) {
+	defer r.wg.Done()
+	reply := r.o.cfg.Machines.Upkeep(o)
+	r.mu.Lock()
+	r.engine.Replied(o, reply, clock.BootMs())
+	r.mu.Unlock()
+	r.signal()
+}
+
 // syncLinks opens a link for each listed VM, and closes those of VMs that are gone or have moved.
 func (r *run) syncLinks() {
 	listed := map[string]bool{}
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -324,6 +324,15 @@
 	return e.State(), true
 }
 
+// Upkeeps adds the upkeeps that are recorded as done to over.
+func (t *Tail) Upkeeps(over map[jobs.Upkeep]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for u := range t.book.Upkeeps {
+		over[u] = true
+	}
+}
+
 // Waiting returns the number of jobs of a queue of which nothing was started.
 func (t *Tail) Waiting(queue string) int {
 	t.mu.Lock()
