--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -12,14 +12,14 @@
 const (
 	// leaseMs is how long a VM keeps its runs without word from the owner. It outlives the
 	// detection of a lost owner and the takeover, and ends before the platform's longest lease.
-	leaseMs = 6000
+	leaseMs = 5000
 	// startLeaseMs is how long a start may be under way. One that is carried out later is refused by the VM.
 	startLeaseMs = 1500
 	// contactMs is how long after its last contact with the store an owner prolongs leases.
 	contactMs = 4000
 	// adoptMs bounds the lease that an earlier owner may have given: contactMs + leaseMs, on a
 	// clock that is up to 2% slow, and the time between two looks.
-	adoptMs = 10_500
+	adoptMs = 9500
 	// clockSlow is the rate of the slowest VM clock against a true one.
 	clockSlow = 0.98
 	// silentMs without an answered look ends new work on a VM; looks come back within lookWaitMs.
@@ -194,7 +194,7 @@
 		switch it.phase {
 		case idle, planned:
 		default:
-			e.stop(it, now)
+			e.stop(it, "job "+j.state.String(), now)
 		}
 	}
 	e.forgetIfOver(j, now)
@@ -214,13 +214,14 @@
 }
 
 // stop asks the VM of an item to end its run, or never to begin it.
-func (e *Engine) stop(it *item, now int64) {
+func (e *Engine) stop(it *item, reason string, now int64) {
 	if it.vm == nil || it.phase == stopping {
 		return
 	}
 	it.phase = stopping
 	it.since = now
 	it.stopAcked = 0
+	e.note(Note{JobID: it.job.ID, VM: it.vm.ID, What: "stop run", Reason: reason, N: it.run})
 	e.sendStop(it, now)
 }
 
@@ -273,7 +274,7 @@
 func (e *Engine) evacuate(v *vm, now int64) {
 	for _, it := range v.runs {
 		if it.step.Persistent && it.phase == running {
-			e.stop(it, now)
+			e.stop(it, "vm draining", now)
 		}
 	}
 	e.note(Note{VM: v.ID, What: "vm draining", N: len(v.runs)})
--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -143,7 +143,7 @@
 	default:
 	}
 	if it.job.state.Final() || it.done {
-		e.stop(it, now)
+		e.stop(it, "no longer wanted", now)
 	}
 	if r.Percent != it.percent {
 		it.percent, it.movedAt = r.Percent, now
@@ -216,7 +216,7 @@
 		m.done = true
 		j.left[[2]int{m.K, m.Step}]--
 		if m.vm != nil && m.phase != planned {
-			e.stop(m, now)
+			e.stop(m, "gang done", now)
 		}
 	}
 	e.touch(j)
@@ -246,7 +246,7 @@
 	for _, m := range j.members(it) {
 		m.ref = it.ref
 		if m.vm != nil && m.phase != planned {
-			e.stop(m, now)
+			e.stop(m, "gang broken", now)
 		}
 	}
 }
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -154,12 +154,11 @@
 		it.phase, it.since, it.startedAt, it.movedAt = running, now, now, now
 		it.percent = 0
 		if it.job.state.Final() || it.done {
-			e.stop(it, now)
+			e.stop(it, "no longer wanted", now)
 		}
 		return
 	case pools.NoReply:
-		e.note(Note{JobID: it.job.ID, VM: v.ID, What: "start unanswered", N: it.run})
-		e.stop(it, now)
+		e.stop(it, "start unanswered", now)
 		return
 	case pools.NoRoom:
 		v.fullUntil = now + roomRetryMs
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -79,12 +79,11 @@
 		case it.phase == stopping && it.stopAcked == 0 && now-it.stopSent >= stopRetryMs:
 			e.sendStop(it, now)
 		case it.phase == running && it.step.Persistent && v.Draining:
-			e.stop(it, now)
+			e.stop(it, "vm draining", now)
 		case it.phase == running && e.stuck(it, now):
-			e.note(Note{JobID: it.job.ID, VM: v.ID, What: "run stands still", N: it.percent})
 			it.avoid = append(it.avoid, v.ID)
 			e.judge(v, v.result(true), now)
-			e.stop(it, now)
+			e.stop(it, "run stands still", now)
 		}
 	}
 }
--- a/core/shard/wave.go
+++ b/core/shard/wave.go
@@ -178,30 +178,36 @@
 		switch {
 		case it.phase != running:
 		case it.step.Persistent:
-			if e.mayInterrupt(it) {
-				e.stop(it, now)
+			if e.mayInterrupt(it, now) {
+				e.stop(it, "upkeep", now)
 			}
 		case now-d.since > finishMs:
-			e.stop(it, now)
+			e.stop(it, "upkeep", now)
 		}
 	}
 	return clear
 }
 
 // mayInterrupt reports whether an item that lasts may be ended now, by the budget of its step.
-func (e *Engine) mayInterrupt(it *item) bool {
+func (e *Engine) mayInterrupt(it *item, now int64) bool {
 	if it.step.Budget <= 0 {
 		return true
 	}
 	away := 0
 	for _, o := range it.job.order {
-		if o != it && o.K == it.K && o.Step == it.Step && (o.phase != running || o.percent < 100) {
+		if o != it && o.K == it.K && o.Step == it.Step && !o.atWork(now) {
 			away++
 		}
 	}
 	return away < it.step.Budget
 }
 
+// atWork reports whether an item that lasts is surely at work: on a VM that has just said so.
+func (it *item) atWork(now int64) bool {
+	return it.phase == running && it.percent >= 100 && it.paced == 100 &&
+		!it.vm.failing && now-it.vm.lastLook < 2*LookWaitMs
+}
+
 // markPending notes which VMs a wave will take down later, so that what lasts goes elsewhere.
 func (e *Engine) markPending(at map[string]*pools.Machine) {
 	pending := map[string]bool{}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -52,6 +54,7 @@
 type Node struct {
 	cfg     *Settings
 	log     *zap.Logger
+	level   zap.AtomicLevel
 	member  string
 	store   *platform.Store
 	catalog *catalog
@@ -85,17 +88,15 @@
 
 // New returns an entry that does not run yet.
 func New(s *Settings) (*Node, error) {
-	log, err := newLogger(s.LogLevel)
+	log, level, err := newLogger(s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(s.MemoryMB * memoryShare / 100 << 20)
-	}
+	setMemoryLimit(s.MemoryMB)
 	debug.SetGCPercent(gcPercent)
 	registry := metrics.NewRegistry()
 	n := &Node{
-		cfg: s, log: log, member: fmt.Sprintf("%s#%d", s.Node, time.Now().UnixMilli()),
+		cfg: s, log: log, level: level, member: fmt.Sprintf("%s#%d", s.Node, time.Now().UnixMilli()),
 		store: platform.NewStore(s.Store.Addr), metrics: registry, stats: owner.NewStats(registry),
 	}
 	n.waves = &waves{
@@ -113,15 +114,15 @@
 }
 
 // newLogger returns a logger that writes JSON lines to standard output.
-func newLogger(level string) (*zap.Logger, error) {
-	l, err := zapcore.ParseLevel(level)
+func newLogger(level string) (*zap.Logger, zap.AtomicLevel, error) {
+	l, err := zap.ParseAtomicLevel(level)
 	if err != nil {
-		return nil, fmt.Errorf("LogLevel: %w", err)
+		return nil, l, fmt.Errorf("LogLevel: %w", err)
 	}
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.EpochMillisTimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stdout), l)
-	return zap.New(core), nil
+	return zap.New(core), l, nil
 }
 
 // Run serves until ctx ends, then hands the shards over, finishes open requests and returns.
@@ -149,12 +150,13 @@
 	}
 	checks := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	go n.serve(server, front, failed)
 	go n.serve(checks, ready, failed)
 	n.serveMetrics(failed)
-	select {
-	case <-ctx.Done():
-	case err := <-failed:
+	if err := n.loop(ctx, reload, failed); err != nil {
 		return err
 	}
 	n.stop(server)
@@ -163,6 +165,42 @@
 	return nil
 }
 
+// loop waits for the end of ctx, and reloads the settings on SIGHUP.
+func (n *Node) loop(ctx context.Context, reload <-chan os.Signal, failed <-chan error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return err
+		case <-reload:
+			n.reload()
+		}
+	}
+}
+
+// reload puts the settings in force that can change while an entry runs.
+func (n *Node) reload() {
+	s, err := LoadSettings(n.cfg.path)
+	if err != nil {
+		n.log.Error("settings not reloaded", zap.Error(err))
+		return
+	}
+	if l, err := zapcore.ParseLevel(s.LogLevel); err == nil {
+		n.level.SetLevel(l)
+	}
+	setMemoryLimit(s.MemoryMB)
+	restart := s.Front != n.cfg.Front || s.Ready != n.cfg.Ready || s.Store != n.cfg.Store || s.Cloud != n.cfg.Cloud
+	n.log.Info("settings reloaded", zap.Bool("restartNeeded", restart))
+}
+
+// setMemoryLimit has the runtime keep to its part of the machine's limit in MB; 0 sets none.
+func setMemoryLimit(mb int64) {
+	if mb > 0 {
+		debug.SetMemoryLimit(mb * memoryShare / 100 << 20)
+	}
+}
+
 func (n *Node) serve(s *http.Server, l net.Listener, failed chan<- error) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		failed <- err
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -23,6 +23,8 @@
 	Store StoreSettings
 	Cloud CloudSettings
 	Times TimeSettings
+
+	path string // of the file
 }
 
 // StoreSettings tell about the platform's log.
@@ -57,7 +59,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	s := &Settings{LogLevel: "info"}
+	s := &Settings{LogLevel: "info", path: path}
 	if err := toml.Unmarshal(b, s); err != nil {
 		return nil, fmt.Errorf("decode settings %s: %w", path, err)
 	}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -21,9 +21,9 @@
 // Ownership, in milliseconds and as durations.
 const (
 	// beatEvery is the pause between two renewals of a claim.
-	beatEvery = 700
+	beatEvery = 500
 	// lapseAfter is how long the others wait for a renewal. It spans two of them, and a slow answer of the store.
-	lapseAfter = 2300
+	lapseAfter = 2000
 	// claimSpread spreads the claims of processes that see a free shard at the same time.
 	claimSpread = 120 * time.Millisecond
 	// claimPerShard is the handicap for each shard that a process owns already.
@@ -141,15 +141,10 @@
 
 // pause waits a random time, longer for a process that owns more. It returns false at the end of ctx.
 func (o *Owner) pause(ctx context.Context) bool {
-	d := rand.N(claimSpread) + time.Duration(o.cfg.Owned.Load())*claimPerShard
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	}
-	return o.cfg.Tail.Catch(ctx) == nil
+	wait(ctx, rand.N(claimSpread))
+	// Counted after the random wait, since claims of other shards may have succeeded meanwhile.
+	wait(ctx, time.Duration(o.cfg.Owned.Load())*claimPerShard)
+	return ctx.Err() == nil && o.cfg.Tail.Catch(ctx) == nil
 }
 
 // claim writes the next claim behind all records that this process has seen.
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -17,7 +17,7 @@
 const (
 	// followEvery is the pause between two reads of a shard that another process owns. It bounds
 	// how late a lost owner is noticed, and the age of the number of waiting jobs.
-	followEvery = 400 * time.Millisecond
+	followEvery = 300 * time.Millisecond
 	// pollWait is how long the store holds a read of an owned shard back.
 	pollWait = 1500 * time.Millisecond
 	// readSlack is how long an answer may take beyond the wait asked for.
