--- a/core/jobs/book.go
+++ b/core/jobs/book.go
@@ -32,6 +32,8 @@
 	Claim   Claim
 	Claims  int // claim records seen, also renewals
 	Upkeeps map[Upkeep]bool
+	Post    Post
+	Vacate  Vacate
 }
 
 // NewBook returns an empty fold.
@@ -43,13 +45,29 @@
 	Submitted bool
 	Cancelled bool
 	Claimed   bool
+	Posted    bool
 }
 
 // Apply folds one record. A record may come twice or, after a reread, behind a newer one of its key.
 // It returns an error for a record that cannot be read; such a record has no effect.
 func (b *Book) Apply(r Record) (Change, error) {
-	if r.Key == KeyClaim {
+	switch r.Key {
+	case KeyClaim:
 		return b.applyClaim(r.Value)
+	case KeyPost:
+		var p Post
+		if _, err := p.UnmarshalMsg(r.Value); err != nil {
+			return Change{}, fmt.Errorf("decode post: %w", err)
+		}
+		b.Post = p
+		return Change{Posted: true}, nil
+	case KeyVacate:
+		var v Vacate
+		if _, err := v.UnmarshalMsg(r.Value); err != nil {
+			return Change{}, fmt.Errorf("decode vacate: %w", err)
+		}
+		b.Vacate = v
+		return Change{Posted: true}, nil
 	}
 	if len(r.Key) < 2 {
 		return Change{}, fmt.Errorf("record key %q is not known", r.Key)
--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -17,6 +17,14 @@
 	KeyClaim = "h"
 )
 
+// Keys of records of which a partition has one each.
+const (
+	// KeyPost is the key of what a pool's owner tells the keeper.
+	KeyPost = "n"
+	// KeyVacate is the key of what the keeper asks of the owners.
+	KeyVacate = "v"
+)
+
 // JobKey returns the key under which a job is stored.
 func JobKey(id string) string { return string(keyJob) + id }
 
--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -6,6 +6,486 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Book) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "Entries"
+	o = append(o, 0x85, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	o = msgp.AppendMapHeader(o, uint32(len(z.Entries)))
+	for za0001, za0002 := range z.Entries {
+		o = msgp.AppendString(o, za0001)
+		if za0002 == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = za0002.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries", za0001)
+				return
+			}
+		}
+	}
+	// string "Claim"
+	o = append(o, 0xa5, 0x43, 0x6c, 0x61, 0x69, 0x6d)
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Claim.Epoch)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Claim.Owner)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Claim.Reason)
+	// string "Claims"
+	o = append(o, 0xa6, 0x43, 0x6c, 0x61, 0x69, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.Claims)
+	// string "Post"
+	o = append(o, 0xa4, 0x50, 0x6f, 0x73, 0x74)
+	o, err = z.Post.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Post")
+		return
+	}
+	// string "Vacate"
+	o = append(o, 0xa6, 0x56, 0x61, 0x63, 0x61, 0x74, 0x65)
+	// map header, size 1
+	// string "v"
+	o = append(o, 0x81, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Vacate.VMs)))
+	for za0003 := range z.Vacate.VMs {
+		o = msgp.AppendString(o, z.Vacate.VMs[za0003])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Book) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Entries":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if z.Entries == nil {
+				z.Entries = make(map[string]*Entry, zb0002)
+			} else if len(z.Entries) > 0 {
+				clear(z.Entries)
+			}
+			for zb0002 > 0 {
+				var za0002 *Entry
+				zb0002--
+				var za0001 string
+				za0001, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries")
+					return
+				}
+				if msgp.IsNil(bts) {
+					bts, err = msgp.ReadNilBytes(bts)
+					if err != nil {
+						return
+					}
+					za0002 = nil
+				} else {
+					if za0002 == nil {
+						za0002 = new(Entry)
+					}
+					bts, err = za0002.UnmarshalMsg(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Entries", za0001)
+						return
+					}
+				}
+				z.Entries[za0001] = za0002
+			}
+		case "Claim":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claim")
+				return
+			}
+			for zb0003 > 0 {
+				zb0003--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Claim")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.Claim.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Claim", "Epoch")
+						return
+					}
+				case "o":
+					z.Claim.Owner, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Claim", "Owner")
+						return
+					}
+				case "r":
+					z.Claim.Reason, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Claim", "Reason")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Claim")
+						return
+					}
+				}
+			}
+		case "Claims":
+			z.Claims, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claims")
+				return
+			}
+		case "Post":
+			bts, err = z.Post.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Post")
+				return
+			}
+		case "Vacate":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Vacate")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Vacate")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "v":
+					var zb0005 uint32
+					zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Vacate", "VMs")
+						return
+					}
+					if cap(z.Vacate.VMs) >= int(zb0005) {
+						z.Vacate.VMs = (z.Vacate.VMs)[:zb0005]
+					} else {
+						z.Vacate.VMs = make([]string, zb0005)
+					}
+					for za0003 := range z.Vacate.VMs {
+						z.Vacate.VMs[za0003], bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Vacate", "VMs", za0003)
+							return
+						}
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Vacate")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Book) Msgsize() (s int) {
+	s = 1 + 8 + msgp.MapHeaderSize
+	if z.Entries != nil {
+		for za0001, za0002 := range z.Entries {
+			_ = za0002
+			s += msgp.StringPrefixSize + len(za0001)
+			if za0002 == nil {
+				s += msgp.NilSize
+			} else {
+				s += za0002.Msgsize()
+			}
+		}
+	}
+	s += 6 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Claim.Owner) + 2 + msgp.StringPrefixSize + len(z.Claim.Reason) + 7 + msgp.IntSize + 5 + z.Post.Msgsize() + 7 + 1 + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Vacate.VMs {
+		s += msgp.StringPrefixSize + len(z.Vacate.VMs[za0003])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Catalog) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "Version"
+	o = append(o, 0x87, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt64(o, z.Version)
+	// string "Queues"
+	o = append(o, 0xa6, 0x51, 0x75, 0x65, 0x75, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Queues)))
+	for za0001 := range z.Queues {
+		o, err = z.Queues[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Queues", za0001)
+			return
+		}
+	}
+	// string "Pools"
+	o = append(o, 0xa5, 0x50, 0x6f, 0x6f, 0x6c, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pools)))
+	for za0002 := range z.Pools {
+		o, err = z.Pools[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Pools", za0002)
+			return
+		}
+	}
+	// string "HeaderBytes"
+	o = append(o, 0xab, 0x48, 0x65, 0x61, 0x64, 0x65, 0x72, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.HeaderBytes)
+	// string "BodyBytes"
+	o = append(o, 0xa9, 0x42, 0x6f, 0x64, 0x79, 0x42, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt64(o, z.BodyBytes)
+	// string "HeaderMs"
+	o = append(o, 0xa8, 0x48, 0x65, 0x61, 0x64, 0x65, 0x72, 0x4d, 0x73)
+	o = msgp.AppendInt64(o, z.HeaderMs)
+	// string "IdleMs"
+	o = append(o, 0xa6, 0x49, 0x64, 0x6c, 0x65, 0x4d, 0x73)
+	o = msgp.AppendInt64(o, z.IdleMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Catalog) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Version":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "Queues":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queues")
+				return
+			}
+			if cap(z.Queues) >= int(zb0002) {
+				z.Queues = (z.Queues)[:zb0002]
+			} else {
+				z.Queues = make([]Queue, zb0002)
+			}
+			for za0001 := range z.Queues {
+				bts, err = z.Queues[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Queues", za0001)
+					return
+				}
+			}
+		case "Pools":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pools")
+				return
+			}
+			if cap(z.Pools) >= int(zb0003) {
+				z.Pools = (z.Pools)[:zb0003]
+			} else {
+				z.Pools = make([]Pool, zb0003)
+			}
+			for za0002 := range z.Pools {
+				bts, err = z.Pools[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pools", za0002)
+					return
+				}
+			}
+		case "HeaderBytes":
+			z.HeaderBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HeaderBytes")
+				return
+			}
+		case "BodyBytes":
+			z.BodyBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BodyBytes")
+				return
+			}
+		case "HeaderMs":
+			z.HeaderMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HeaderMs")
+				return
+			}
+		case "IdleMs":
+			z.IdleMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "IdleMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Catalog) Msgsize() (s int) {
+	s = 1 + 8 + msgp.Int64Size + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Queues {
+		s += z.Queues[za0001].Msgsize()
+	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Pools {
+		s += z.Pools[za0002].Msgsize()
+	}
+	s += 12 + msgp.IntSize + 10 + msgp.Int64Size + 9 + msgp.Int64Size + 7 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "ID"
+	o = append(o, 0x85, 0xa2, 0x49, 0x44)
+	o = msgp.AppendString(o, z.ID)
+	// string "Submitted"
+	o = append(o, 0xa9, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Submitted)
+	// string "Cancelled"
+	o = append(o, 0xa9, 0x43, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Cancelled)
+	// string "Claimed"
+	o = append(o, 0xa7, 0x43, 0x6c, 0x61, 0x69, 0x6d, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Claimed)
+	// string "Posted"
+	o = append(o, 0xa6, 0x50, 0x6f, 0x73, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Posted)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Change) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ID":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "Submitted":
+			z.Submitted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Submitted")
+				return
+			}
+		case "Cancelled":
+			z.Cancelled, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cancelled")
+				return
+			}
+		case "Claimed":
+			z.Claimed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claimed")
+				return
+			}
+		case "Posted":
+			z.Posted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Posted")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Change) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 10 + msgp.BoolSize + 10 + msgp.BoolSize + 8 + msgp.BoolSize + 7 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -76,6 +556,105 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Job"
+	o = append(o, 0x83, 0xa3, 0x4a, 0x6f, 0x62)
+	if z.Job == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Job.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Job")
+			return
+		}
+	}
+	// string "Progress"
+	o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x67, 0x72, 0x65, 0x73, 0x73)
+	o, err = z.Progress.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Progress")
+		return
+	}
+	// string "Cancelled"
+	o = append(o, 0xa9, 0x43, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Cancelled)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Entry) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Job":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Job = nil
+			} else {
+				if z.Job == nil {
+					z.Job = new(Job)
+				}
+				bts, err = z.Job.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Job")
+					return
+				}
+			}
+		case "Progress":
+			bts, err = z.Progress.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Progress")
+				return
+			}
+		case "Cancelled":
+			z.Cancelled, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cancelled")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Entry) Msgsize() (s int) {
+	s = 1 + 4
+	if z.Job == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Job.Msgsize()
+	}
+	s += 9 + z.Progress.Msgsize() + 10 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Item) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -307,54 +886,266 @@
 				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "p":
-			z.Spec, bts, err = msgp.ReadStringBytes(bts)
+		case "p":
+			z.Spec, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spec")
+				return
+			}
+		case "t":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Steps")
+				return
+			}
+			if cap(z.Steps) >= int(zb0002) {
+				z.Steps = (z.Steps)[:zb0002]
+			} else {
+				z.Steps = make([]Step, zb0002)
+			}
+			for za0001 := range z.Steps {
+				bts, err = z.Steps[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Steps", za0001)
+					return
+				}
+			}
+		case "n":
+			z.Times, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Times")
+				return
+			}
+		case "f":
+			z.FirstMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FirstMs")
+				return
+			}
+		case "e":
+			z.EveryMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EveryMs")
+				return
+			}
+		case "a":
+			z.AcceptedMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptedMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Job) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Queue) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Spec) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Steps {
+		s += z.Steps[za0001].Msgsize()
+	}
+	s += 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Pool) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "Service"
+	o = append(o, 0x84, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "Guarded"
+	o = append(o, 0xa7, 0x47, 0x75, 0x61, 0x72, 0x64, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Guarded)
+	// string "Spare"
+	o = append(o, 0xa5, 0x53, 0x70, 0x61, 0x72, 0x65)
+	o = msgp.AppendBool(o, z.Spare)
+	// string "Health"
+	o = append(o, 0xa6, 0x48, 0x65, 0x61, 0x6c, 0x74, 0x68)
+	o = msgp.AppendString(o, z.Health)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Pool) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "Guarded":
+			z.Guarded, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Guarded")
+				return
+			}
+		case "Spare":
+			z.Spare, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spare")
+				return
+			}
+		case "Health":
+			z.Health, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Health")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Pool) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.BoolSize + 6 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(z.Health)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Post) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "r"
+	o = append(o, 0x86, 0xa1, 0x72)
+	o = msgp.AppendInt64(o, z.Rev)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.Want)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt(o, z.Min)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt64(o, z.Urgent)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Offers)))
+	for za0001 := range z.Offers {
+		o = msgp.AppendString(o, z.Offers[za0001])
+	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Clear)))
+	for za0002 := range z.Clear {
+		o = msgp.AppendString(o, z.Clear[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Post) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Rev, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rev")
+				return
+			}
+		case "w":
+			z.Want, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Want")
+				return
+			}
+		case "m":
+			z.Min, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Min")
+				return
+			}
+		case "u":
+			z.Urgent, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Spec")
+				err = msgp.WrapError(err, "Urgent")
 				return
 			}
-		case "t":
+		case "o":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Steps")
+				err = msgp.WrapError(err, "Offers")
 				return
 			}
-			if cap(z.Steps) >= int(zb0002) {
-				z.Steps = (z.Steps)[:zb0002]
+			if cap(z.Offers) >= int(zb0002) {
+				z.Offers = (z.Offers)[:zb0002]
 			} else {
-				z.Steps = make([]Step, zb0002)
+				z.Offers = make([]string, zb0002)
 			}
-			for za0001 := range z.Steps {
-				bts, err = z.Steps[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Offers {
+				z.Offers[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Steps", za0001)
+					err = msgp.WrapError(err, "Offers", za0001)
 					return
 				}
 			}
-		case "n":
-			z.Times, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Times")
-				return
-			}
-		case "f":
-			z.FirstMs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "c":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "FirstMs")
+				err = msgp.WrapError(err, "Clear")
 				return
 			}
-		case "e":
-			z.EveryMs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "EveryMs")
-				return
+			if cap(z.Clear) >= int(zb0003) {
+				z.Clear = (z.Clear)[:zb0003]
+			} else {
+				z.Clear = make([]string, zb0003)
 			}
-		case "a":
-			z.AcceptedMs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AcceptedMs")
-				return
+			for za0002 := range z.Clear {
+				z.Clear[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Clear", za0002)
+					return
+				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -369,12 +1160,15 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Job) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Queue) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Spec) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Steps {
-		s += z.Steps[za0001].Msgsize()
+func (z *Post) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Offers {
+		s += msgp.StringPrefixSize + len(z.Offers[za0001])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Clear {
+		s += msgp.StringPrefixSize + len(z.Clear[za0002])
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
 
@@ -484,6 +1278,200 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Queue) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 10
+	// string "Name"
+	o = append(o, 0x8a, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "Host"
+	o = append(o, 0xa4, 0x48, 0x6f, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Host)
+	// string "Prefix"
+	o = append(o, 0xa6, 0x50, 0x72, 0x65, 0x66, 0x69, 0x78)
+	o = msgp.AppendString(o, z.Prefix)
+	// string "Service"
+	o = append(o, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "Priority"
+	o = append(o, 0xa8, 0x50, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Priority)
+	// string "Attempts"
+	o = append(o, 0xa8, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74, 0x73)
+	o = msgp.AppendInt(o, z.Attempts)
+	// string "Stretch"
+	o = append(o, 0xa7, 0x53, 0x74, 0x72, 0x65, 0x74, 0x63, 0x68)
+	o = msgp.AppendFloat64(o, z.Stretch)
+	// string "SLOMs"
+	o = append(o, 0xa5, 0x53, 0x4c, 0x4f, 0x4d, 0x73)
+	o = msgp.AppendInt64(o, z.SLOMs)
+	// string "TimeoutMs"
+	o = append(o, 0xa9, 0x54, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74, 0x4d, 0x73)
+	o = msgp.AppendInt64(o, z.TimeoutMs)
+	// string "Advised"
+	o = append(o, 0xa7, 0x41, 0x64, 0x76, 0x69, 0x73, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Advised)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Queue) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "Host":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "Prefix":
+			z.Prefix, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Prefix")
+				return
+			}
+		case "Service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "Priority":
+			z.Priority, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "Attempts":
+			z.Attempts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempts")
+				return
+			}
+		case "Stretch":
+			z.Stretch, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stretch")
+				return
+			}
+		case "SLOMs":
+			z.SLOMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SLOMs")
+				return
+			}
+		case "TimeoutMs":
+			z.TimeoutMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimeoutMs")
+				return
+			}
+		case "Advised":
+			z.Advised, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Advised")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Queue) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.StringPrefixSize + len(z.Host) + 7 + msgp.StringPrefixSize + len(z.Prefix) + 8 + msgp.StringPrefixSize + len(z.Service) + 9 + msgp.IntSize + 9 + msgp.IntSize + 8 + msgp.Float64Size + 6 + msgp.Int64Size + 10 + msgp.Int64Size + 8 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "Key"
+	o = append(o, 0x82, 0xa3, 0x4b, 0x65, 0x79)
+	o = msgp.AppendString(o, z.Key)
+	// string "Value"
+	o = append(o, 0xa5, 0x56, 0x61, 0x6c, 0x75, 0x65)
+	o = msgp.AppendBytes(o, z.Value)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Record) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Key":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "Value":
+			z.Value, bts, err = msgp.ReadBytesBytes(bts, z.Value)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Record) Msgsize() (s int) {
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.BytesPrefixSize + len(z.Value)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -732,3 +1720,135 @@
 	s = 3 + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.After) * (msgp.IntSize)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Label) + 2 + msgp.StringPrefixSize + len(z.DataRack) + 2 + msgp.StringPrefixSize + len(z.Image) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.IntSize
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z Upkeep) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "Wave"
+	o = append(o, 0x82, 0xa4, 0x57, 0x61, 0x76, 0x65)
+	o = msgp.AppendInt(o, z.Wave)
+	// string "Machine"
+	o = append(o, 0xa7, 0x4d, 0x61, 0x63, 0x68, 0x69, 0x6e, 0x65)
+	o = msgp.AppendString(o, z.Machine)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Upkeep) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Wave":
+			z.Wave, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wave")
+				return
+			}
+		case "Machine":
+			z.Machine, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Machine")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Upkeep) Msgsize() (s int) {
+	s = 1 + 5 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.Machine)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Vacate) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "v"
+	o = append(o, 0x81, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
+	for za0001 := range z.VMs {
+		o = msgp.AppendString(o, z.VMs[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Vacate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "VMs")
+				return
+			}
+			if cap(z.VMs) >= int(zb0002) {
+				z.VMs = (z.VMs)[:zb0002]
+			} else {
+				z.VMs = make([]string, zb0002)
+			}
+			for za0001 := range z.VMs {
+				z.VMs[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "VMs", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Vacate) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.VMs {
+		s += msgp.StringPrefixSize + len(z.VMs[za0001])
+	}
+	return
+}
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -56,6 +56,21 @@
 	VMBorn int64  // lifetime of VM, unix milliseconds of its start; 0 when unknown
 }
 
+// Post is what the owner of a pool tells the keeper of the machines.
+type Post struct {
+	Rev    int64    `msg:"r"` // rises with each post of an epoch
+	Want   int      `msg:"w"` // VMs that the pool can use now
+	Min    int      `msg:"m"` // VMs below which what lasts finds no place
+	Urgent int64    `msg:"u"` // how much the pool gains from another VM; higher goes first
+	Offers []string `msg:"o"` // VMs without runs that the pool does not use
+	Clear  []string `msg:"c"` // VMs that were to be vacated and run nothing
+}
+
+// Vacate is what the keeper of the machines asks of the owners.
+type Vacate struct {
+	VMs []string `msg:"v"` // that are due for upkeep and have to be emptied
+}
+
 // Claim is the ownership record of a shard.
 type Claim struct {
 	Epoch  int64  `msg:"e"` // rises with each owner
--- /dev/null
+++ b/core/keep/keep.go
@@ -0,0 +1,416 @@
+// Package keep decides which machine belongs to which pool, and when each has its upkeep.
+// One process at a time does so: the keeper. It is pure; the clock is handed in.
+package keep
+
+import (
+	"sort"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/pools"
+)
+
+// Times of the keeper, in milliseconds.
+const (
+	// parkAfterMs is how long an offered machine waits for a pool that wants it before it is switched off.
+	// A stay in a pool costs as much as a move in about a second.
+	parkAfterMs = 1500
+	// retryMs is the pause before an order that was not carried out is given again.
+	retryMs = 600
+	// unsureMs is how long an order without an answer may still be carried out.
+	unsureMs = 12_000
+	// goneMs is how long a machine must be missing in the list until it is taken as gone for good.
+	goneMs = 3000
+	// listMs is the age of the list of machines above which nothing is ordered by it.
+	listMs = 3000
+	// settleMs is how long after an answered order the list may still show the state before it.
+	settleMs = 300
+	// joinMs bounds how long a machine that was moved counts for its new pool before its VM is listed.
+	joinMs = 5000
+)
+
+// outShare is the part of a pool that may be out for upkeep at once: one in outShare.
+const outShare = 4
+
+// Config is what a keeper needs.
+type Config struct {
+	Epoch   int64
+	StartAt int64 // local ms before which no machine is ordered: an earlier keeper may just have ordered it
+}
+
+// PoolPost is what the owner of a pool tells.
+type PoolPost struct {
+	Service string
+	Spare   bool // its machines are switched off and cost nothing
+	Post    jobs.Post
+}
+
+// View is what a keeper knows at a time.
+type View struct {
+	Waves    []pools.Wave
+	Machines []pools.Machine
+	ListedAt int64 // local ms at which the list of machines was asked for, 0 before the first
+	Pools    []PoolPost
+	Over     map[jobs.Upkeep]bool // upkeeps that are recorded as done
+}
+
+// Keeper is the state of one keeper. It is not safe for concurrent use.
+type Keeper struct {
+	cfg      Config
+	view     View
+	machines map[string]*machine
+	over     map[jobs.Upkeep]bool
+	refused  map[[2]string]bool // machines that a pool cannot have
+	upkept   []jobs.Upkeep
+	vacate   []string
+	dirty    bool
+	orders   []pools.Order
+	notes    []Note
+	lost     bool
+}
+
+// Note is a decision for the log of the process.
+type Note struct {
+	Machine string
+	What    string
+	Reason  string
+	N       int
+}
+
+// machine is what the keeper remembers of a machine.
+type machine struct {
+	pools.Machine
+	listed    bool
+	missing   int64
+	offeredAt int64
+	order     *pools.Order // under way or unanswered
+	sentAt    int64
+	pending   bool // sent, and neither answered nor given up
+	unsure    int64
+	doneAt    int64 // the last order was carried out
+	wave      int   // of the upkeep that was carried out last
+	target    string
+	retryAt   int64
+}
+
+// New returns a keeper that has ordered nothing yet.
+func New(cfg Config) *Keeper {
+	return &Keeper{
+		cfg: cfg, machines: map[string]*machine{}, over: map[jobs.Upkeep]bool{}, refused: map[[2]string]bool{},
+	}
+}
+
+// Lost reports whether the platform has seen a higher fence number.
+func (k *Keeper) Lost() bool { return k.lost }
+
+// TakeNotes returns the decisions since the last call.
+func (k *Keeper) TakeNotes() []Note {
+	n := k.notes
+	k.notes = nil
+	return n
+}
+
+func (k *Keeper) note(m, what, reason string, n int) {
+	k.notes = append(k.notes, Note{Machine: m, What: what, Reason: reason, N: n})
+}
+
+// Records returns what has to be stored, nil if nothing changed.
+func (k *Keeper) Records() ([]jobs.Record, error) {
+	var records []jobs.Record
+	for _, u := range k.upkept {
+		records = append(records, jobs.Record{Key: u.Key(), Value: []byte{1}})
+	}
+	k.upkept = nil
+	if k.dirty {
+		v := jobs.Vacate{VMs: k.vacate}
+		value, err := v.MarshalMsg(nil)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, jobs.Record{Key: jobs.KeyVacate, Value: value})
+		k.dirty = false
+	}
+	return records, nil
+}
+
+// Plan takes a view over and returns the orders that are due.
+func (k *Keeper) Plan(v View, now int64) []pools.Order {
+	k.view = v
+	if v.ListedAt == 0 || now-v.ListedAt > listMs {
+		return nil
+	}
+	k.list(now)
+	k.offers(now)
+	k.orders = nil
+	vacate := k.planWaves(now)
+	if !sameList(vacate, k.vacate) {
+		k.vacate, k.dirty = vacate, true
+	}
+	if now >= k.cfg.StartAt {
+		k.planMoves(now)
+	}
+	return k.orders
+}
+
+// list takes the platform's list of machines over.
+func (k *Keeper) list(now int64) {
+	seen := map[string]bool{}
+	for _, l := range k.view.Machines {
+		seen[l.ID] = true
+		m := k.machines[l.ID]
+		if m == nil {
+			m = &machine{}
+			k.machines[l.ID] = m
+		}
+		m.Machine, m.listed, m.missing = l, true, 0
+		if m.target != "" && (l.Pool == m.target || now-m.doneAt > joinMs) && k.settled(m) {
+			m.target = ""
+		}
+		if m.wave > 0 && l.State == pools.MachineUp && k.settled(m) {
+			k.finish(jobs.Upkeep{Wave: m.wave, Machine: l.ID})
+			k.note(l.ID, "upkeep done", l.Pool, m.wave)
+			m.wave = 0
+		}
+	}
+	for id, m := range k.machines {
+		if !seen[id] {
+			m.listed = false
+			if m.missing == 0 {
+				m.missing = now
+			}
+		}
+	}
+}
+
+// settled reports whether the list was asked for after the last order was carried out.
+func (k *Keeper) settled(m *machine) bool {
+	return m.doneAt == 0 || k.view.ListedAt > m.doneAt+settleMs
+}
+
+func (k *Keeper) finish(u jobs.Upkeep) {
+	if !k.over[u] {
+		k.over[u] = true
+		k.upkept = append(k.upkept, u)
+	}
+}
+
+// offers notes since when a machine is offered by the owner of its pool.
+func (k *Keeper) offers(now int64) {
+	offered := map[string]bool{}
+	for _, p := range k.view.Pools {
+		for _, id := range p.Post.Offers {
+			offered[id] = true
+		}
+	}
+	for _, m := range k.machines {
+		switch {
+		case m.VM == "" || !offered[m.VM]:
+			m.offeredAt = 0
+		case m.offeredAt == 0:
+			m.offeredAt = now
+		}
+	}
+}
+
+// ready reports whether a machine may be ordered now.
+func (k *Keeper) ready(m *machine, now int64) bool {
+	return m.listed && m.State == pools.MachineUp && m.target == "" && m.wave == 0 && !m.pending &&
+		k.settled(m) && now >= m.retryAt && now >= m.unsure
+}
+
+// planWaves orders the upkeeps that are possible, and returns the VMs that have to be emptied for others.
+func (k *Keeper) planWaves(now int64) []string {
+	var vacate []string
+	for i := range k.view.Waves {
+		vacate = append(vacate, k.planWave(&k.view.Waves[i], now)...)
+	}
+	sort.Strings(vacate)
+	return vacate
+}
+
+func (k *Keeper) planWave(w *pools.Wave, now int64) []string {
+	var due []*machine
+	down := 0
+	for _, id := range w.Machines {
+		key := jobs.Upkeep{Wave: w.N, Machine: id}
+		if k.view.Over[key] || k.over[key] {
+			continue
+		}
+		m := k.machines[id]
+		switch {
+		case m == nil || !m.listed:
+			k.missing(key, m, now)
+		case m.wave == w.N || m.order != nil && m.order.Kind == pools.Upkeep && (m.pending || now < m.unsure):
+			down++
+			if !m.pending && m.wave == 0 && now >= m.retryAt {
+				k.send(m, *m.order, now) // the answer was lost; the order is given again
+			}
+		default:
+			due = append(due, m)
+		}
+	}
+	sort.Slice(due, func(a, b int) bool { return k.before(due[a], due[b]) })
+	return k.takeDown(w, due, down, now)
+}
+
+// before orders machines for upkeep: those that cost nothing first.
+func (k *Keeper) before(a, b *machine) bool {
+	ca, cb := k.upkeepCost(a), k.upkeepCost(b)
+	if ca != cb {
+		return ca < cb
+	}
+	return a.ID < b.ID
+}
+
+// upkeepCost ranks a machine by what its upkeep interrupts.
+func (k *Keeper) upkeepCost(m *machine) int {
+	switch {
+	case k.isSpare(m.Pool):
+		return 0
+	case m.offeredAt > 0 || k.isClear(m):
+		return 1
+	default:
+		for _, vm := range k.vacate {
+			if vm == m.VM {
+				return 2 // it is being emptied already
+			}
+		}
+		return 3
+	}
+}
+
+// takeDown orders upkeeps while the wave allows more, and returns the VMs to empty next.
+func (k *Keeper) takeDown(w *pools.Wave, due []*machine, down int, now int64) []string {
+	limit := max(w.MaxDown, 1)
+	var vacate []string
+	out := map[string]int{}
+	for _, m := range k.machines {
+		if m.wave > 0 {
+			out[m.Pool]++
+		}
+	}
+	for _, m := range due {
+		if down+len(vacate) >= limit {
+			break
+		}
+		switch {
+		case m.State != pools.MachineUp || m.target != "":
+		case k.isSpare(m.Pool) || m.offeredAt > 0 || k.isClear(m):
+			if now < k.cfg.StartAt || !k.ready(m, now) {
+				continue
+			}
+			down++
+			out[m.Pool]++
+			k.send(m, pools.Order{Kind: pools.Upkeep, VM: m.VM, Item: m.ID, Run: w.N, Fence: k.cfg.Epoch}, now)
+		case out[m.Pool] == 0 || (out[m.Pool]+1)*outShare <= k.size(m.Pool):
+			out[m.Pool]++
+			vacate = append(vacate, m.VM)
+		}
+	}
+	return vacate
+}
+
+// missing records a machine that is gone for good, so that its wave can be complete.
+func (k *Keeper) missing(key jobs.Upkeep, m *machine, now int64) {
+	if m == nil {
+		m = &machine{missing: now}
+		m.ID = key.Machine
+		k.machines[key.Machine] = m
+	}
+	if now-m.missing > goneMs {
+		k.note(key.Machine, "upkeep not needed", "the machine is gone", key.Wave)
+		k.finish(key)
+	}
+}
+
+func (k *Keeper) send(m *machine, o pools.Order, now int64) {
+	m.order, m.sentAt, m.pending = &o, now, true
+	k.orders = append(k.orders, o)
+	what, reason := "move", m.Pool+" to "+o.Spec
+	if o.Kind == pools.Upkeep {
+		what, reason = "upkeep", m.Pool
+	}
+	k.note(m.ID, what, reason, o.Run)
+}
+
+// Replied takes over what became of an order.
+func (k *Keeper) Replied(o pools.Order, r pools.Reply, now int64) {
+	m := k.machines[o.Item]
+	if m == nil {
+		return
+	}
+	m.pending = false
+	switch r.Kind {
+	case pools.Done:
+		m.doneAt, m.unsure = now, 0
+		m.offeredAt = 0
+		if o.Kind == pools.Upkeep {
+			m.wave = o.Run
+		} else {
+			m.target = o.Spec
+		}
+	case pools.Fenced:
+		k.lost = true
+	case pools.NoReply:
+		m.unsure, m.retryAt = now+unsureMs, now+retryMs
+		k.note(m.ID, "order unanswered", "", o.Run)
+	case pools.Rejected:
+		if o.Kind == pools.Move {
+			k.refused[[2]string{m.ID, o.Spec}] = true
+		}
+		m.retryAt = now + retryMs
+		k.note(m.ID, "order refused", "malformed or not allowed", o.Run)
+	default:
+		m.retryAt = now + retryMs
+		k.note(m.ID, "order refused", "busy", o.Run)
+	}
+}
+
+func (k *Keeper) isSpare(pool string) bool {
+	p := k.pool(pool)
+	return p != nil && p.Spare
+}
+
+func (k *Keeper) isClear(m *machine) bool {
+	p := k.pool(m.Pool)
+	if p == nil || m.VM == "" {
+		return false
+	}
+	for _, id := range p.Post.Clear {
+		if id == m.VM {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Keeper) pool(service string) *PoolPost {
+	for i := range k.view.Pools {
+		if k.view.Pools[i].Service == service {
+			return &k.view.Pools[i]
+		}
+	}
+	return nil
+}
+
+// size returns the number of machines of a pool.
+func (k *Keeper) size(pool string) int {
+	n := 0
+	for _, m := range k.machines {
+		if m.listed && m.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+func sameList(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/core/pools/pools.go
+++ b/core/pools/pools.go
@@ -35,6 +35,7 @@
 	Stop
 	Pace
 	Upkeep // Item names the machine, Run the wave
+	Move   // Item names the machine, Spec the pool
 )
 
 // Order is sent to one VM about one run of an item.
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -41,7 +41,6 @@
 type Config struct {
 	Service  string
 	Epoch    int64 // of the ownership, and the fence number of all orders
-	First    bool  // the shard speaks for what belongs to no pool
 	StatusMs int64 // how long a finished job stays known
 	EarlyMs  int64 // how much before its time an occurrence may start
 	PaceMs   int64 // until an order to pace takes effect
@@ -66,11 +65,7 @@
 	notes     []Note
 	nextPace  int64
 
-	upkeeps Upkeeps
-	dues    map[string]*due // by machine
-	missing map[string]int64
-	overNow map[jobs.Upkeep]bool // done, recorded or about to be
-	upkept  []jobs.Upkeep        // to be recorded
+	need need
 }
 
 // finished is a job that is kept for callers' questions until a time.
@@ -92,8 +87,7 @@
 func New(cfg Config, catalog *jobs.Catalog, now int64) *Engine {
 	return &Engine{
 		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
-		dirty: map[string]*job{}, contact: now, dues: map[string]*due{}, missing: map[string]int64{},
-		overNow: map[jobs.Upkeep]bool{},
+		dirty: map[string]*job{}, contact: now,
 	}
 }
 
@@ -132,6 +126,9 @@
 		return
 	}
 	j := newJob(entry.Job, now, wall)
+	if !j.Lasts() && now-j.arrivedAt < rateMs {
+		e.need.arrived(entry.Job, now)
+	}
 	j.rev, j.base = entry.Progress.Rev, entry.Progress.Base
 	j.state, j.saved = entry.Progress.State, entry.Progress.State
 	e.jobs[id] = j
--- /dev/null
+++ b/core/shard/need.go
@@ -0,0 +1,253 @@
+package shard
+
+import (
+	"sort"
+
+	"sassafrasvalve/core/jobs"
+)
+
+// Demand of a pool, in milliseconds where not said otherwise.
+const (
+	// rateMs is the window over which arriving work is measured.
+	rateMs = 1000
+	// aheadMs is how far a rise of the demand is extrapolated: a machine joins about so long after it was asked for.
+	aheadMs = 2000
+	// clearMs is the time in which work that waits should be done.
+	clearMs = 1500
+	// fillShare is the part of the VMs' processors that can be filled, in percent.
+	fillShare = 85
+	// holdMs is how long a lower demand must last before VMs are offered.
+	holdMs = 1500
+	// postEvery is the shortest pause between two posts with another number of VMs only.
+	postEvery = 250
+	// spareVMs are kept beyond those that what lasts needs, so that it can restart elsewhere.
+	spareVMs = 1
+	// minVMs are always kept.
+	minVMs = 2
+)
+
+// arrival is work that came.
+type arrival struct {
+	at, coreMs int64
+}
+
+// need is the owner's view of its pool's demand.
+type need struct {
+	arrivals []arrival
+	peaks    []arrival // newest wants: at, number
+	posted   jobs.Post
+	postedAt int64
+	post     bool // due to be recorded
+	want     int
+}
+
+// arrived notes the work of a job that came.
+func (n *need) arrived(j *jobs.Job, now int64) {
+	n.arrivals = append(n.arrivals, arrival{now, j.WorkMs() * int64(j.Occurrences())})
+}
+
+// rates returns the core-milliseconds that came in the newest window and in the one before.
+func (n *need) rates(now int64) (newest, before int64) {
+	keep := n.arrivals[:0]
+	for _, a := range n.arrivals {
+		switch {
+		case a.at > now-rateMs:
+			newest += a.coreMs
+		case a.at > now-2*rateMs:
+			before += a.coreMs
+		default:
+			continue
+		}
+		keep = append(keep, a)
+	}
+	n.arrivals = keep
+	return newest, before
+}
+
+// tickNeed works out how many VMs the pool can use, and offers what it does not use.
+func (e *Engine) tickNeed(now int64) {
+	size := e.vmSize()
+	if size == 0 {
+		return
+	}
+	cores, lasting, floor := e.demand(now)
+	want := int((cores*100/fillShare+lasting+size-1)/size) + 0
+	want = max(want, floor)
+	e.need.want = e.steady(want, now)
+	e.offer(floor, now)
+	e.preparePost(floor, now)
+}
+
+// vmSize returns the usual processor of a VM of the pool, in thousandths of a core.
+func (e *Engine) vmSize() int64 {
+	var sum, n int64
+	for _, v := range e.vms {
+		if v.CPU > 0 {
+			sum += v.CPU
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
+// demand returns the thousandths of a core that jobs that come and go can use, those that lasting
+// items take, and the number of VMs that the lasting items need.
+func (e *Engine) demand(now int64) (cores, lasting int64, floor int) {
+	var waiting int64
+	widest := 0
+	for _, j := range e.jobs {
+		if j.state.Final() {
+			continue
+		}
+		if j.Lasts() {
+			for i := range j.Steps {
+				s := &j.Steps[i]
+				if !s.Fill {
+					lasting += int64(s.Count) * s.CPU
+				}
+				if s.MaxPerVM > 0 {
+					widest = max(widest, (s.Count+s.MaxPerVM-1)/s.MaxPerVM)
+				}
+			}
+			continue
+		}
+		waiting += e.openWork(j, now)
+	}
+	newest, before := e.need.rates(now)
+	coming := newest + max(newest-before, 0)*aheadMs/rateMs/2
+	if newest < before {
+		coming = max(newest-(before-newest)/2, 0)
+	}
+	// Work in core-milliseconds over milliseconds is cores.
+	cores = max(waiting*1000/clearMs, coming*1000/rateMs)
+	floor = minVMs
+	if widest > 0 {
+		floor = max(floor, widest+spareVMs)
+	}
+	return cores, lasting, floor
+}
+
+// openWork returns the core-milliseconds of a job whose turn has come and which may still earn something.
+func (e *Engine) openWork(j *job, now int64) int64 {
+	if now > j.arrivedAt+lateFactor*e.objective(j) {
+		return 0
+	}
+	var sum int64
+	for _, it := range j.order {
+		if it.done || !j.turn(it) {
+			continue
+		}
+		left := it.step.EstimateMs
+		if it.phase == running {
+			left = max(left-(now-it.startedAt), left/10)
+		}
+		sum += left * it.step.CPU / 1000
+	}
+	return sum
+}
+
+// steady returns the greatest of the newest wants, so that a short lull gives nothing away.
+func (e *Engine) steady(want int, now int64) int {
+	keep := e.need.peaks[:0]
+	for _, p := range e.need.peaks {
+		if p.at > now-holdMs {
+			keep = append(keep, p)
+			want = max(want, 0)
+		}
+	}
+	e.need.peaks = append(keep, arrival{now, int64(want)})
+	for _, p := range e.need.peaks {
+		want = max(want, int(p.coreMs))
+	}
+	return want
+}
+
+// offer gives VMs without runs away while there are more than wanted, and takes them back when there are fewer.
+func (e *Engine) offer(floor int, now int64) {
+	inUse := 0
+	var free, offered []*vm
+	for _, v := range e.vms {
+		switch {
+		case !v.listed || v.Draining || v.missing != 0:
+		case v.offered:
+			offered = append(offered, v)
+		default:
+			inUse++
+			if len(v.runs) == 0 && v.met {
+				free = append(free, v)
+			}
+		}
+	}
+	keep := max(e.need.want, floor)
+	sort.Slice(free, func(a, b int) bool {
+		if free[a].vacate != free[b].vacate {
+			return free[a].vacate
+		}
+		return free[a].ID < free[b].ID
+	})
+	for i := 0; i < len(free) && inUse > keep; i++ {
+		free[i].offered = true
+		e.note(Note{VM: free[i].ID, What: "offer vm", N: e.need.want})
+		inUse--
+	}
+	for i := 0; i < len(offered) && inUse < keep; i++ {
+		offered[i].offered = false
+		offered[i].returnedAt = now
+		e.note(Note{VM: offered[i].ID, What: "use offered vm again", N: e.need.want})
+		inUse++
+	}
+}
+
+// preparePost has the owner's view recorded when it changed.
+func (e *Engine) preparePost(floor int, now int64) {
+	p := jobs.Post{Want: e.need.want, Min: floor, Rev: e.need.posted.Rev, Urgent: e.urgency()}
+	for id, v := range e.vms {
+		if !v.listed || v.Draining {
+			continue
+		}
+		if v.offered {
+			p.Offers = append(p.Offers, id)
+		}
+		if v.vacate && len(v.runs) == 0 {
+			p.Clear = append(p.Clear, id)
+		}
+	}
+	sort.Strings(p.Offers)
+	sort.Strings(p.Clear)
+	old := &e.need.posted
+	lists := !equal(p.Offers, old.Offers) || !equal(p.Clear, old.Clear)
+	if !lists && (p.Want == old.Want && p.Min == old.Min || now-e.need.postedAt < postEvery) {
+		return
+	}
+	p.Rev++
+	e.need.posted, e.need.postedAt, e.need.post = p, now, true
+}
+
+// urgency returns the priority of the pool's most urgent queue with waiting work; higher goes first.
+func (e *Engine) urgency() int64 {
+	var best int64
+	for _, j := range e.jobs {
+		if q := e.catalog.Queue(j.Queue); q != nil && !j.Lasts() {
+			best = max(best, int64(maxPriority-q.Priority))
+		}
+	}
+	return best
+}
+
+// maxPriority is above every priority of a queue.
+const maxPriority = 100
+
+func equal(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -150,7 +150,7 @@
 	}
 	var starts []start
 	for _, it := range group {
-		v := e.choose(j, it, usable)
+		v := e.choose(j, it, usable, now)
 		if v == nil {
 			for _, s := range starts { // no room for the whole gang
 				s.it.vm.detach(s.it)
@@ -178,16 +178,15 @@
 	weightFailed = 4000 // the item failed there before
 	weightSame   = 700  // items of one lasting step share the fate of their VM
 	weightRack   = 200  // and of their rack
-	weightWave   = 500  // the VM will be taken down soon
 	weightBeside = 400  // an item that fills disturbs each item that serves
 )
 
 // choose returns the VM for an item, nil if none has room.
-func (e *Engine) choose(j *job, it *item, usable []*vm) *vm {
+func (e *Engine) choose(j *job, it *item, usable []*vm, now int64) *vm {
 	var best *vm
 	var bestCost int64
 	for _, v := range usable {
-		if !v.fits(it) || !allowed(j, it, v) {
+		if !v.fits(it) || !allowed(j, it, v) || it.step.Persistent && v.returnedAt > 0 && now-v.returnedAt < returnMs {
 			continue
 		}
 		if cost := e.cost(j, it, v); best == nil || cost < bestCost {
@@ -230,9 +229,6 @@
 	if !s.Persistent && !s.Fill {
 		return cost
 	}
-	if v.pending {
-		cost += weightWave
-	}
 	for _, o := range v.runs {
 		if o.job == j && o.Step == it.Step {
 			cost += weightSame
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -35,7 +35,7 @@
 	e.tick(now, wall)
 	b := &Batch{acks: map[string]int64{}}
 	b.starts = e.place(now)
-	if len(e.dirty) == 0 && len(e.drops) == 0 && len(e.upkept) == 0 {
+	if len(e.dirty) == 0 && len(e.drops) == 0 && !e.need.post {
 		return nil, nil
 	}
 	size := 0
@@ -59,10 +59,14 @@
 			jobs.Record{Key: jobs.JobKey(id)})
 	}
 	e.drops = nil
-	for _, u := range e.upkept {
-		b.Records = append(b.Records, jobs.Record{Key: u.Key(), Value: []byte{1}})
+	if e.need.post {
+		value, err := e.need.posted.MarshalMsg(nil)
+		if err != nil {
+			return nil, err
+		}
+		b.Records = append(b.Records, jobs.Record{Key: jobs.KeyPost, Value: value})
+		e.need.post = false
 	}
-	e.upkept = nil
 	if len(e.dirty) == 0 {
 		for id, v := range e.vms {
 			b.acks[id] = v.seen
@@ -108,10 +112,6 @@
 
 // Replied takes over what became of an order.
 func (e *Engine) Replied(o pools.Order, r pools.Reply, now int64) {
-	if o.Kind == pools.Upkeep {
-		e.upkeepReplied(o, r, now)
-		return
-	}
 	v := e.vms[o.VM]
 	if v == nil {
 		return
@@ -131,7 +131,7 @@
 		return
 	}
 	switch o.Kind {
-	case pools.Upkeep:
+	case pools.Upkeep, pools.Move:
 	case pools.Start:
 		e.startReplied(it, v, r, now)
 	case pools.Stop:
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -35,7 +35,8 @@
 	for _, v := range e.vms {
 		e.tickVM(v, now)
 	}
-	e.tickWaves(now)
+	e.tickVacate(now)
+	e.tickNeed(now)
 	for _, j := range e.jobs {
 		if j.Times > 0 && !j.state.Final() {
 			j.open(wall, e.cfg.EarlyMs)
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -32,8 +32,10 @@
 
 	runs          map[string]*item
 	cpu, mem, gpu int64 // taken by runs
-	cordoned      bool  // it is being emptied for upkeep
-	pending       bool  // a wave will take it down later
+	vacate        bool  // the keeper of the machines asks for it to be emptied
+	vacateAt      int64 // since when, 0 if it does not
+	offered       bool  // the pool has no use for it
+	returnedAt    int64 // the offer was withdrawn
 }
 
 // rackPrefix begins the label that names a VM's rack.
@@ -96,7 +98,7 @@
 
 // usable reports whether new work may go to the VM.
 func (v *vm) usable(now int64) bool {
-	return v.listed && v.missing == 0 && !v.Draining && !v.cordoned && v.met && !v.failing &&
+	return v.listed && v.missing == 0 && !v.Draining && !v.vacate && !v.offered && v.met && !v.failing &&
 		now-v.lastLook < silentMs && now >= v.badUntil && now >= v.fullUntil
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -19,6 +19,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/keep"
 	"sassafrasvalve/core/pools"
 	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/desk"
@@ -64,7 +66,6 @@
 	stats   *owner.Stats
 	metrics metrics.Registry
 	owned   atomic.Int64
-	first   atomic.Pointer[owner.Owner]
 	leaving atomic.Bool
 
 	ctx          context.Context // of the followers and of owners
@@ -99,17 +100,12 @@
 		cfg: s, log: log, level: level, member: fmt.Sprintf("%s#%d", s.Node, time.Now().UnixMilli()),
 		store: platform.NewStore(s.Store.Addr), metrics: registry, stats: owner.NewStats(registry),
 	}
-	n.waves = &waves{
-		log: log, store: n.store, cloud: platform.NewCloud(s.Cloud.Addr, n.member),
-		owns: func() bool { return n.owned.Load() > 0 }, first: n.ownsFirst,
-		waves: map[int]pools.Wave{}, told: map[int]string{},
-	}
+	n.waves = &waves{log: log, store: n.store, waves: map[int]pools.Wave{}, told: map[int]string{}}
 	n.catalog = &catalog{log: log, waves: n.waves}
 	n.catalog.feed = feed.New(feed.Config{
 		Store: n.store, Topic: platform.TopicOperator, Wait: configWait, Log: log, Take: n.catalog.take,
 	})
 	n.shards = newShards(shardsConfig{Store: n.store, Parts: s.Store.Parts, Log: log, Open: n.open})
-	n.waves.shards = n.shards
 	return n, nil
 }
 
@@ -143,7 +139,6 @@
 	}
 	go n.catalog.feed.Run(base)
 	go n.shards.loop(base, n.catalog.Current)
-	go n.waves.loop(base)
 	d := desk.New(desk.Config{Store: n.store, Catalog: n.catalog, Shards: n.shards, Log: n.log, Stats: n.stats})
 	server := &http.Server{
 		Handler: &platform.Front{Desk: d}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -226,17 +221,9 @@
 func (n *Node) open(service string, t *tail.Tail) {
 	go t.Run(n.ctx)
 	o := owner.New(owner.Config{
-		Member: n.member, Service: service, Part: t.Part(), Store: n.store, Tail: t, Pool: n.regis, Machines: n.waves,
-		Catalog: n.catalog.Current, Owned: &n.owned, Log: n.log, Stats: n.stats,
-		Engine: shard.Config{
-			First:    t.Part() == firstPart,
-			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
-			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs,
-		},
+		Member: n.member, Service: service, Part: t.Part(), Store: n.store, Tail: t, Runner: n.runner(service, t),
+		Owned: &n.owned, Log: n.log, Stats: n.stats,
 	})
-	if t.Part() == firstPart {
-		n.first.Store(o)
-	}
 	n.owners.Add(1)
 	go func() {
 		defer n.owners.Done()
@@ -244,13 +231,62 @@
 	}()
 }
 
-// firstPart is the shard whose owner speaks for the waves.
-const firstPart = 0
+// runner returns what the owner of a shard does.
+func (n *Node) runner(service string, t *tail.Tail) owner.Runner {
+	if service == keeperShard {
+		return owner.NewKeeperRunner(owner.KeeperConfig{
+			Cloud: platform.NewCloud(n.cfg.Cloud.Addr, n.member), Waves: n.waves.list, Pools: n.posts, Over: n.upkeeps,
+			Hasten: n.hasten, Tell: n.waves.tell, LeaseMs: n.cfg.Times.LeaseMs, Stats: n.stats,
+		})
+	}
+	return owner.NewPoolRunner(owner.PoolConfig{
+		Service: service, Tail: t, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.vacate, Stats: n.stats,
+		Engine: shard.Config{
+			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
+			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs,
+		},
+	})
+}
+
+// posts returns what the owners of the pools told last.
+func (n *Node) posts() []keep.PoolPost {
+	c := n.catalog.Current()
+	if c == nil {
+		return nil
+	}
+	list := make([]keep.PoolPost, 0, len(c.Pools))
+	for i := range c.Pools {
+		p := keep.PoolPost{Service: c.Pools[i].Service, Spare: c.Pools[i].Spare}
+		if t := n.shards.Tail(p.Service); t != nil {
+			p.Post, _ = t.Post()
+		}
+		list = append(list, p)
+	}
+	return list
+}
 
-// ownsFirst reports whether this process owns the shard that speaks for the waves.
-func (n *Node) ownsFirst() bool {
-	o := n.first.Load()
-	return o != nil && o.Owns()
+// upkeeps returns the upkeeps that are recorded as done.
+func (n *Node) upkeeps() map[jobs.Upkeep]bool {
+	over := map[jobs.Upkeep]bool{}
+	if t := n.shards.Tail(keeperShard); t != nil {
+		t.Upkeeps(over)
+	}
+	return over
+}
+
+// hasten has all shards read often, for the keeper.
+func (n *Node) hasten(on bool) {
+	for _, t := range n.shards.All() {
+		t.Hasten(on)
+	}
+}
+
+// vacate returns the VMs that the keeper asks to be emptied.
+func (n *Node) vacate() []string {
+	if t := n.shards.Tail(keeperShard); t != nil {
+		return t.Vacate()
+	}
+	return nil
 }
 
 // statusMargin is how much longer than asked a finished job stays known, in ms.
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -43,14 +43,13 @@
 
 // TimeSettings are the platform's bounds, in milliseconds.
 type TimeSettings struct {
-	StatusMs  int64 // how long a finished job stays known
-	EarlyMs   int64 // how much before its time an occurrence may start
-	GraceMs   int64 // between the stop signal and the kill
-	NoticeMs  int64 // how long a lasting item may be away before it counts against its budget
-	HarmMs    int64 // how long a serving item may be over its target
-	PaceMs    int64 // until an order to pace takes effect
-	UpkeepMs  int64 // how long an upkeep takes
-	CheckedMs int64 // pause between two readiness checks of the balancer
+	StatusMs int64 // how long a finished job stays known
+	EarlyMs  int64 // how much before its time an occurrence may start
+	GraceMs  int64 // between the stop signal and the kill
+	NoticeMs int64 // how long a lasting item may be away before it counts against its budget
+	HarmMs   int64 // how long a serving item may be over its target
+	PaceMs   int64 // until an order to pace takes effect
+	LeaseMs  int64 // for so long after another process's order a machine is left alone
 }
 
 // LoadSettings reads and checks the settings file at path. The error lists all faults.
--- a/io/node/shards.go
+++ b/io/node/shards.go
@@ -25,6 +25,9 @@
 	directoryTimeout = 700 * time.Millisecond
 )
 
+// keeperShard names the shard of the keeper of the machines in the directory. No service has such a name.
+const keeperShard = "#machines"
+
 // shards is the directory of which service has which partition. An entry of it never changes.
 type shards struct {
 	cfg   shardsConfig
@@ -116,8 +119,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var names []string
+	if _, known := s.parts[keeperShard]; !known {
+		return keeperShard
+	}
 	for i := range c.Pools {
-		if _, known := s.parts[c.Pools[i].Service]; !known {
+		if _, known := s.parts[c.Pools[i].Service]; !known && !c.Pools[i].Spare {
 			names = append(names, c.Pools[i].Service)
 		}
 	}
--- /dev/null
+++ b/io/owner/keeper.go
@@ -0,0 +1,246 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/clock"
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/keep"
+	"sassafrasvalve/core/pools"
+	"sassafrasvalve/core/retry"
+	"sassafrasvalve/platform"
+)
+
+// Times of the keeper.
+const (
+	// keeperTick is the pause between two turns of the keeper.
+	keeperTick = 60 * time.Millisecond
+	// machinesEvery is the pause between two reads of the list of machines.
+	machinesEvery = 400 * time.Millisecond
+	// machinesTimeout bounds a read of the list.
+	machinesTimeout = 1500 * time.Millisecond
+	// machineTimeout bounds an order to move a machine or to take it down.
+	machineTimeout = 1500 * time.Millisecond
+	// machineOrders bounds the orders that are under way at once.
+	machineOrders = 32
+)
+
+// Cloud lists machines and carries orders about them out.
+type Cloud interface {
+	Machines(deadline time.Time) ([]pools.Machine, error)
+	Upkeep(o pools.Order, deadline time.Time) (pools.Reply, error)
+	Move(o pools.Order, deadline time.Time) (pools.Reply, error)
+}
+
+// KeeperConfig is what the keeper of the machines needs.
+type KeeperConfig struct {
+	Cloud   Cloud
+	Waves   func() []pools.Wave
+	Pools   func() []keep.PoolPost
+	Over    func() map[jobs.Upkeep]bool
+	Hasten  func(on bool) // has the posts of the pools read often
+	Tell    func(wave int, complete bool)
+	LeaseMs int64 // for so long after another keeper's order a machine is left alone
+	Stats   *Stats
+}
+
+// KeeperRunner moves machines and takes them down while this process is the keeper.
+type KeeperRunner struct {
+	cfg KeeperConfig
+}
+
+// NewKeeperRunner returns the runner of the keeper.
+func NewKeeperRunner(cfg KeeperConfig) *KeeperRunner { return &KeeperRunner{cfg} }
+
+// Serve runs until the ownership is lost (true) or ctx ends (false).
+func (k *KeeperRunner) Serve(ctx context.Context, o *Owner) bool {
+	r := &keeperRun{
+		cfg: k.cfg, o: o, log: o.log.With(zap.Int64("epoch", o.Epoch())),
+		orders: make(chan pools.Order, machineOrders),
+	}
+	r.keeper = keep.New(keep.Config{Epoch: o.Epoch(), StartAt: clock.BootMs() + k.cfg.LeaseMs})
+	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	defer r.wg.Wait()
+	defer r.cancel()
+	k.cfg.Hasten(true)
+	defer k.cfg.Hasten(false)
+	r.wg.Add(1)
+	go r.listLoop()
+	for range orderLoops {
+		r.wg.Add(1)
+		go r.orderLoop()
+	}
+	return r.loop(ctx)
+}
+
+// orderLoops is the number of orders about machines that are sent at once.
+const orderLoops = 4
+
+// keeperRun is one epoch of the keeper.
+type keeperRun struct {
+	cfg    KeeperConfig
+	o      *Owner
+	log    *zap.Logger
+	orders chan pools.Order
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	beatAt int64
+
+	mu       sync.Mutex // guards the following
+	keeper   *keep.Keeper
+	machines []pools.Machine
+	listedAt int64
+}
+
+func (r *keeperRun) loop(ctx context.Context) bool {
+	ticker := time.NewTicker(keeperTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		if !r.turn(ctx) {
+			return ctx.Err() == nil
+		}
+	}
+}
+
+// turn plans and records once. It returns false once the ownership is over.
+func (r *keeperRun) turn(ctx context.Context) bool {
+	now := clock.BootMs()
+	waves := r.cfg.Waves()
+	over := r.cfg.Over()
+	r.mu.Lock()
+	orders := r.keeper.Plan(keep.View{
+		Waves: waves, Machines: r.machines, ListedAt: r.listedAt, Pools: r.cfg.Pools(), Over: over,
+	}, now)
+	records, err := r.keeper.Records()
+	notes := r.keeper.TakeNotes()
+	lost := r.keeper.Lost()
+	r.mu.Unlock()
+	if lost {
+		r.log.Info("keeper lost: the platform has seen a higher fence number")
+		return false
+	}
+	if err != nil {
+		r.log.Error("keeper's records not encoded", zap.Error(err))
+	}
+	for _, n := range notes {
+		r.log.Info("machine: "+n.What, zap.String("machine", n.Machine), zap.String("reason", n.Reason), zap.Int("wave", n.N))
+		r.cfg.Stats.Count("machine."+n.What, 1)
+	}
+	if now-r.beatAt >= beatEvery {
+		rec, err := r.o.Renewal()
+		if err != nil {
+			r.log.Error("claim not encoded", zap.Error(err))
+		}
+		records = append(records, rec)
+		r.beatAt = now
+	}
+	// Orders are sent only behind a confirmed record of this epoch: nobody else is the keeper yet.
+	if len(orders) > 0 && len(records) == 0 {
+		rec, err := r.o.Renewal()
+		if err != nil {
+			r.log.Error("claim not encoded", zap.Error(err))
+		}
+		records = append(records, rec)
+		r.beatAt = now
+	}
+	if len(records) > 0 {
+		if !r.o.Write(ctx, records) {
+			return false
+		}
+		r.o.cfg.Tail.Put(records)
+	}
+	late := clock.BootMs()-now > machineTimeout.Milliseconds()
+	for _, o := range orders {
+		if late || !r.push(o) {
+			r.replied(o, pools.Reply{Kind: pools.Unsent})
+		}
+	}
+	r.tell(waves, over)
+	return true
+}
+
+func (r *keeperRun) push(o pools.Order) bool {
+	select {
+	case r.orders <- o:
+		return true
+	default:
+		return false
+	}
+}
+
+// tell has the operator told how far the waves are.
+func (r *keeperRun) tell(waves []pools.Wave, over map[jobs.Upkeep]bool) {
+	for i := range waves {
+		complete := true
+		for _, m := range waves[i].Machines {
+			complete = complete && over[jobs.Upkeep{Wave: waves[i].N, Machine: m}]
+		}
+		r.cfg.Tell(waves[i].N, complete)
+	}
+}
+
+func (r *keeperRun) replied(o pools.Order, reply pools.Reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keeper.Replied(o, reply, clock.BootMs())
+}
+
+// orderLoop carries orders to the platform.
+func (r *keeperRun) orderLoop() {
+	defer r.wg.Done()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case o := <-r.orders:
+			r.replied(o, r.order(o))
+		}
+	}
+}
+
+func (r *keeperRun) order(o pools.Order) pools.Reply {
+	deadline := time.Now().Add(machineTimeout)
+	send := r.cfg.Cloud.Move
+	if o.Kind == pools.Upkeep {
+		send = r.cfg.Cloud.Upkeep
+	}
+	reply, err := send(o, deadline)
+	if err == nil {
+		return reply
+	}
+	r.log.Warn("order about a machine failed", zap.String("machine", o.Item), zap.Error(err))
+	if platform.VerdictOf(err) == retry.NotRun {
+		return pools.Reply{Kind: pools.Unsent}
+	}
+	return pools.Reply{Kind: pools.NoReply}
+}
+
+// listLoop reads the list of machines again and again.
+func (r *keeperRun) listLoop() {
+	defer r.wg.Done()
+	failed := false
+	for r.ctx.Err() == nil {
+		begun := clock.BootMs()
+		list, err := r.cfg.Cloud.Machines(time.Now().Add(machinesTimeout))
+		if err == nil {
+			r.mu.Lock()
+			r.machines, r.listedAt = list, begun
+			r.mu.Unlock()
+		}
+		if failed != (err != nil) {
+			r.log.Info("list of machines", zap.Bool("available", err == nil), zap.Error(err))
+		}
+		failed = err != nil
+		wait(r.ctx, machinesEvery)
+	}
+}
--- a/io/owner/link.go
+++ b/io/owner/link.go
@@ -40,7 +40,7 @@
 
 func newVMLink(r *run, v pools.VM) *vmLink {
 	l := &vmLink{
-		r: r, id: v.ID, addr: v.Addr, client: r.o.cfg.Pool.Client(v),
+		r: r, id: v.ID, addr: v.Addr, client: r.cfg.Pool.Client(v),
 		orders: make(chan pools.Order, ordersWaiting), acked: make(chan struct{}, 1),
 	}
 	l.ctx, l.cancel = context.WithCancel(r.ctx)
@@ -98,18 +98,18 @@
 	switch o.Kind {
 	case pools.Start:
 		reply, err = l.client.Start(o, deadline)
-		l.r.o.cfg.Stats.Time("start", time.Since(begun))
+		l.r.cfg.Stats.Time("start", time.Since(begun))
 	case pools.Stop:
 		reply, err = l.client.Stop(o, deadline)
 	case pools.Pace:
 		reply, err = l.client.Pace(o, deadline)
-	case pools.Upkeep:
+	case pools.Upkeep, pools.Move:
 		return pools.Reply{Kind: pools.Unsent} // not an order to a VM
 	}
 	if err == nil {
 		return reply
 	}
-	l.r.o.cfg.Stats.Count("order.failed", 1)
+	l.r.cfg.Stats.Count("order.failed", 1)
 	if platform.VerdictOf(err) == retry.NotRun {
 		return pools.Reply{Kind: pools.Unsent}
 	}
@@ -150,7 +150,7 @@
 		l.r.signal()
 	}
 	if err != nil {
-		l.r.o.cfg.Stats.Count("look.failed", 1)
+		l.r.cfg.Stats.Count("look.failed", 1)
 		return false
 	}
 	if behind {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -11,9 +11,7 @@
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
-	"sassafrasvalve/core/pools"
 	"sassafrasvalve/core/retry"
-	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/tail"
 	"sassafrasvalve/platform"
 )
@@ -52,26 +50,23 @@
 	Append(a platform.Append) (platform.AppendResult, error)
 }
 
-// Machines tells about waves of upkeep, and takes machines down.
-type Machines interface {
-	Upkeeps() shard.Upkeeps
-	Upkeep(o pools.Order) pools.Reply
+// Runner does the work of a shard while this process owns it.
+type Runner interface {
+	// Serve runs until the shard is lost (true) or ctx ends (false).
+	Serve(ctx context.Context, o *Owner) bool
 }
 
 // Config is what an owner needs.
 type Config struct {
-	Member   string // of this process and its lifetime
-	Service  string
-	Part     int
-	Store    Store
-	Tail     *tail.Tail
-	Pool     Pool
-	Machines Machines
-	Catalog  func() *jobs.Catalog
-	Owned    *atomic.Int64 // shards owned by this process
-	Engine   shard.Config
-	Log      *zap.Logger
-	Stats    *Stats
+	Member  string // of this process and its lifetime
+	Service string
+	Part    int
+	Store   Store
+	Tail    *tail.Tail
+	Runner  Runner
+	Owned   *atomic.Int64 // shards owned by this process
+	Log     *zap.Logger
+	Stats   *Stats
 }
 
 // Owner takes part in the election of one shard.
@@ -112,6 +107,14 @@
 	}
 }
 
+// Epoch returns the number of the present ownership. It is the fence number of all orders.
+func (o *Owner) Epoch() int64 { return o.epoch }
+
+// Renewal returns the record that renews the claim.
+func (o *Owner) Renewal() (jobs.Record, error) {
+	return claimRecord(jobs.Claim{Epoch: o.epoch, Owner: o.cfg.Member, Reason: "renewed"})
+}
+
 // Owns reports whether this process owns the shard.
 func (o *Owner) Owns() bool { return o.owning.Load() }
 
@@ -192,8 +195,8 @@
 	return jobs.Record{Key: jobs.KeyClaim, Value: value}, err
 }
 
-// write appends records of this epoch until their fate is known. It returns false once the epoch is over.
-func (o *Owner) write(ctx context.Context, records []jobs.Record) bool {
+// Write appends records of this epoch until their fate is known. It returns false once the epoch is over.
+func (o *Owner) Write(ctx context.Context, records []jobs.Record) bool {
 	o.seq++
 	timeout := appendTimeout
 	begun := time.Now()
@@ -235,15 +238,13 @@
 	defer o.cfg.Owned.Add(-1)
 	o.owning.Store(true)
 	defer o.owning.Store(false)
-	r := newRun(o)
-	lost := r.serve(ctx)
-	if lost {
+	if o.cfg.Runner.Serve(ctx, o) {
 		return
 	}
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
 	rec, err := claimRecord(jobs.Claim{Epoch: o.epoch, Reason: "stop"})
-	if err == nil && o.write(c, []jobs.Record{rec}) {
+	if err == nil && o.Write(c, []jobs.Record{rec}) {
 		o.log.Info("shard released", zap.Int64("epoch", o.epoch))
 		return
 	}
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -11,6 +11,7 @@
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
 	"sassafrasvalve/core/shard"
+	"sassafrasvalve/io/tail"
 )
 
 // Pool tells which VMs the platform lists, and makes clients of them.
@@ -34,8 +35,32 @@
 // relistEvery is how often an unchanged list is handed over again, so that a missing VM is noticed, in milliseconds.
 const relistEvery = 500
 
+// PoolConfig is what the work of a pool's owner needs.
+type PoolConfig struct {
+	Service string
+	Tail    *tail.Tail
+	Pool    Pool
+	Catalog func() *jobs.Catalog
+	// Vacate returns the VMs that the keeper of the machines asks to be emptied.
+	Vacate func() []string
+	Engine shard.Config
+	Stats  *Stats
+}
+
+// PoolRunner places the work of one pool while this process owns its shard.
+type PoolRunner struct {
+	cfg PoolConfig
+}
+
+// NewPoolRunner returns the runner of a pool.
+func NewPoolRunner(cfg PoolConfig) *PoolRunner { return &PoolRunner{cfg} }
+
+// Serve runs until the shard is lost (true) or ctx ends (false).
+func (p *PoolRunner) Serve(ctx context.Context, o *Owner) bool { return newRun(p.cfg, o).serve(ctx) }
+
 // run is one epoch of ownership.
 type run struct {
+	cfg    PoolConfig
 	o      *Owner
 	log    *zap.Logger
 	mu     sync.Mutex // guards engine
@@ -51,8 +76,8 @@
 	wg               sync.WaitGroup
 }
 
-func newRun(o *Owner) *run {
-	return &run{o: o, log: o.log.With(zap.Int64("epoch", o.epoch)), links: map[string]*vmLink{}, wake: make(chan struct{}, 1)}
+func newRun(cfg PoolConfig, o *Owner) *run {
+	return &run{cfg: cfg, o: o, log: o.log.With(zap.Int64("epoch", o.epoch)), links: map[string]*vmLink{}, wake: make(chan struct{}, 1)}
 }
 
 // signal has the loop take a turn soon.
@@ -69,17 +94,17 @@
 	defer r.wg.Wait()
 	defer r.cancel()
 	now, wall := clock.BootMs(), time.Now().UnixMilli()
-	cfg := r.o.cfg.Engine
-	cfg.Service, cfg.Epoch = r.o.cfg.Service, r.o.epoch
-	r.engine = shard.New(cfg, r.o.cfg.Catalog(), now)
+	cfg := r.cfg.Engine
+	cfg.Service, cfg.Epoch = r.cfg.Service, r.o.Epoch()
+	r.engine = shard.New(cfg, r.cfg.Catalog(), now)
 	r.beatAt = now
-	r.o.cfg.Tail.Attach(r.wake, func(b *jobs.Book) {
+	r.cfg.Tail.Attach(r.wake, func(b *jobs.Book) {
 		for id, e := range b.Entries {
 			r.engine.Load(id, e, now, wall)
 		}
 	})
-	defer r.o.cfg.Tail.Detach()
-	defer r.o.cfg.Pool.Watch(r.wake)()
+	defer r.cfg.Tail.Detach()
+	defer r.cfg.Pool.Watch(r.wake)()
 	r.log.Info("shard taken over", zap.Any("counts", r.engine.Counts(now)))
 	return r.loop(ctx)
 }
@@ -124,7 +149,7 @@
 func (r *run) appendLoop(batches <-chan []jobs.Record, appended chan<- bool) {
 	defer r.wg.Done()
 	for records := range batches {
-		appended <- r.o.write(r.ctx, records)
+		appended <- r.o.Write(r.ctx, records)
 	}
 }
 
@@ -133,13 +158,13 @@
 	now, wall := clock.BootMs(), time.Now().UnixMilli()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.engine.SetCatalog(r.o.cfg.Catalog())
-	r.engine.SetUpkeeps(r.o.cfg.Machines.Upkeeps())
-	if list, version := r.o.cfg.Pool.VMs(); version != r.listed || now-r.listedAt > relistEvery {
+	r.engine.SetCatalog(r.cfg.Catalog())
+	r.engine.SetVacate(r.cfg.Vacate())
+	if list, version := r.cfg.Pool.VMs(); version != r.listed || now-r.listedAt > relistEvery {
 		r.engine.SetVMs(list, now)
 		r.listed, r.listedAt = version, now
 	}
-	r.o.cfg.Tail.Changes(func(c jobs.Change, e *jobs.Entry) {
+	r.cfg.Tail.Changes(func(c jobs.Change, e *jobs.Entry) {
 		if c.Submitted {
 			r.engine.Submit(e, now, wall)
 		}
@@ -147,7 +172,7 @@
 			r.engine.Cancel(c.ID, now)
 		}
 	})
-	if v := r.o.cfg.Tail.View(); !v.Failed {
+	if v := r.cfg.Tail.View(); !v.Failed {
 		r.engine.Contact(v.FreshAt)
 	}
 	if r.engine.Lost() {
@@ -174,7 +199,7 @@
 		records = b.Records
 	}
 	if now-r.beatAt >= beatEvery {
-		rec, err := claimRecord(jobs.Claim{Epoch: r.o.epoch, Owner: r.o.cfg.Member, Reason: "renewed"})
+		rec, err := r.o.Renewal()
 		if err != nil {
 			r.log.Error("claim not encoded", zap.Error(err))
 		} else {
@@ -196,7 +221,7 @@
 // committed sends the orders of the batch that was stored.
 func (r *run) committed() {
 	now := clock.BootMs()
-	r.o.cfg.Tail.Put(r.batch.Records)
+	r.cfg.Tail.Put(r.batch.Records)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	orders := r.engine.Committed(r.batch, now)
@@ -211,27 +236,12 @@
 func (r *run) send(orders []pools.Order) {
 	now := clock.BootMs()
 	for _, o := range orders {
-		if o.Kind == pools.Upkeep {
-			r.wg.Add(1)
-			go r.upkeep(o)
-			continue
-		}
 		if l := r.links[o.VM]; l == nil || !l.push(o) {
 			r.engine.Replied(o, pools.Reply{Kind: pools.Unsent}, now)
 		}
 	}
 }
 
-// upkeep takes a machine down. The engine bounds how many such orders are under way.
-func (r *run) upkeep(o pools.Order) {
-	defer r.wg.Done()
-	reply := r.o.cfg.Machines.Upkeep(o)
-	r.mu.Lock()
-	r.engine.Replied(o, reply, clock.BootMs())
-	r.mu.Unlock()
-	r.signal()
-}
-
 // syncLinks opens a link for each listed VM, and closes those of VMs that are gone or have moved.
 func (r *run) syncLinks() {
 	listed := map[string]bool{}
@@ -257,6 +267,6 @@
 func (r *run) report() {
 	for _, n := range r.engine.TakeNotes() {
 		r.log.Info(n.What, zap.String("job", n.JobID), zap.String("vm", n.VM), zap.String("reason", n.Reason), zap.Int("n", n.N))
-		r.o.cfg.Stats.Count("decision."+n.What, 1)
+		r.cfg.Stats.Count("decision."+n.What, 1)
 	}
 }
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -18,6 +18,8 @@
 	// followEvery is the pause between two reads of a shard that another process owns. It bounds
 	// how late a lost owner is noticed, and the age of the number of waiting jobs.
 	followEvery = 300 * time.Millisecond
+	// hastyEvery replaces it where the keeper of the machines waits for what owners tell.
+	hastyEvery = 120 * time.Millisecond
 	// pollWait is how long the store holds a read of an owned shard back.
 	pollWait = 1500 * time.Millisecond
 	// readSlack is how long an answer may take beyond the wait asked for.
@@ -53,6 +55,7 @@
 	changes []jobs.Change
 	watcher chan<- struct{} // signalled on changes while an owner is attached
 	polling bool
+	pace    time.Duration // between two reads of a shard that another process owns
 
 	catchMu sync.Mutex
 	running *catch // the read in progress
@@ -69,7 +72,7 @@
 
 // New returns a tail that has read nothing yet.
 func New(cfg Config) *Tail {
-	return &Tail{cfg: cfg, book: jobs.NewBook(), cursor: -1, moved: make(chan struct{}, 1)}
+	return &Tail{cfg: cfg, book: jobs.NewBook(), cursor: -1, pace: followEvery, moved: make(chan struct{}, 1)}
 }
 
 // Part returns the number of the partition.
@@ -83,7 +86,7 @@
 
 func (t *Tail) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := followEvery
+		pause := t.pausing()
 		if err := t.step(); err != nil {
 			pause = retryPause
 		} else if t.isPolling() {
@@ -99,6 +102,22 @@
 	}
 }
 
+func (t *Tail) pausing() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pace
+}
+
+// Hasten has the shard read more often, or at the usual pace again.
+func (t *Tail) Hasten(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pace = followEvery
+	if on {
+		t.pace = hastyEvery
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -324,6 +343,20 @@
 	return e.State(), true
 }
 
+// Post returns what the owner of the shard's pool told last, and false before the first time.
+func (t *Tail) Post() (jobs.Post, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.book.Post, t.book.Post.Rev > 0
+}
+
+// Vacate returns the VMs that the keeper asks to be emptied.
+func (t *Tail) Vacate() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.book.Vacate.VMs
+}
+
 // Upkeeps adds the upkeeps that are recorded as done to over.
 func (t *Tail) Upkeeps(over map[jobs.Upkeep]bool) {
 	t.mu.Lock()
