owner: Store callers' records in the owner's batches, ask silent owners

Cause: (1) each entry appended each job by itself: with a slow store (120 ms an append) a partition took 8 a second and refused the rest; (2) after the loss of all entries each shard waited 2 s for the lapse of an owner that was gone, and the keeper 3 s more for its lease; (3) work was spread over a pool's VMs, so none became empty and 20 idle VMs stayed in a pool while another waited; (4) the demand of large jobs counted work that cannot start yet. Ruled out: time-outs of the reads; the list of machines. Change: entries hand records to the owner over jsonrpc2 and append by themselves only without one; an owner that the store refuses says that it is none; a silent owner is asked; items go to the fullest VM that fits; the demand is bounded by what items can use now; a trend of few jobs counts less.

--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -27,16 +27,11 @@
 	}
 	// string "Claim"
 	o = append(o, 0xa5, 0x43, 0x6c, 0x61, 0x69, 0x6d)
-	// map header, size 3
-	// string "e"
-	o = append(o, 0x83, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Claim.Epoch)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendString(o, z.Claim.Owner)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendString(o, z.Claim.Reason)
+	o, err = z.Claim.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Claim")
+		return
+	}
 	// string "Claims"
 	o = append(o, 0xa6, 0x43, 0x6c, 0x61, 0x69, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.Claims)
@@ -117,46 +112,11 @@
 				z.Entries[za0001] = za0002
 			}
 		case "Claim":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			bts, err = z.Claim.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Claim")
 				return
 			}
-			for zb0003 > 0 {
-				zb0003--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Claim")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "e":
-					z.Claim.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Claim", "Epoch")
-						return
-					}
-				case "o":
-					z.Claim.Owner, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Claim", "Owner")
-						return
-					}
-				case "r":
-					z.Claim.Reason, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Claim", "Reason")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Claim")
-						return
-					}
-				}
-			}
 		case "Claims":
 			z.Claims, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -170,14 +130,14 @@
 				return
 			}
 		case "Vacate":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Vacate")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
+			for zb0003 > 0 {
+				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Vacate")
@@ -185,16 +145,16 @@
 				}
 				switch msgp.UnsafeString(field) {
 				case "v":
-					var zb0005 uint32
-					zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+					var zb0004 uint32
+					zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Vacate", "VMs")
 						return
 					}
-					if cap(z.Vacate.VMs) >= int(zb0005) {
-						z.Vacate.VMs = (z.Vacate.VMs)[:zb0005]
+					if cap(z.Vacate.VMs) >= int(zb0004) {
+						z.Vacate.VMs = (z.Vacate.VMs)[:zb0004]
 					} else {
-						z.Vacate.VMs = make([]string, zb0005)
+						z.Vacate.VMs = make([]string, zb0004)
 					}
 					for za0003 := range z.Vacate.VMs {
 						z.Vacate.VMs[za0003], bts, err = msgp.ReadStringBytes(bts)
@@ -237,7 +197,7 @@
 			}
 		}
 	}
-	s += 6 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Claim.Owner) + 2 + msgp.StringPrefixSize + len(z.Claim.Reason) + 7 + msgp.IntSize + 5 + z.Post.Msgsize() + 7 + 1 + 2 + msgp.ArrayHeaderSize
+	s += 6 + z.Claim.Msgsize() + 7 + msgp.IntSize + 5 + z.Post.Msgsize() + 7 + 1 + 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Vacate.VMs {
 		s += msgp.StringPrefixSize + len(z.Vacate.VMs[za0003])
 	}
@@ -487,15 +447,18 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Claim) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "e"
-	o = append(o, 0x83, 0xa1, 0x65)
+	o = append(o, 0x84, 0xa1, 0x65)
 	o = msgp.AppendInt64(o, z.Epoch)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendString(o, z.Owner)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Addr)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendString(o, z.Reason)
@@ -532,6 +495,12 @@
 				err = msgp.WrapError(err, "Owner")
 				return
 			}
+		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
 		case "r":
 			z.Reason, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -551,8 +520,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Claim) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.StringPrefixSize + len(z.Reason)
+func (z *Claim) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Reason)
 	return
 }
 
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -75,5 +75,6 @@
 type Claim struct {
 	Epoch  int64  `msg:"e"` // rises with each owner
 	Owner  string `msg:"o"` // empty after a release
+	Addr   string `msg:"a"` // IP:port at which other entries reach the owner
 	Reason string `msg:"r"`
 }
--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -12,6 +12,8 @@
 	rateMs = 1000
 	// aheadMs is how far a rise of the demand is extrapolated: a machine joins about so long after it was asked for.
 	aheadMs = 2000
+	// trendJobs is the number of jobs in a window that make half of a trend believed.
+	trendJobs = 6
 	// clearMs is the time in which work that waits should be done.
 	clearMs = 1500
 	// fillShare is the part of the VMs' processors that can be filled, in percent.
@@ -21,7 +23,7 @@
 	// postEvery is the shortest pause between two posts with another number of VMs only.
 	postEvery = 250
 	// spareVMs are kept beyond those that what lasts needs, so that it can restart elsewhere.
-	spareVMs = 1
+	spareVMs = 1 // while one of them is to be vacated
 	// minVMs are always kept.
 	minVMs = 2
 )
@@ -47,12 +49,13 @@
 }
 
 // rates returns the core-milliseconds that came in the newest window and in the one before.
-func (n *need) rates(now int64) (newest, before int64) {
+func (n *need) rates(now int64) (newest, before, count int64) {
 	keep := n.arrivals[:0]
 	for _, a := range n.arrivals {
 		switch {
 		case a.at > now-rateMs:
 			newest += a.coreMs
+			count++
 		case a.at > now-2*rateMs:
 			before += a.coreMs
 		default:
@@ -61,7 +64,7 @@
 		keep = append(keep, a)
 	}
 	n.arrivals = keep
-	return newest, before
+	return newest, before, count
 }
 
 // tickNeed works out how many VMs the pool can use, and offers what it does not use.
@@ -71,7 +74,7 @@
 		return
 	}
 	cores, lasting, floor := e.demand(now)
-	want := int((cores*100/fillShare+lasting+size-1)/size) + 0
+	want := int((cores*100/fillShare + lasting + size - 1) / size)
 	want = max(want, floor)
 	e.need.want = e.steady(want, now)
 	e.offer(floor, now)
@@ -96,7 +99,7 @@
 // demand returns the thousandths of a core that jobs that come and go can use, those that lasting
 // items take, and the number of VMs that the lasting items need.
 func (e *Engine) demand(now int64) (cores, lasting int64, floor int) {
-	var waiting int64
+	var waiting, usable int64
 	widest := 0
 	for _, j := range e.jobs {
 		if j.state.Final() {
@@ -114,28 +117,53 @@
 			}
 			continue
 		}
-		waiting += e.openWork(j, now)
+		work, cpu := e.openWork(j, now)
+		waiting += work
+		usable += cpu
 	}
-	newest, before := e.need.rates(now)
-	coming := newest + max(newest-before, 0)*aheadMs/rateMs/2
-	if newest < before {
-		coming = max(newest-(before-newest)/2, 0)
-	}
-	// Work in core-milliseconds over milliseconds is cores.
-	cores = max(waiting*1000/clearMs, coming*1000/rateMs)
+	newest, before, count := e.need.rates(now)
+	mean := (newest + before) / 2
+	// A trend of few jobs is mostly chance.
+	trend := (newest - mean) * count / (count + trendJobs)
+	coming := max(mean+trend*(1+2*aheadMs/rateMs), 0)
+	// Work in core-milliseconds over milliseconds is cores. What is here can use no more than its items ask for.
+	cores = max(min(waiting*1000/clearMs, usable), min(coming*1000/rateMs, usable*2))
 	floor = minVMs
 	if widest > 0 {
-		floor = max(floor, widest+spareVMs)
+		floor = max(floor, widest)
+		if e.displaced() {
+			floor += spareVMs
+		}
 	}
 	return cores, lasting, floor
 }
 
-// openWork returns the core-milliseconds of a job whose turn has come and which may still earn something.
-func (e *Engine) openWork(j *job, now int64) int64 {
+// displaced reports whether lasting items need another VM than those they have.
+func (e *Engine) displaced() bool {
+	for _, v := range e.vms {
+		if v.vacate && len(v.runs) > 0 {
+			return true
+		}
+	}
+	for _, j := range e.jobs {
+		if j.state.Final() || !j.Lasts() {
+			continue
+		}
+		for _, it := range j.order {
+			if it.phase == idle && it.step.Persistent {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// openWork returns the core-milliseconds of a job whose turn has come and which may still earn something,
+// and the thousandths of a core that it can use at once.
+func (e *Engine) openWork(j *job, now int64) (work, cpu int64) {
 	if now > j.arrivedAt+lateFactor*e.objective(j) {
-		return 0
+		return 0, 0
 	}
-	var sum int64
 	for _, it := range j.order {
 		if it.done || !j.turn(it) {
 			continue
@@ -144,9 +172,10 @@
 		if it.phase == running {
 			left = max(left-(now-it.startedAt), left/10)
 		}
-		sum += left * it.step.CPU / 1000
+		work += left * it.step.CPU / 1000
+		cpu += it.step.CPU
 	}
-	return sum
+	return work, cpu
 }
 
 // steady returns the greatest of the newest wants, so that a short lull gives nothing away.
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -178,6 +178,7 @@
 	weightFailed = 4000 // the item failed there before
 	weightSame   = 700  // items of one lasting step share the fate of their VM
 	weightRack   = 200  // and of their rack
+	weightFresh  = 600  // a VM with lasting items cannot be given away, so they keep to few
 	weightBeside = 400  // an item that fills disturbs each item that serves
 )
 
@@ -216,9 +217,10 @@
 
 func (e *Engine) cost(j *job, it *item, v *vm) int64 {
 	s := it.step
+	// The fullest VM that fits goes first, so that others become empty and can serve another pool.
 	var cost int64
 	if v.CPU > 0 {
-		cost = 1000 * v.cpu / v.CPU
+		cost = 1000 * (v.CPU - v.cpu) / v.CPU
 	}
 	if s.DataRack != "" && s.DataRack != v.rack {
 		cost += weightRemote
@@ -229,7 +231,9 @@
 	if !s.Persistent && !s.Fill {
 		return cost
 	}
+	lasting := false
 	for _, o := range v.runs {
+		lasting = lasting || o.step.Persistent
 		if o.job == j && o.Step == it.Step {
 			cost += weightSame
 		}
@@ -237,6 +241,9 @@
 			cost += weightBeside
 		}
 	}
+	if !lasting {
+		cost += weightFresh
+	}
 	for _, o := range j.order {
 		if o.vm != nil && o.Step == it.Step && o.vm.rack == v.rack {
 			cost += weightRack
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -159,11 +159,13 @@
 // Counts of what the engine holds, for metrics and logs.
 type Counts struct {
 	Jobs, Waiting, Items, Runs, VMs, Usable int
+	Want                                    int   // VMs that the pool can use
+	FreeCPU                                 int64 // thousandths of a core, on usable VMs
 }
 
 // Counts returns what the engine holds.
 func (e *Engine) Counts(now int64) Counts {
-	c := Counts{Jobs: len(e.jobs), VMs: len(e.vms)}
+	c := Counts{Jobs: len(e.jobs), VMs: len(e.vms), Want: e.need.want}
 	for _, j := range e.jobs {
 		if j.state == jobs.Queued {
 			c.Waiting++
@@ -174,6 +176,7 @@
 		c.Runs += len(v.runs)
 		if v.usable(now) {
 			c.Usable++
+			c.FreeCPU += v.CPU - v.cpu
 		}
 	}
 	return c
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -49,8 +49,15 @@
 	All() []*tail.Tail
 }
 
+// Owners hands records to the owners of shards.
+type Owners interface {
+	// Store hands a record to the owner of a shard. Owner of the answer is false if none has taken it.
+	Store(ctx context.Context, t *tail.Tail, rec jobs.Record) owner.Stored
+}
+
 // Config is what a desk needs.
 type Config struct {
+	Owners  Owners
 	Store   owner.Store
 	Catalog Catalog
 	Shards  Shards
@@ -143,13 +150,24 @@
 	return d.cfg.Shards.Tail(q.Service)
 }
 
-// storeAt appends a record that may be stored twice without harm. Ran means that it is stored, NotRun that it never will be.
+// storeAt stores a record that may be stored twice without harm: through the owner of the shard, which
+// stores the records of many callers with one append, or with an append of its own if no owner answers.
+// Ran means that it is stored, NotRun that it never will be.
 func (d *Desk) storeAt(ctx context.Context, t *tail.Tail, rec jobs.Record) retry.Verdict {
 	limit := time.Now().Add(maxAppending)
 	if dl, ok := ctx.Deadline(); ok && dl.Add(-answerReserve).Before(limit) {
 		limit = dl.Add(-answerReserve)
 	}
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	s := d.cfg.Owners.Store(ctx, t, rec)
+	if s.Owner && s.Verdict != retry.MayHaveRun {
+		return s.Verdict
+	}
 	verdict := retry.NotRun
+	if s.Owner {
+		verdict = retry.MayHaveRun
+	}
 	for time.Now().Before(limit) && ctx.Err() == nil {
 		deadline := time.Now().Add(appendTimeout)
 		if deadline.After(limit) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -26,6 +26,7 @@
 	"sassafrasvalve/io/desk"
 	"sassafrasvalve/io/feed"
 	"sassafrasvalve/io/owner"
+	"sassafrasvalve/io/peer"
 	"sassafrasvalve/io/regis"
 	"sassafrasvalve/io/tail"
 	"sassafrasvalve/platform"
@@ -63,6 +64,7 @@
 	shards  *shards
 	waves   *waves
 	regis   *regis.Registry
+	peers   *owners
 	stats   *owner.Stats
 	metrics metrics.Registry
 	owned   atomic.Int64
@@ -100,6 +102,7 @@
 		cfg: s, log: log, level: level, member: fmt.Sprintf("%s#%d", s.Node, time.Now().UnixMilli()),
 		store: platform.NewStore(s.Store.Addr), metrics: registry, stats: owner.NewStats(registry),
 	}
+	n.peers = newOwners(n.member, log)
 	n.waves = &waves{log: log, store: n.store, waves: map[int]pools.Wave{}, told: map[int]string{}}
 	n.catalog = &catalog{log: log, waves: n.waves}
 	n.catalog.feed = feed.New(feed.Config{
@@ -137,14 +140,24 @@
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
+	calls := peer.NewServer(peer.ServerConfig{Listen: n.cfg.Peer, Log: n.log})
+	n.peers.serve(calls)
+	if err := calls.Listen(base); err != nil {
+		return err
+	}
 	go n.catalog.feed.Run(base)
 	go n.shards.loop(base, n.catalog.Current)
-	d := desk.New(desk.Config{Store: n.store, Catalog: n.catalog, Shards: n.shards, Log: n.log, Stats: n.stats})
+	d := desk.New(desk.Config{Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards, Log: n.log, Stats: n.stats})
 	server := &http.Server{
 		Handler: &platform.Front{Desk: d}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	checks := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
+	go func() {
+		if err := calls.Run(base); err != nil {
+			failed <- err
+		}
+	}()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
@@ -221,9 +234,10 @@
 func (n *Node) open(service string, t *tail.Tail) {
 	go t.Run(n.ctx)
 	o := owner.New(owner.Config{
-		Member: n.member, Service: service, Part: t.Part(), Store: n.store, Tail: t, Runner: n.runner(service, t),
+		Member: n.member, Addr: n.cfg.Peer, Peers: n.peers, Service: service, Part: t.Part(), Store: n.store, Tail: t, Runner: n.runner(service, t),
 		Owned: &n.owned, Log: n.log, Stats: n.stats,
 	})
+	n.peers.add(t.Part(), o)
 	n.owners.Add(1)
 	go func() {
 		defer n.owners.Done()
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -16,6 +16,7 @@
 	DC       string
 	Front    string // IP:port for callers
 	Ready    string // IP:port for the balancer's checks
+	Peer     string // IP:port for other entries
 	Metrics  string // IP:port/path; empty serves none
 	MemoryMB int64  // limit of the process
 	LogLevel string
@@ -75,7 +76,7 @@
 		f = append(f, "Node is missing: give the name of the machine")
 	}
 	addrs := []struct{ name, value string }{
-		{"Front", s.Front}, {"Ready", s.Ready}, {"Store.Addr", s.Store.Addr}, {"Cloud.Addr", s.Cloud.Addr},
+		{"Front", s.Front}, {"Ready", s.Ready}, {"Peer", s.Peer}, {"Store.Addr", s.Store.Addr}, {"Cloud.Addr", s.Cloud.Addr},
 	}
 	for _, a := range addrs {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
--- a/io/owner/keeper.go
+++ b/io/owner/keeper.go
@@ -62,7 +62,11 @@
 		cfg: k.cfg, o: o, log: o.log.With(zap.Int64("epoch", o.Epoch())),
 		orders: make(chan pools.Order, machineOrders),
 	}
-	r.keeper = keep.New(keep.Config{Epoch: o.Epoch(), StartAt: clock.BootMs() + k.cfg.LeaseMs})
+	start := clock.BootMs()
+	if o.reason == reasonSilent {
+		start += k.cfg.LeaseMs
+	}
+	r.keeper = keep.New(keep.Config{Epoch: o.Epoch(), StartAt: start})
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.wg.Wait()
 	defer r.cancel()
@@ -105,6 +109,9 @@
 		case <-ctx.Done():
 			return false
 		case <-ticker.C:
+		case in := <-r.o.inbox: // callers hand nothing in at this shard
+			in.done <- Stored{Verdict: retry.NotRun}
+			continue
 		}
 		if !r.turn(ctx) {
 			return ctx.Err() == nil
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -22,6 +22,16 @@
 	beatEvery = 500
 	// lapseAfter is how long the others wait for a renewal. It spans two of them, and a slow answer of the store.
 	lapseAfter = 2000
+	// probeAfter is the silence after which an owner is asked whether it still is one. An owner that this
+	// process has never heard of is asked at once.
+	probeAfter = 900
+	// probeEvery is the pause between two such questions.
+	probeEvery = 300
+	// probeTimeout bounds such a question.
+	probeTimeout = 250 * time.Millisecond
+	// refusedAfter is how long the store may take none of an owner's records until the owner says that it is none.
+	// The store may refuse single machines; another one can then own the shard.
+	refusedAfter = 700
 	// claimSpread spreads the claims of processes that see a free shard at the same time.
 	claimSpread = 120 * time.Millisecond
 	// claimPerShard is the handicap for each shard that a process owns already.
@@ -32,6 +42,8 @@
 	appendTimeout = 600 * time.Millisecond
 	// slowAppendTimeout replaces it after a timeout, for a store that is slow.
 	slowAppendTimeout = 2 * time.Second
+	// slowAppend is the time above which an append is logged.
+	slowAppend = 200 * time.Millisecond
 	// appendPause is the pause before an append is repeated.
 	appendPause = 60 * time.Millisecond
 	// maxFirstSeq bounds the first sequence number of an epoch.
@@ -56,9 +68,18 @@
 	Serve(ctx context.Context, o *Owner) bool
 }
 
+// Peers reaches the owners of shards in other entries.
+type Peers interface {
+	// Owns asks the process at addr whether it is the owner of a shard. It returns false only if that
+	// process is gone or says so itself.
+	Owns(ctx context.Context, addr string, part int, owner string) bool
+}
+
 // Config is what an owner needs.
 type Config struct {
 	Member  string // of this process and its lifetime
+	Addr    string // IP:port at which other entries reach this process
+	Peers   Peers
 	Service string
 	Part    int
 	Store   Store
@@ -69,6 +90,9 @@
 	Stats   *Stats
 }
 
+// reasonSilent is the reason of a claim whose earlier owner may still be at work.
+const reasonSilent = "owner silent"
+
 // Owner takes part in the election of one shard.
 type Owner struct {
 	cfg   Config
@@ -76,16 +100,20 @@
 	epoch int64
 	seq   int64 // of the last append of the epoch
 
-	claims int   // renewals seen
-	beatAt int64 // local ms at which the last renewal was seen
-	owner  string
-	owning atomic.Bool
+	claims  int   // renewals seen
+	beatAt  int64 // local ms at which the last renewal was seen
+	owning  atomic.Bool
+	reason  string       // of the present claim
+	failing atomic.Int64 // local ms since when appends bring no success, 0 while they do
+	inbox   chan *intake // records that entries hand in
+	gone    int          // number of claims seen when the owner turned out to be gone, 0 before
+	probeAt int64        // local ms of the next question to a silent owner
 }
 
 // New returns an owner that does not run yet.
 func New(cfg Config) *Owner {
 	return &Owner{
-		cfg: cfg,
+		cfg: cfg, inbox: make(chan *intake, maxIntakes),
 		log: cfg.Log.With(zap.Int("shard", cfg.Part), zap.String("service", cfg.Service)),
 	}
 }
@@ -112,11 +140,14 @@
 
 // Renewal returns the record that renews the claim.
 func (o *Owner) Renewal() (jobs.Record, error) {
-	return claimRecord(jobs.Claim{Epoch: o.epoch, Owner: o.cfg.Member, Reason: "renewed"})
+	return claimRecord(jobs.Claim{Epoch: o.epoch, Owner: o.cfg.Member, Addr: o.cfg.Addr, Reason: "renewed"})
 }
 
-// Owns reports whether this process owns the shard.
-func (o *Owner) Owns() bool { return o.owning.Load() }
+// Owns reports whether this process owns the shard and the store has taken its records lately.
+func (o *Owner) Owns() bool {
+	f := o.failing.Load()
+	return o.owning.Load() && (f == 0 || clock.BootMs()-f < refusedAfter)
+}
 
 // free returns why the shard may be claimed, empty if it may not.
 func (o *Owner) free() string {
@@ -127,7 +158,10 @@
 		return ""
 	}
 	if v.Claims != o.claims || o.beatAt == 0 {
-		o.claims, o.beatAt, o.owner = v.Claims, now, v.Claim.Owner
+		if o.beatAt != 0 {
+			o.probeAt = now + probeAfter
+		}
+		o.claims, o.beatAt = v.Claims, now
 	}
 	switch {
 	case v.Claim.Epoch == 0:
@@ -137,7 +171,17 @@
 	case v.Claim.Owner == o.cfg.Member:
 		return "own claim left over"
 	case now-o.beatAt > lapseAfter:
-		return "owner silent"
+		return reasonSilent
+	case o.gone == v.Claims:
+		return "owner gone"
+	case now >= o.probeAt && v.Claim.Addr != "":
+		o.probeAt = now + probeEvery
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		if !o.cfg.Peers.Owns(ctx, v.Claim.Addr, o.cfg.Part, v.Claim.Owner) {
+			o.gone = v.Claims
+			return "owner gone"
+		}
 	}
 	return ""
 }
@@ -161,7 +205,7 @@
 			return false
 		}
 		epoch := v.Claim.Epoch + 1
-		rec, err := claimRecord(jobs.Claim{Epoch: epoch, Owner: o.cfg.Member, Reason: reason})
+		rec, err := claimRecord(jobs.Claim{Epoch: epoch, Owner: o.cfg.Member, Addr: o.cfg.Addr, Reason: reason})
 		if err != nil {
 			o.log.Error("claim not encoded", zap.Error(err))
 			return false
@@ -178,7 +222,8 @@
 			o.log.Warn("claim not confirmed", zap.Int64("epoch", epoch), zap.Error(err))
 			return false
 		case res.Outcome == platform.Appended:
-			o.epoch, o.seq = epoch, seq
+			o.epoch, o.seq, o.reason = epoch, seq, reason
+			o.failing.Store(0)
 			o.log.Info("shard claimed", zap.Int64("epoch", epoch), zap.String("reason", reason),
 				zap.String("previous", v.Claim.Owner), zap.Int64("offset", v.Cursor))
 			return true
@@ -197,28 +242,47 @@
 
 // Write appends records of this epoch until their fate is known. It returns false once the epoch is over.
 func (o *Owner) Write(ctx context.Context, records []jobs.Record) bool {
+	return o.write(ctx, records, nil)
+}
+
+// write is Write. Once the store refuses the records, and no earlier attempt may have stored them, refused
+// returns those that are still to be written.
+func (o *Owner) write(ctx context.Context, records []jobs.Record, refused func() []jobs.Record) bool {
 	o.seq++
 	timeout := appendTimeout
-	begun := time.Now()
+	begun, begunAt := time.Now(), clock.BootMs()
+	unknown := false
 	for ctx.Err() == nil {
 		res, err := o.cfg.Store.Append(platform.Append{
 			Topic: platform.TopicJobs, Part: o.cfg.Part, Records: records, At: -1,
 			Producer: producer, Epoch: o.epoch, Seq: o.seq, Deadline: time.Now().Add(timeout),
 		})
-		if err != nil {
-			o.cfg.Stats.Count("append.failed", 1)
-			if platform.VerdictOf(err) != retry.NotRun {
-				timeout = slowAppendTimeout
+		if err == nil {
+			o.failing.Store(0)
+			if res.Outcome != platform.Appended {
+				o.log.Info("shard lost to another owner", zap.Int64("epoch", o.epoch), zap.Int("outcome", int(res.Outcome)))
+				return false
+			}
+			took := time.Since(begun)
+			o.cfg.Stats.Time("append", took)
+			if took > slowAppend {
+				o.log.Info("append slow", zap.Duration("took", took), zap.Int("records", len(records)), zap.Bool("unanswered", unknown))
 			}
-			wait(ctx, appendPause)
-			continue
+			return true
 		}
-		if res.Outcome != platform.Appended {
-			o.log.Info("shard lost to another owner", zap.Int64("epoch", o.epoch), zap.Int("outcome", int(res.Outcome)))
-			return false
+		o.failing.CompareAndSwap(0, begunAt)
+		o.cfg.Stats.Count("append.failed", 1)
+		if platform.VerdictOf(err) != retry.NotRun {
+			unknown = true
+			timeout = slowAppendTimeout
+		} else if !unknown && refused != nil {
+			if records = refused(); len(records) == 0 {
+				o.seq--
+				return true
+			}
+			refused = nil
 		}
-		o.cfg.Stats.Time("append", time.Since(begun))
-		return true
+		wait(ctx, appendPause)
 	}
 	return false
 }
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -10,6 +10,7 @@
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
+	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/tail"
 )
@@ -60,16 +61,18 @@
 
 // run is one epoch of ownership.
 type run struct {
-	cfg    PoolConfig
-	o      *Owner
-	log    *zap.Logger
-	mu     sync.Mutex // guards engine
-	engine *shard.Engine
-	links  map[string]*vmLink
-	wake   chan struct{}
-	batch  *shard.Batch // being appended
+	cfg     PoolConfig
+	o       *Owner
+	log     *zap.Logger
+	mu      sync.Mutex // guards engine
+	engine  *shard.Engine
+	links   map[string]*vmLink
+	wake    chan struct{}
+	batch   *shard.Batch // being appended
+	waiting []*intake    // whose records the next batch takes
 	// listed is the version of the VM list that the engine has, listedAt the local ms at which it got it.
 	listed, listedAt int64
+	stateAt          int64 // local ms of the last summary in the log
 	beatAt           int64 // local ms of the last renewal written
 	ctx              context.Context
 	cancel           context.CancelFunc
@@ -113,7 +116,8 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	appended := make(chan bool, 1)
-	batches := make(chan []jobs.Record, 1)
+	batches := make(chan *batch, 1)
+	defer r.endIntakes()
 	defer close(batches)
 	r.wg.Add(1)
 	go r.appendLoop(batches, appended)
@@ -126,6 +130,8 @@
 			}
 			r.committed()
 		case <-r.wake:
+		case in := <-r.o.inbox:
+			r.waiting = append(r.waiting, in)
 		case <-ticker.C:
 		case <-ended:
 			if r.batch == nil {
@@ -145,16 +151,52 @@
 	}
 }
 
+// batch is what one append stores: the owner's own records, and those that entries handed in.
+type batch struct {
+	own     []jobs.Record
+	intakes []*intake
+}
+
+// records returns all records of the batch.
+func (b *batch) records() []jobs.Record {
+	list := b.own
+	for _, in := range b.intakes {
+		list = append(list, in.records...)
+	}
+	return list
+}
+
 // appendLoop appends one batch at a time.
-func (r *run) appendLoop(batches <-chan []jobs.Record, appended chan<- bool) {
+func (r *run) appendLoop(batches <-chan *batch, appended chan<- bool) {
 	defer r.wg.Done()
-	for records := range batches {
-		appended <- r.o.Write(r.ctx, records)
+	for b := range batches {
+		ok := r.o.write(r.ctx, b.records(), func() []jobs.Record {
+			// The store refuses calls at present: the callers learn at once that nothing was stored.
+			answer(b.intakes, Stored{Owner: true, Verdict: retry.NotRun})
+			b.intakes = nil
+			return b.own
+		})
+		if ok {
+			for _, in := range b.intakes {
+				r.cfg.Tail.Put(in.records)
+			}
+			answer(b.intakes, Stored{Owner: true, Verdict: retry.Ran})
+		} else {
+			answer(b.intakes, Stored{Owner: true, Verdict: retry.MayHaveRun})
+		}
+		appended <- ok
 	}
 }
 
+// endIntakes answers those whose records no batch has taken.
+func (r *run) endIntakes() {
+	r.waiting = append(r.waiting, r.o.takeIntakes()...)
+	answer(r.waiting, Stored{Verdict: retry.NotRun})
+	r.waiting = nil
+}
+
 // turn takes over what changed and begins the next batch. It returns true once the shard is lost.
-func (r *run) turn(batches chan<- []jobs.Record) bool {
+func (r *run) turn(batches chan<- *batch) bool {
 	now, wall := clock.BootMs(), time.Now().UnixMilli()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -183,12 +225,12 @@
 	}
 	r.syncLinks()
 	r.send(r.engine.TakeOrders())
-	r.report()
+	r.report(now)
 	return false
 }
 
 // begin plans a batch, with a renewal of the claim when one is due.
-func (r *run) begin(batches chan<- []jobs.Record, now, wall int64) {
+func (r *run) begin(batches chan<- *batch, now, wall int64) {
 	b, err := r.engine.Plan(now, wall)
 	if err != nil {
 		r.log.Error("batch not encoded", zap.Error(err))
@@ -207,7 +249,8 @@
 			r.beatAt = now
 		}
 	}
-	if len(records) == 0 {
+	r.waiting = append(r.waiting, r.o.takeIntakes()...)
+	if len(records) == 0 && len(r.waiting) == 0 {
 		return
 	}
 	if b == nil {
@@ -215,7 +258,8 @@
 	}
 	b.Records = records
 	r.batch = b
-	batches <- records
+	batches <- &batch{own: records, intakes: r.waiting}
+	r.waiting = nil
 }
 
 // committed sends the orders of the batch that was stored.
@@ -263,8 +307,17 @@
 	}
 }
 
-// report writes the engine's decisions to the log.
-func (r *run) report() {
+// stateEvery is the pause between two summaries of a pool in the log, in milliseconds.
+const stateEvery = 1000
+
+// report writes the engine's decisions to the log, and a summary now and then.
+func (r *run) report(now int64) {
+	if now-r.stateAt >= stateEvery {
+		r.stateAt = now
+		c := r.engine.Counts(now)
+		r.log.Info("pool state", zap.Int("jobs", c.Jobs), zap.Int("waiting", c.Waiting), zap.Int("runs", c.Runs),
+			zap.Int("vms", c.VMs), zap.Int("usable", c.Usable), zap.Int("want", c.Want), zap.Int64("freeCPU", c.FreeCPU))
+	}
 	for _, n := range r.engine.TakeNotes() {
 		r.log.Info(n.What, zap.String("job", n.JobID), zap.String("vm", n.VM), zap.String("reason", n.Reason), zap.Int("n", n.N))
 		r.cfg.Stats.Count("decision."+n.What, 1)
