tail, desk: Ask the owner for a job's state, read owned shards at a pace

Change: the owner tells states while its claim was confirmed within 0.8 s; its shard is read every 120 ms.

--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -53,6 +53,8 @@
 type Owners interface {
 	// Store hands a record to the owner of a shard. Owner of the answer is false if none has taken it.
 	Store(ctx context.Context, t *tail.Tail, rec jobs.Record) owner.Stored
+	// State asks the owner of a shard for the state of a job. It returns false if no owner knows it.
+	State(ctx context.Context, t *tail.Tail, id string) (jobs.State, bool)
 }
 
 // Config is what a desk needs.
@@ -200,6 +202,9 @@
 	if known && s.Final() {
 		return s, nil
 	}
+	if s, ok := d.cfg.Owners.State(ctx, t, id); ok {
+		return s, nil
+	}
 	err := d.catch(ctx, t, known)
 	if s, known = d.find(t, id); known {
 		return s, nil
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -21,6 +21,7 @@
 const (
 	methodStore = "Store"
 	methodOwns  = "Owns"
+	methodState = "State"
 )
 
 // storeTimeout bounds the wait for an owner to store a record. After it the entry appends by itself.
@@ -32,6 +33,21 @@
 	Records []jobs.Record
 }
 
+// stateTimeout bounds the question for a job's state. After it the entry reads the log.
+const stateTimeout = 300 * time.Millisecond
+
+// stateRequest asks for the state of a job.
+type stateRequest struct {
+	Part int
+	ID   string
+}
+
+// stateAnswer tells it.
+type stateAnswer struct {
+	Known bool
+	State jobs.State
+}
+
 // ownsRequest asks whether a process is the owner of a shard.
 type ownsRequest struct {
 	Part int
@@ -82,6 +98,13 @@
 		}
 		return o.storeHere(ctx, req.Part, req.Records), nil
 	})
+	s.Handle(methodState, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var req stateRequest
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, err
+		}
+		return o.stateHere(req.Part, req.ID), nil
+	})
 	s.Handle(methodOwns, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
 		var req ownsRequest
 		if err := json.Unmarshal(params, &req); err != nil {
@@ -92,6 +115,35 @@
 	})
 }
 
+// State asks the owner of a shard for the state of a job. It returns false if no owner knows it.
+func (o *owners) State(ctx context.Context, t *tail.Tail, id string) (jobs.State, bool) {
+	claim := t.View().Claim
+	switch claim.Owner {
+	case "":
+		return 0, false
+	case o.member:
+		a := o.stateHere(t.Part(), id)
+		return a.State, a.Known
+	}
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	var a stateAnswer
+	if err := o.pool.Call(ctx, claim.Addr, methodState, stateRequest{Part: t.Part(), ID: id}, &a); err != nil {
+		return 0, false // the log is read instead
+	}
+	return a.State, a.Known
+}
+
+// stateHere tells the state of a job while this process surely owns its shard.
+func (o *owners) stateHere(part int, id string) stateAnswer {
+	own := o.find(part)
+	if own == nil || !own.Current() {
+		return stateAnswer{}
+	}
+	s, known := own.Job(id)
+	return stateAnswer{Known: known, State: s}
+}
+
 func (o *owners) storeHere(ctx context.Context, part int, records []jobs.Record) owner.Stored {
 	if own := o.find(part); own != nil {
 		return own.Store(ctx, records)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -32,6 +32,9 @@
 	// refusedAfter is how long the store may take none of an owner's records until the owner says that it is none.
 	// The store may refuse single machines; another one can then own the shard.
 	refusedAfter = 700
+	// currentMs is the age of the last confirmation up to which an owner answers for its shard. Others claim
+	// it after a longer silence only.
+	currentMs = 800
 	// claimSpread spreads the claims of processes that see a free shard at the same time.
 	claimSpread = 120 * time.Millisecond
 	// claimPerShard is the handicap for each shard that a process owns already.
@@ -100,14 +103,15 @@
 	epoch int64
 	seq   int64 // of the last append of the epoch
 
-	claims  int   // renewals seen
-	beatAt  int64 // local ms at which the last renewal was seen
-	owning  atomic.Bool
-	reason  string       // of the present claim
-	failing atomic.Int64 // local ms since when appends bring no success, 0 while they do
-	inbox   chan *intake // records that entries hand in
-	gone    int          // number of claims seen when the owner turned out to be gone, 0 before
-	probeAt int64        // local ms of the next question to a silent owner
+	claims    int   // renewals seen
+	beatAt    int64 // local ms at which the last renewal was seen
+	owning    atomic.Bool
+	reason    string       // of the present claim
+	confirmed atomic.Int64 // local ms at which the last append that succeeded was sent
+	failing   atomic.Int64 // local ms since when appends bring no success, 0 while they do
+	inbox     chan *intake // records that entries hand in
+	gone      int          // number of claims seen when the owner turned out to be gone, 0 before
+	probeAt   int64        // local ms of the next question to a silent owner
 }
 
 // New returns an owner that does not run yet.
@@ -143,6 +147,15 @@
 	return claimRecord(jobs.Claim{Epoch: o.epoch, Owner: o.cfg.Member, Addr: o.cfg.Addr, Reason: "renewed"})
 }
 
+// Current reports whether the store has confirmed the ownership so lately that no other process can have
+// recorded anything since.
+func (o *Owner) Current() bool {
+	return o.owning.Load() && o.failing.Load() == 0 && clock.BootMs()-o.confirmed.Load() < currentMs
+}
+
+// Job returns the state of a job as recorded, and false if it is not known.
+func (o *Owner) Job(id string) (jobs.State, bool) { return o.cfg.Tail.Job(id) }
+
 // Owns reports whether this process owns the shard and the store has taken its records lately.
 func (o *Owner) Owns() bool {
 	f := o.failing.Load()
@@ -224,6 +237,7 @@
 		case res.Outcome == platform.Appended:
 			o.epoch, o.seq, o.reason = epoch, seq, reason
 			o.failing.Store(0)
+			o.confirmed.Store(clock.BootMs() - appendTimeout.Milliseconds())
 			o.log.Info("shard claimed", zap.Int64("epoch", epoch), zap.String("reason", reason),
 				zap.String("previous", v.Claim.Owner), zap.Int64("offset", v.Cursor))
 			return true
@@ -259,6 +273,7 @@
 		})
 		if err == nil {
 			o.failing.Store(0)
+			o.confirmed.Store(begunAt)
 			if res.Outcome != platform.Appended {
 				o.log.Info("shard lost to another owner", zap.Int64("epoch", o.epoch), zap.Int("outcome", int(res.Outcome)))
 				return false
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -15,14 +15,15 @@
 
 // Pace of the reads.
 const (
+	// ownEvery is the pause between two reads of an owned shard. What callers hand in comes to the owner
+	// directly; the log brings only what an entry appended while it did not reach the owner.
+	ownEvery = 120 * time.Millisecond
 	// followEvery is the pause between two reads of a shard that another process owns. It bounds
 	// how late a lost owner is noticed, and the age of the number of waiting jobs.
-	followEvery = 300 * time.Millisecond
+	followEvery = 400 * time.Millisecond
 	// hastyEvery replaces it where the keeper of the machines waits for what owners tell.
 	hastyEvery = 120 * time.Millisecond
-	// pollWait is how long the store holds a read of an owned shard back.
-	pollWait = 1500 * time.Millisecond
-	// readSlack is how long an answer may take beyond the wait asked for.
+	// readSlack bounds a read.
 	readSlack = 800 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 150 * time.Millisecond
@@ -54,7 +55,7 @@
 	failed  bool
 	changes []jobs.Change
 	watcher chan<- struct{} // signalled on changes while an owner is attached
-	polling bool
+	owned   bool
 	pace    time.Duration // between two reads of a shard that another process owns
 
 	catchMu sync.Mutex
@@ -87,10 +88,8 @@
 func (t *Tail) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := t.pausing()
-		if err := t.step(); err != nil {
+		if err := t.read(); err != nil {
 			pause = retryPause
-		} else if t.isPolling() {
-			pause = 0
 		}
 		select {
 		case t.moved <- struct{}{}:
@@ -105,6 +104,9 @@
 func (t *Tail) pausing() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.owned {
+		return ownEvery
+	}
 	return t.pace
 }
 
@@ -127,23 +129,8 @@
 	}
 }
 
-// step reads once, with a wait while an owner is attached.
-func (t *Tail) step() error {
-	var wait time.Duration
-	if t.isPolling() {
-		wait = pollWait
-	}
-	return t.read(wait)
-}
-
-func (t *Tail) isPolling() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.polling && !t.failed
-}
-
-// read brings the fold up to the end of the partition, or waits for the next record.
-func (t *Tail) read(wait time.Duration) error {
+// read brings the fold up to the end of the partition.
+func (t *Tail) read() error {
 	t.mu.Lock()
 	from := t.cursor
 	t.mu.Unlock()
@@ -152,8 +139,7 @@
 		return t.load(begun)
 	}
 	page, err := t.cfg.Store.Read(platform.Read{
-		Topic: platform.TopicJobs, Part: t.cfg.Part, From: from, WaitMs: wait.Milliseconds(),
-		Deadline: time.Now().Add(wait + readSlack),
+		Topic: platform.TopicJobs, Part: t.cfg.Part, From: from, Deadline: time.Now().Add(readSlack),
 	})
 	if err != nil {
 		t.fail(err)
@@ -164,7 +150,7 @@
 	}
 	t.apply(from, page.Records, begun, page.Next >= page.End)
 	if page.Next < page.End && len(page.Records) > 0 {
-		return t.read(0)
+		return t.read()
 	}
 	return nil
 }
@@ -280,7 +266,7 @@
 // runCatch makes a shared read, then the one that was asked for meanwhile.
 func (t *Tail) runCatch(c *catch) {
 	for c != nil {
-		c.err = t.read(0)
+		c.err = t.read()
 		close(c.done)
 		t.catchMu.Lock()
 		t.running, t.next = t.next, nil
@@ -289,11 +275,11 @@
 	}
 }
 
-// Attach signals w on changes from now on, hands the fold to load and has the partition polled.
+// Attach signals w on changes from now on, hands the fold to load and has the partition read more often.
 func (t *Tail) Attach(w chan<- struct{}, load func(b *jobs.Book)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.watcher, t.polling, t.changes = w, true, nil
+	t.watcher, t.owned, t.changes = w, true, nil
 	load(t.book)
 }
 
@@ -301,7 +287,7 @@
 func (t *Tail) Detach() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.watcher, t.polling, t.changes = nil, false, nil
+	t.watcher, t.owned, t.changes = nil, false, nil
 }
 
 // Changes returns the jobs that changed since the last call, as the fold has them now.
