shard: Start ahead of the record while the claim is fresh, ask for lifetimes

Cause: with a slow store (600 ms an append) each step waited for two appends; a new owner held inherited jobs back for VMs whose machines had moved; the keeper waited for its renewal before each order. Ruled out: refusing work in that time (the pools were idle). Change: a start goes out at once while the log confirmed the claim within 1.2 s, and is recorded with the next batch; an owner that follows one lost without a word asks every VM first, takes over runs it finds, and drops VMs that the list of machines no longer knows. Posts reach the keeper over jsonrpc2 as well.

--- a/bench/sim/arrive.go
+++ b/bench/sim/arrive.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/shard"
 )
 
 // lowShare is the part of its mean that a class asks for out of its turn.
@@ -101,6 +102,13 @@
 // faults schedules the outages, slow and grey VMs of the scenario.
 func (w *World) faults() {
 	begin := w.now
+	for _, m := range w.vms {
+		m.loseOrders = w.spec.LostOrders
+	}
+	for _, t := range w.spec.OwnersLost {
+		w.at(begin+t, func() { w.orphan = shard.New(w.cfg, w.catalog, w.now); w.engine = w.orphan })
+		w.at(begin+t+takeoverMs, func() { w.takeOver(false) })
+	}
 	for _, o := range w.spec.Dark {
 		for _, i := range o.VMs {
 			m := w.vms[i%len(w.vms)]
--- a/bench/sim/scenarios.go
+++ b/bench/sim/scenarios.go
@@ -46,5 +46,13 @@
 	grey.Grey = []Grey{{VMs: []int{1}, FromMs: 6000, ToMs: 13_000}}
 	hang := base("VMs on which work stands still", 9, large(0.921))
 	hang.Grey = []Grey{{VMs: []int{1}, Hang: true, FromMs: 6000, ToMs: 12_000}}
-	return []Spec{turns, wide, flood, heavy, dark, slow, grey, hang}
+	lost := base("owner lost three times", 8, small(7.86))
+	lost.OwnersLost = []int64{5000, 9000, 17_000}
+	late := base("orders without an answer", 8, small(7.86))
+	late.LostOrders = 0.05
+	both := base("orders without an answer, owner lost, VMs dark", 9, large(0.921), small(4))
+	both.LostOrders = 0.04
+	both.OwnersLost = []int64{4000, 9300, 21_000}
+	both.Dark = []Outage{{VMs: []int{1, 2}, FromMs: 8800, ToMs: 13_000}, {VMs: []int{5}, FromMs: 20_000, ToMs: 24_000}}
+	return []Spec{lost, late, both, turns, wide, flood, heavy, dark, slow, grey, hang}
 }
--- a/bench/sim/spec.go
+++ b/bench/sim/spec.go
@@ -63,6 +63,9 @@
 	Slow    []Slow
 	Grey    []Grey
 	Serving int // lasting jobs of 5 items
+	// OwnersLost are times at which the owner is gone without a word; the next one takes over TakeoverMs later.
+	OwnersLost []int64
+	LostOrders float64 // share of orders that bring no answer; half of them are carried out, late
 }
 
 // Outage takes VMs away for a time; they come back as new lifetimes.
--- a/bench/sim/world.go
+++ b/bench/sim/world.go
@@ -19,7 +19,9 @@
 	tickMs    = 100 // turns of the owner without an event
 	spaceMs   = 8   // between two looks at one VM
 	timeoutMs = 500
-	wallBase  = 1_700_000_000_000
+	// takeoverMs is how long a shard has no owner after one is lost.
+	takeoverMs = 1200
+	wallBase   = 1_700_000_000_000
 )
 
 // event is something that happens at a time.
@@ -67,6 +69,8 @@
 	turning bool
 	version int
 
+	orphan *shard.Engine // stands in while there is no owner
+
 	check   *checker
 	starts  int
 	wasteMs int64 // core-milliseconds of runs that were not done
@@ -112,7 +116,7 @@
 		w.vms = append(w.vms, m)
 		w.birth(m)
 	}
-	w.takeOver()
+	w.takeOver(true)
 	return w
 }
 
@@ -164,7 +168,7 @@
 }
 
 // takeOver begins a new ownership.
-func (w *World) takeOver() {
+func (w *World) takeOver(clean bool) {
 	w.epoch++
 	cfg := w.cfg
 	cfg.Epoch = w.epoch
@@ -179,6 +183,13 @@
 		w.engine.Load(id, w.book.Entries[id], w.now, w.now+wallBase)
 	}
 	w.list()
+	if !clean {
+		list := make([]pools.VM, 0, len(w.vms))
+		for _, m := range w.vms {
+			list = append(list, m.vm.VM)
+		}
+		w.engine.Suspect(list, w.now)
+	}
 	for _, m := range w.vms {
 		w.look(m, w.engine)
 	}
@@ -228,21 +239,25 @@
 // turn has the owner plan, as its loop does.
 func (w *World) turn() {
 	e := w.engine
+	if e == w.orphan {
+		return
+	}
 	e.Contact(w.now)
+	e.Step(w.now, w.now+wallBase)
 	w.dispatch(e, e.TakeOrders())
 	e.TakeNotes()
 	if w.busy {
 		return
 	}
-	b, err := e.Plan(w.now, w.now+wallBase)
+	b, err := e.Batch()
 	if err != nil {
 		w.check.fault("ENCODE", "%v", err)
 		return
 	}
-	w.dispatch(e, e.TakeOrders())
 	if b == nil {
 		return
 	}
+	begun := w.now
 	w.busy = true
 	w.at(w.now+appendMs, func() {
 		if e != w.engine {
@@ -255,6 +270,7 @@
 		}
 		w.shown()
 		w.busy = false
+		e.Confirm(begun)
 		w.dispatch(e, e.Committed(b, w.now))
 		w.turn()
 	})
--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -1008,9 +1008,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Post) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
+	// string "e"
+	o = append(o, 0x87, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
 	// string "r"
-	o = append(o, 0x86, 0xa1, 0x72)
+	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendInt64(o, z.Rev)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
@@ -1054,6 +1057,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
 		case "r":
 			z.Rev, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -1130,7 +1139,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Post) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Offers {
 		s += msgp.StringPrefixSize + len(z.Offers[za0001])
 	}
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -58,6 +58,7 @@
 
 // Post is what the owner of a pool tells the keeper of the machines.
 type Post struct {
+	Epoch  int64    `msg:"e"` // of the ownership
 	Rev    int64    `msg:"r"` // rises with each post of an epoch
 	Want   int      `msg:"w"` // VMs that the pool can use now
 	Min    int      `msg:"m"` // VMs below which what lasts finds no place
@@ -66,6 +67,11 @@
 	Clear  []string `msg:"c"` // VMs that were to be vacated and run nothing
 }
 
+// Newer reports whether p was told after o.
+func (p *Post) Newer(o *Post) bool {
+	return p.Epoch > o.Epoch || p.Epoch == o.Epoch && p.Rev > o.Rev
+}
+
 // Vacate is what the keeper of the machines asks of the owners.
 type Vacate struct {
 	VMs []string `msg:"v"` // that are due for upkeep and have to be emptied
--- a/core/keep/keep.go
+++ b/core/keep/keep.go
@@ -161,6 +161,9 @@
 			m = &machine{}
 			k.machines[l.ID] = m
 		}
+		if l.State != m.State {
+			k.note(l.ID, "state "+stateNames[l.State], l.Pool+" "+l.VM, 0)
+		}
 		m.Machine, m.listed, m.missing = l, true, 0
 		if m.target != "" && (l.Pool == m.target || now-m.doneAt > joinMs) && k.settled(m) {
 			m.target = ""
@@ -181,6 +184,9 @@
 	}
 }
 
+// stateNames are the words of machines' states in logs.
+var stateNames = map[pools.MachineState]string{pools.MachineBusy: "busy", pools.MachineUp: "up", pools.MachineDown: "down"}
+
 // settled reports whether the list was asked for after the last order was carried out.
 func (k *Keeper) settled(m *machine) bool {
 	return m.doneAt == 0 || k.view.ListedAt > m.doneAt+settleMs
--- a/core/pools/pools.go
+++ b/core/pools/pools.go
@@ -134,8 +134,9 @@
 
 // The states of a machine.
 const (
-	MachineDown MachineState = iota // also moving, or in its upkeep
+	MachineBusy MachineState = iota // moving, or in its upkeep
 	MachineUp
+	MachineDown // it has failed
 )
 
 // Machine is a machine as the platform lists it. A VM is one lifetime of a machine.
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -15,6 +15,9 @@
 	leaseMs = 5000
 	// startLeaseMs is how long a start may be under way. One that is carried out later is refused by the VM.
 	startLeaseMs = 1500
+	// freshMs is the age of the last confirmation up to which starts need not wait for their record. Other
+	// processes claim a shard after a longer silence only.
+	freshMs = 1200
 	// contactMs is how long after its last contact with the store an owner prolongs leases.
 	contactMs = 4000
 	// adoptMs bounds the lease that an earlier owner may have given: contactMs + leaseMs, on a
@@ -61,9 +64,14 @@
 	lost    bool
 	// recording is set while a batch is being appended.
 	recording bool
-	contact   int64 // last time the store answered this owner
-	notes     []Note
-	nextPace  int64
+	contact   int64   // last time the store answered this owner
+	confirmed int64   // when the last append that the log took as this owner's was sent
+	waiting   []start // starts whose record is to be written first
+	// unmet are VMs on which an earlier owner may have started items that it did not record, with the time
+	// until which such runs can live.
+	unmet    map[string]int64
+	notes    []Note
+	nextPace int64
 
 	need need
 }
@@ -94,6 +102,67 @@
 // Lost reports whether a VM has seen a higher fence number: another process owns the shard.
 func (e *Engine) Lost() bool { return e.lost }
 
+// Confirm notes that the log took an append as this owner's that was sent at a time.
+func (e *Engine) Confirm(at int64) { e.confirmed = max(e.confirmed, at) }
+
+// Suspect has every VM asked before items that came before the takeover are started: the earlier owner was
+// lost without a word, and may have started some of them.
+func (e *Engine) Suspect(listed []pools.VM, now int64) {
+	e.unmet = map[string]int64{}
+	if listed == nil {
+		e.unmet[""] = now + adoptMs // any VM may run something
+	}
+	for i := range listed {
+		if listed[i].Service == e.cfg.Service {
+			e.unmet[listed[i].ID] = now + adoptMs
+		}
+	}
+	for _, j := range e.jobs {
+		j.inherited = true
+	}
+}
+
+// settled reports whether all VMs were asked that an earlier owner may have used.
+func (e *Engine) settled(now int64) bool {
+	for id, until := range e.unmet {
+		if v := e.vms[id]; now >= until || v != nil && v.met {
+			delete(e.unmet, id)
+		}
+	}
+	return len(e.unmet) == 0
+}
+
+// Doubtful reports whether the list of machines could tell that a lifetime is over: of a VM that is silent
+// with runs on it, or of one that an earlier owner may have used.
+func (e *Engine) Doubtful() bool {
+	for _, v := range e.vms {
+		if v.failing && len(v.runs) > 0 {
+			return true
+		}
+	}
+	return len(e.unmet) > 0
+}
+
+// Lives takes over the platform's list of machines, which was asked for at a time. A VM that was known before
+// and belongs to no machine any more is over.
+func (e *Engine) Lives(machines []pools.Machine, asked, now int64) {
+	current := make(map[string]bool, len(machines))
+	for i := range machines {
+		current[machines[i].VM] = true
+	}
+	for id := range e.unmet {
+		if id != "" && !current[id] {
+			delete(e.unmet, id)
+		}
+	}
+	for id, v := range e.vms {
+		if v.failing && !current[id] && v.knownAt < asked && len(v.runs) > 0 {
+			e.endLife(v, 0, now)
+			v.failing = true
+		}
+	}
+}
+
 // Contact notes that the store answered this owner.
 func (e *Engine) Contact(now int64) { e.contact = max(e.contact, now) }
 
@@ -157,7 +226,7 @@
 	if s.VM == "" || s.Done {
 		return
 	}
-	v := e.vm(s.VM)
+	v := e.vm(s.VM, now)
 	if v.born == 0 {
 		v.born = s.VMBorn
 	}
@@ -238,7 +307,7 @@
 			continue
 		}
 		seen[l.ID] = true
-		v := e.vm(l.ID)
+		v := e.vm(l.ID, now)
 		if l.Born != 0 && v.born != 0 && l.Born > v.born {
 			e.endLife(v, l.Born, now)
 		}
@@ -279,6 +348,7 @@
 
 // endLife frees everything on a VM whose lifetime ended. born is the start of its next one, 0 if unknown.
 func (e *Engine) endLife(v *vm, born, now int64) {
+	delete(e.unmet, v.ID)
 	e.note(Note{VM: v.ID, What: "vm lifetime ended", N: len(v.runs)})
 	for _, it := range v.runs {
 		e.free(it, now)
@@ -286,10 +356,10 @@
 	v.newLife(born)
 }
 
-func (e *Engine) vm(id string) *vm {
+func (e *Engine) vm(id string, now int64) *vm {
 	v := e.vms[id]
 	if v == nil {
-		v = &vm{VM: pools.VM{ID: id}, runs: map[string]*item{}}
+		v = &vm{VM: pools.VM{ID: id}, runs: map[string]*item{}, knownAt: now}
 		e.vms[id] = v
 	}
 	return v
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -66,6 +66,7 @@
 	left      map[[2]int]int
 	arrivedAt int64
 	clockDiff int64 // time of day minus local time, at arrival
+	inherited bool  // it was there when the shard was taken over from an owner that was lost
 	chainMs   int64 // longest chain of estimates
 	tail      []int64
 }
--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -99,6 +99,9 @@
 	for i := range rows {
 		r := &rows[i]
 		it := v.runs[r.Item]
+		if it == nil {
+			it = e.inherit(v, r, now)
+		}
 		if it == nil || it.run != r.Run {
 			v.foreign++
 			e.stopForeign(v, r)
@@ -115,6 +118,28 @@
 	}
 }
 
+// inherit takes over a run that an earlier owner started and did not record. It returns nil for a run that
+// is not wanted.
+func (e *Engine) inherit(v *vm, r *pools.RunRow, now int64) *item {
+	id, key, ok := jobs.ParseItem(r.Item)
+	j := e.jobs[id]
+	if !ok || j == nil || j.state.Final() {
+		return nil
+	}
+	it := j.items[key]
+	if it == nil || it.done || it.phase != idle || it.run >= r.Run {
+		return nil
+	}
+	it.run, it.phase, it.since = r.Run, adopted, now
+	v.attach(it)
+	if j.state == jobs.Queued {
+		j.state = jobs.Running
+	}
+	e.touch(j)
+	e.note(Note{JobID: id, VM: v.ID, What: "run taken over", N: r.Run})
+	return it
+}
+
 // phaseNames are the words of the phases in logs.
 var phaseNames = map[phase]string{
 	idle: "idle", planned: "planned", sent: "sent", running: "running", adopted: "adopted", stopping: "stopping",
@@ -178,10 +203,13 @@
 		return
 	}
 	current := it.vm == v && it.run == end.Run
+	if it.vm == nil && it.run < end.Run {
+		it.run, current = end.Run, true // an earlier owner started it and did not record it
+	}
 	if end.Ref != "" && !it.done {
 		it.ref = end.Ref
 	}
-	if current {
+	if current && it.vm != nil {
 		e.free(it, now)
 	}
 	if j.state.Final() || it.done {
--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -232,7 +232,7 @@
 
 // preparePost has the owner's view recorded when it changed.
 func (e *Engine) preparePost(floor int, now int64) {
-	p := jobs.Post{Want: e.need.want, Min: floor, Rev: e.need.posted.Rev, Urgent: e.urgency()}
+	p := jobs.Post{Epoch: e.cfg.Epoch, Want: e.need.want, Min: floor, Rev: e.need.posted.Rev, Urgent: e.urgency()}
 	for id, v := range e.vms {
 		if !v.listed || v.Draining {
 			continue
@@ -255,6 +255,9 @@
 	e.need.posted, e.need.postedAt, e.need.post = p, now, true
 }
 
+// Post returns what the keeper of the machines is told.
+func (e *Engine) Post() jobs.Post { return e.need.posted }
+
 // urgency returns the priority of the pool's most urgent queue with waiting work; higher goes first.
 func (e *Engine) urgency() int64 {
 	var best int64
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -50,8 +50,9 @@
 
 func (e *Engine) candidates(now int64) []candidate {
 	var list []candidate
+	settled := e.settled(now)
 	for _, j := range e.jobs {
-		if j.state.Final() {
+		if j.state.Final() || j.inherited && !settled {
 			continue
 		}
 		var ready []*item
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -29,12 +29,38 @@
 // maxBatchBytes keeps a batch under the size of one call to the log.
 const maxBatchBytes = 1 << 20
 
-// Plan decides what starts now and returns what has to be recorded first, nil if there is nothing.
-// It must not be called again before Committed or Abandoned. wall is the time of day in unix milliseconds.
-func (e *Engine) Plan(now, wall int64) (*Batch, error) {
+// Step does what is due and decides what starts now. wall is the time of day in unix milliseconds.
+//
+// While the log has confirmed the ownership lately, starts are sent at once and recorded with the next batch:
+// no other owner can have begun, and one that takes over after a crash asks every VM before it starts what an
+// earlier owner may have started. Otherwise starts wait for their record.
+func (e *Engine) Step(now, wall int64) {
 	e.tick(now, wall)
-	b := &Batch{acks: map[string]int64{}}
-	b.starts = e.place(now)
+	for _, s := range e.place(now) {
+		if now-e.confirmed < freshMs {
+			e.orders = append(e.orders, e.begin(s, now))
+		} else {
+			e.waiting = append(e.waiting, s)
+		}
+	}
+}
+
+// begin returns the order of a planned start.
+func (e *Engine) begin(s start, now int64) pools.Order {
+	it := s.it
+	it.phase, it.since = sent, now
+	lease := s.vm.clockNow(now) + startLeaseMs
+	s.vm.lease = max(s.vm.lease, lease)
+	return pools.Order{
+		Kind: pools.Start, VM: s.vm.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Spec: it.job.Spec,
+		Ref: it.ref, LeaseMs: lease, Fence: e.cfg.Epoch,
+	}
+}
+
+// Batch returns what has to be recorded, nil if there is nothing. It must not be called again before Committed.
+func (e *Engine) Batch() (*Batch, error) {
+	b := &Batch{acks: map[string]int64{}, starts: e.waiting}
+	e.waiting = nil
 	if len(e.dirty) == 0 && len(e.drops) == 0 && !e.need.post {
 		return nil, nil
 	}
@@ -79,7 +105,7 @@
 // Committed returns the orders of a batch that is stored.
 func (e *Engine) Committed(b *Batch, now int64) []pools.Order {
 	e.recording = false
-	e.contact = now
+	e.contact = max(e.contact, now)
 	for id, seq := range b.acks {
 		if v := e.vms[id]; v != nil && seq <= v.seen {
 			v.acked = max(v.acked, seq)
@@ -95,13 +121,7 @@
 			e.free(it, now)
 			continue
 		}
-		it.phase, it.since = sent, now
-		lease := s.vm.clockNow(now) + startLeaseMs
-		s.vm.lease = max(s.vm.lease, lease)
-		orders = append(orders, pools.Order{
-			Kind: pools.Start, VM: s.vm.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Spec: it.job.Spec,
-			Ref: it.ref, LeaseMs: lease, Fence: e.cfg.Epoch,
-		})
+		orders = append(orders, e.begin(s, now))
 	}
 	for _, r := range b.touched {
 		r.job.saved = r.state
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -13,6 +13,7 @@
 	listed  bool
 	missing int64 // since when its entry is missing, 0 when it is listed
 	born    int64
+	knownAt int64 // since when the owner knows it
 
 	met     bool  // it answered a look that raised its fence number
 	clock   int64 // its clock when it last answered
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -60,6 +60,7 @@
 	level   zap.AtomicLevel
 	member  string
 	store   *platform.Store
+	cloud   *platform.Cloud
 	catalog *catalog
 	shards  *shards
 	waves   *waves
@@ -103,6 +104,7 @@
 		store: platform.NewStore(s.Store.Addr), metrics: registry, stats: owner.NewStats(registry),
 	}
 	n.peers = newOwners(n.member, log)
+	n.cloud = platform.NewCloud(s.Cloud.Addr, n.member)
 	n.waves = &waves{log: log, store: n.store, waves: map[int]pools.Wave{}, told: map[int]string{}}
 	n.catalog = &catalog{log: log, waves: n.waves}
 	n.catalog.feed = feed.New(feed.Config{
@@ -249,12 +251,12 @@
 func (n *Node) runner(service string, t *tail.Tail) owner.Runner {
 	if service == keeperShard {
 		return owner.NewKeeperRunner(owner.KeeperConfig{
-			Cloud: platform.NewCloud(n.cfg.Cloud.Addr, n.member), Waves: n.waves.list, Pools: n.posts, Over: n.upkeeps,
-			Hasten: n.hasten, Tell: n.waves.tell, LeaseMs: n.cfg.Times.LeaseMs, Stats: n.stats,
+			Cloud: n.cloud, Waves: n.waves.list, Pools: n.posts, Over: n.upkeeps,
+			Tell: n.waves.tell, LeaseMs: n.cfg.Times.LeaseMs, Stats: n.stats,
 		})
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
-		Service: service, Tail: t, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.vacate, Stats: n.stats,
+		Service: service, Tail: t, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.vacate, Tell: n.tell, Machines: n.cloud.Machines, Stats: n.stats,
 		Engine: shard.Config{
 			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
 			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs,
@@ -274,6 +276,7 @@
 		if t := n.shards.Tail(p.Service); t != nil {
 			p.Post, _ = t.Post()
 		}
+		p.Post = n.peers.post(p.Service, p.Post)
 		list = append(list, p)
 	}
 	return list
@@ -288,10 +291,10 @@
 	return over
 }
 
-// hasten has all shards read often, for the keeper.
-func (n *Node) hasten(on bool) {
-	for _, t := range n.shards.All() {
-		t.Hasten(on)
+// tell hands a pool's post to the keeper of the machines, which reads its record later otherwise.
+func (n *Node) tell(service string, p jobs.Post) {
+	if t := n.shards.Tail(keeperShard); t != nil {
+		go n.peers.tell(t.View().Claim, service, p)
 	}
 }
 
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -22,10 +22,12 @@
 	methodStore = "Store"
 	methodOwns  = "Owns"
 	methodState = "State"
+	methodPost  = "Post"
 )
 
 // storeTimeout bounds the wait for an owner to store a record. After it the entry appends by itself.
-const storeTimeout = 1200 * time.Millisecond
+// A slow store takes that long for two appends of the owner; appends of single entries would slow it further.
+const storeTimeout = 1700 * time.Millisecond
 
 // storeRequest hands records to the owner of a shard.
 type storeRequest struct {
@@ -42,6 +44,15 @@
 	ID   string
 }
 
+// postRequest tells the keeper of the machines about a pool.
+type postRequest struct {
+	Service string
+	Post    jobs.Post
+}
+
+// postTimeout bounds the telling of a post.
+const postTimeout = 500 * time.Millisecond
+
 // stateAnswer tells it.
 type stateAnswer struct {
 	Known bool
@@ -67,11 +78,12 @@
 
 	mu    sync.Mutex
 	local map[int]*owner.Owner
+	posts map[string]jobs.Post // told by owners, by service
 }
 
 func newOwners(member string, log *zap.Logger) *owners {
 	return &owners{
-		member: member, log: log, local: map[int]*owner.Owner{},
+		member: member, log: log, local: map[int]*owner.Owner{}, posts: map[string]jobs.Post{},
 		pool: peer.NewPool(peer.PoolConfig{From: func() string { return member }, CallTimeout: storeTimeout, Log: log}),
 	}
 }
@@ -98,6 +110,14 @@
 		}
 		return o.storeHere(ctx, req.Part, req.Records), nil
 	})
+	s.Handle(methodPost, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var req postRequest
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, err
+		}
+		o.took(req.Service, req.Post)
+		return struct{}{}, nil
+	})
 	s.Handle(methodState, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
 		var req stateRequest
 		if err := json.Unmarshal(params, &req); err != nil {
@@ -144,6 +164,41 @@
 	return stateAnswer{Known: known, State: s}
 }
 
+// took keeps a post if it is newer than the one known.
+func (o *owners) took(service string, p jobs.Post) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if old := o.posts[service]; p.Newer(&old) {
+		o.posts[service] = p
+	}
+}
+
+// post returns the newest post of a pool: the recorded one, or one that its owner told since.
+func (o *owners) post(service string, recorded jobs.Post) jobs.Post {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if told := o.posts[service]; told.Newer(&recorded) {
+		return told
+	}
+	return recorded
+}
+
+// tell hands a post to the keeper.
+func (o *owners) tell(claim jobs.Claim, service string, p jobs.Post) {
+	switch claim.Owner {
+	case "":
+		return
+	case o.member:
+		o.took(service, p)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), postTimeout)
+	defer cancel()
+	if err := o.pool.Call(ctx, claim.Addr, methodPost, postRequest{Service: service, Post: p}, nil); err != nil {
+		o.log.Info("keeper not reached", zap.String("service", service), zap.Error(err))
+	}
+}
+
 func (o *owners) storeHere(ctx context.Context, part int, records []jobs.Record) owner.Stored {
 	if own := o.find(part); own != nil {
 		return own.Store(ctx, records)
--- a/io/owner/keeper.go
+++ b/io/owner/keeper.go
@@ -42,7 +42,6 @@
 	Waves   func() []pools.Wave
 	Pools   func() []keep.PoolPost
 	Over    func() map[jobs.Upkeep]bool
-	Hasten  func(on bool) // has the posts of the pools read often
 	Tell    func(wave int, complete bool)
 	LeaseMs int64 // for so long after another keeper's order a machine is left alone
 	Stats   *Stats
@@ -70,8 +69,6 @@
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.wg.Wait()
 	defer r.cancel()
-	k.cfg.Hasten(true)
-	defer k.cfg.Hasten(false)
 	r.wg.Add(1)
 	go r.listLoop()
 	for range orderLoops {
@@ -151,8 +148,9 @@
 		records = append(records, rec)
 		r.beatAt = now
 	}
-	// Orders are sent only behind a confirmed record of this epoch: nobody else is the keeper yet.
-	if len(orders) > 0 && len(records) == 0 {
+	// Orders need a fresh confirmation that nobody else is the keeper.
+	fresh := r.o.Current()
+	if len(orders) > 0 && len(records) == 0 && !fresh {
 		rec, err := r.o.Renewal()
 		if err != nil {
 			r.log.Error("claim not encoded", zap.Error(err))
@@ -160,22 +158,36 @@
 		records = append(records, rec)
 		r.beatAt = now
 	}
+	if fresh {
+		r.send(orders)
+		orders = nil
+	}
 	if len(records) > 0 {
 		if !r.o.Write(ctx, records) {
 			return false
 		}
 		r.o.cfg.Tail.Put(records)
 	}
-	late := clock.BootMs()-now > machineTimeout.Milliseconds()
-	for _, o := range orders {
-		if late || !r.push(o) {
+	if clock.BootMs()-now > machineTimeout.Milliseconds() {
+		for _, o := range orders {
 			r.replied(o, pools.Reply{Kind: pools.Unsent})
 		}
+		orders = nil
 	}
+	r.send(orders)
 	r.tell(waves, over)
 	return true
 }
 
+// send hands orders to the loops that carry them out.
+func (r *keeperRun) send(orders []pools.Order) {
+	for _, o := range orders {
+		if !r.push(o) {
+			r.replied(o, pools.Reply{Kind: pools.Unsent})
+		}
+	}
+}
+
 func (r *keeperRun) push(o pools.Order) bool {
 	select {
 	case r.orders <- o:
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -42,9 +42,11 @@
 	// claimTries is how often a claim is repeated when another record came in between.
 	claimTries = 6
 	// appendTimeout bounds one append. An append whose answer is lost is repeated.
-	appendTimeout = 600 * time.Millisecond
+	appendTimeout = 700 * time.Millisecond
 	// slowAppendTimeout replaces it after a timeout, for a store that is slow.
 	slowAppendTimeout = 2 * time.Second
+	// patienceTimes is how many times as long as the last append the next one may take.
+	patienceTimes = 3
 	// slowAppend is the time above which an append is logged.
 	slowAppend = 200 * time.Millisecond
 	// appendPause is the pause before an append is repeated.
@@ -93,8 +95,12 @@
 	Stats   *Stats
 }
 
-// reasonSilent is the reason of a claim whose earlier owner may still be at work.
-const reasonSilent = "owner silent"
+// The reasons of claims that matter to the next owner.
+const (
+	reasonFirst    = "no owner yet"
+	reasonReleased = "released"
+	reasonSilent   = "owner silent" // it may still be at work
+)
 
 // Owner takes part in the election of one shard.
 type Owner struct {
@@ -106,12 +112,13 @@
 	claims    int   // renewals seen
 	beatAt    int64 // local ms at which the last renewal was seen
 	owning    atomic.Bool
-	reason    string       // of the present claim
-	confirmed atomic.Int64 // local ms at which the last append that succeeded was sent
-	failing   atomic.Int64 // local ms since when appends bring no success, 0 while they do
-	inbox     chan *intake // records that entries hand in
-	gone      int          // number of claims seen when the owner turned out to be gone, 0 before
-	probeAt   int64        // local ms of the next question to a silent owner
+	reason    string        // of the present claim
+	patience  time.Duration // with the next append
+	confirmed atomic.Int64  // local ms at which the last append that succeeded was sent
+	failing   atomic.Int64  // local ms since when appends bring no success, 0 while they do
+	inbox     chan *intake  // records that entries hand in
+	gone      int           // number of claims seen when the owner turned out to be gone, 0 before
+	probeAt   int64         // local ms of the next question to a silent owner
 }
 
 // New returns an owner that does not run yet.
@@ -156,6 +163,9 @@
 // Job returns the state of a job as recorded, and false if it is not known.
 func (o *Owner) Job(id string) (jobs.State, bool) { return o.cfg.Tail.Job(id) }
 
+// clean reports whether the earlier owner recorded all that it did before it left.
+func (o *Owner) clean() bool { return o.reason == reasonReleased || o.reason == reasonFirst }
+
 // Owns reports whether this process owns the shard and the store has taken its records lately.
 func (o *Owner) Owns() bool {
 	f := o.failing.Load()
@@ -178,9 +188,9 @@
 	}
 	switch {
 	case v.Claim.Epoch == 0:
-		return "no owner yet"
+		return reasonFirst
 	case v.Claim.Owner == "":
-		return "released"
+		return reasonReleased
 	case v.Claim.Owner == o.cfg.Member:
 		return "own claim left over"
 	case now-o.beatAt > lapseAfter:
@@ -235,7 +245,7 @@
 			o.log.Warn("claim not confirmed", zap.Int64("epoch", epoch), zap.Error(err))
 			return false
 		case res.Outcome == platform.Appended:
-			o.epoch, o.seq, o.reason = epoch, seq, reason
+			o.epoch, o.seq, o.reason, o.patience = epoch, seq, reason, appendTimeout
 			o.failing.Store(0)
 			o.confirmed.Store(clock.BootMs() - appendTimeout.Milliseconds())
 			o.log.Info("shard claimed", zap.Int64("epoch", epoch), zap.String("reason", reason),
@@ -263,10 +273,11 @@
 // returns those that are still to be written.
 func (o *Owner) write(ctx context.Context, records []jobs.Record, refused func() []jobs.Record) bool {
 	o.seq++
-	timeout := appendTimeout
+	timeout := o.patience
 	begun, begunAt := time.Now(), clock.BootMs()
 	unknown := false
 	for ctx.Err() == nil {
+		sent := time.Now()
 		res, err := o.cfg.Store.Append(platform.Append{
 			Topic: platform.TopicJobs, Part: o.cfg.Part, Records: records, At: -1,
 			Producer: producer, Epoch: o.epoch, Seq: o.seq, Deadline: time.Now().Add(timeout),
@@ -279,6 +290,8 @@
 				return false
 			}
 			took := time.Since(begun)
+			// The next append waits as long as this one suggests, so that a slow store is not asked twice.
+			o.patience = min(max(appendTimeout, patienceTimes*time.Since(sent)), slowAppendTimeout)
 			o.cfg.Stats.Time("append", took)
 			if took > slowAppend {
 				o.log.Info("append slow", zap.Duration("took", took), zap.Int("records", len(records)), zap.Bool("unanswered", unknown))
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -42,6 +42,10 @@
 	Tail    *tail.Tail
 	Pool    Pool
 	Catalog func() *jobs.Catalog
+	// Machines reads the platform's list of machines.
+	Machines func(deadline time.Time) ([]pools.Machine, error)
+	// Tell hands a post to the keeper of the machines, ahead of its record.
+	Tell func(service string, p jobs.Post)
 	// Vacate returns the VMs that the keeper of the machines asks to be emptied.
 	Vacate func() []string
 	Engine shard.Config
@@ -72,6 +76,7 @@
 	waiting []*intake    // whose records the next batch takes
 	// listed is the version of the VM list that the engine has, listedAt the local ms at which it got it.
 	listed, listedAt int64
+	told             int64 // number of the last post that the keeper was told
 	stateAt          int64 // local ms of the last summary in the log
 	beatAt           int64 // local ms of the last renewal written
 	ctx              context.Context
@@ -101,6 +106,7 @@
 	cfg.Service, cfg.Epoch = r.cfg.Service, r.o.Epoch()
 	r.engine = shard.New(cfg, r.cfg.Catalog(), now)
 	r.beatAt = now
+	r.engine.Confirm(r.o.confirmed.Load())
 	r.cfg.Tail.Attach(r.wake, func(b *jobs.Book) {
 		for id, e := range b.Entries {
 			r.engine.Load(id, e, now, wall)
@@ -108,10 +114,31 @@
 	})
 	defer r.cfg.Tail.Detach()
 	defer r.cfg.Pool.Watch(r.wake)()
+	if !r.o.clean() {
+		r.suspect(now)
+	}
 	r.log.Info("shard taken over", zap.Any("counts", r.engine.Counts(now)))
 	return r.loop(ctx)
 }
 
+// listTimeout bounds the wait for the list of VMs at a takeover, and listPause is the time between two looks at it.
+const (
+	listTimeout = 3 * time.Second
+	listPause   = 5 * time.Millisecond
+)
+
+// suspect waits for the list of VMs, and has all of them asked before inherited items start.
+func (r *run) suspect(now int64) {
+	for until := time.Now().Add(listTimeout); time.Now().Before(until); wait(r.ctx, listPause) {
+		if list, version := r.cfg.Pool.VMs(); version >= 0 {
+			r.engine.Suspect(list, now)
+			return
+		}
+	}
+	r.log.Warn("the list of VMs did not come; items start by the records alone")
+	r.engine.Suspect(nil, now)
+}
+
 func (r *run) loop(ctx context.Context) bool {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -121,7 +148,8 @@
 	defer close(batches)
 	r.wg.Add(1)
 	go r.appendLoop(batches, appended)
-	ended := ctx.Done()
+	r.wg.Add(1)
+	go r.livesLoop()
 	for {
 		select {
 		case ok := <-appended:
@@ -133,16 +161,8 @@
 		case in := <-r.o.inbox:
 			r.waiting = append(r.waiting, in)
 		case <-ticker.C:
-		case <-ended:
-			if r.batch == nil {
-				return false
-			}
-			ended = nil // the batch under way is finished first
-			if ok := <-appended; !ok {
-				return true
-			}
-			r.committed()
-			return false
+		case <-ctx.Done():
+			return !r.finish(batches, appended)
 		}
 		if r.turn(batches) {
 			r.log.Info("shard lost: a VM has seen a higher fence number")
@@ -151,6 +171,20 @@
 	}
 }
 
+// finish records what was decided, so that the next owner has it all. It returns false if the shard is lost.
+func (r *run) finish(batches chan<- *batch, appended <-chan bool) bool {
+	if r.batch != nil {
+		if !<-appended {
+			return false
+		}
+		r.committed()
+	}
+	r.mu.Lock()
+	r.begin(batches, clock.BootMs())
+	r.mu.Unlock()
+	return r.batch == nil || <-appended
+}
+
 // batch is what one append stores: the owner's own records, and those that entries handed in.
 type batch struct {
 	own     []jobs.Record
@@ -195,6 +229,33 @@
 	r.waiting = nil
 }
 
+// livesEvery is the pause between two looks at whether a VM is in doubt.
+const livesEvery = 300 * time.Millisecond
+
+// livesLoop asks the platform which lifetimes are over while a VM is in doubt.
+func (r *run) livesLoop() {
+	defer r.wg.Done()
+	for r.ctx.Err() == nil {
+		wait(r.ctx, livesEvery)
+		r.mu.Lock()
+		doubt := r.engine.Doubtful()
+		r.mu.Unlock()
+		if !doubt {
+			continue
+		}
+		asked := clock.BootMs()
+		list, err := r.cfg.Machines(time.Now().Add(machinesTimeout))
+		if err != nil {
+			r.log.Warn("machines cannot be listed", zap.Error(err))
+			continue
+		}
+		r.mu.Lock()
+		r.engine.Lives(list, asked, clock.BootMs())
+		r.mu.Unlock()
+		r.signal()
+	}
+}
+
 // turn takes over what changed and begins the next batch. It returns true once the shard is lost.
 func (r *run) turn(batches chan<- *batch) bool {
 	now, wall := clock.BootMs(), time.Now().UnixMilli()
@@ -220,8 +281,14 @@
 	if r.engine.Lost() {
 		return true
 	}
+	r.engine.Confirm(r.o.confirmed.Load())
+	r.engine.Step(now, wall)
+	if p := r.engine.Post(); p.Rev != r.told {
+		r.told = p.Rev
+		r.cfg.Tell(r.cfg.Service, p)
+	}
 	if r.batch == nil {
-		r.begin(batches, now, wall)
+		r.begin(batches, now)
 	}
 	r.syncLinks()
 	r.send(r.engine.TakeOrders())
@@ -230,8 +297,8 @@
 }
 
 // begin plans a batch, with a renewal of the claim when one is due.
-func (r *run) begin(batches chan<- *batch, now, wall int64) {
-	b, err := r.engine.Plan(now, wall)
+func (r *run) begin(batches chan<- *batch, now int64) {
+	b, err := r.engine.Batch()
 	if err != nil {
 		r.log.Error("batch not encoded", zap.Error(err))
 		return
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -21,8 +21,6 @@
 	// followEvery is the pause between two reads of a shard that another process owns. It bounds
 	// how late a lost owner is noticed, and the age of the number of waiting jobs.
 	followEvery = 400 * time.Millisecond
-	// hastyEvery replaces it where the keeper of the machines waits for what owners tell.
-	hastyEvery = 120 * time.Millisecond
 	// readSlack bounds a read.
 	readSlack = 800 * time.Millisecond
 	// retryPause is the pause after a failed read.
@@ -56,7 +54,6 @@
 	changes []jobs.Change
 	watcher chan<- struct{} // signalled on changes while an owner is attached
 	owned   bool
-	pace    time.Duration // between two reads of a shard that another process owns
 
 	catchMu sync.Mutex
 	running *catch // the read in progress
@@ -73,7 +70,7 @@
 
 // New returns a tail that has read nothing yet.
 func New(cfg Config) *Tail {
-	return &Tail{cfg: cfg, book: jobs.NewBook(), cursor: -1, pace: followEvery, moved: make(chan struct{}, 1)}
+	return &Tail{cfg: cfg, book: jobs.NewBook(), cursor: -1, moved: make(chan struct{}, 1)}
 }
 
 // Part returns the number of the partition.
@@ -107,17 +104,7 @@
 	if t.owned {
 		return ownEvery
 	}
-	return t.pace
-}
-
-// Hasten has the shard read more often, or at the usual pace again.
-func (t *Tail) Hasten(on bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.pace = followEvery
-	if on {
-		t.pace = hastyEvery
-	}
+	return followEvery
 }
 
 func sleep(ctx context.Context, d time.Duration) {
