keep: Count upkeeps that an earlier keeper ordered

Ruled out: the list of machines showing a machine up too early (2.0 to 2.5 s between order and return). Change: an upkeep is recorded before it is ordered; a later keeper orders recorded ones again under its own fence number and counts them, and counts busy machines of the wave. TestWaveKeepsItsLimit fails before.

--- a/core/jobs/book.go
+++ b/core/jobs/book.go
@@ -30,8 +30,8 @@
 type Book struct {
 	Entries map[string]*Entry
 	Claim   Claim
-	Claims  int // claim records seen, also renewals
-	Upkeeps map[Upkeep]bool
+	Claims  int             // claim records seen, also renewals
+	Upkeeps map[Upkeep]bool // ordered; true once done
 	Post    Post
 	Vacate  Vacate
 }
@@ -80,7 +80,7 @@
 	switch r.Key[0] {
 	case keyUpkeep:
 		if u, ok := parseUpkeep(id); ok {
-			b.Upkeeps[u] = true
+			b.Upkeeps[u] = b.Upkeeps[u] || r.Value[0] == upkeepDone
 		}
 		return Change{}, nil
 	case keyJob:
--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -40,8 +40,20 @@
 	Machine string
 }
 
-// Key returns the key under which an upkeep is recorded as done.
-func (u Upkeep) Key() string { return string(keyUpkeep) + strconv.Itoa(u.Wave) + "/" + u.Machine }
+// The values of an upkeep's record.
+const (
+	upkeepOrdered = 0
+	upkeepDone    = 1
+)
+
+// Record returns the record of an upkeep that is about to be ordered, or that is done.
+func (u Upkeep) Record(done bool) Record {
+	value := []byte{upkeepOrdered}
+	if done {
+		value[0] = upkeepDone
+	}
+	return Record{Key: string(keyUpkeep) + strconv.Itoa(u.Wave) + "/" + u.Machine, Value: value}
+}
 
 // parseUpkeep reads what follows the letter of an upkeep's key.
 func parseUpkeep(s string) (Upkeep, bool) {
--- a/core/keep/keep.go
+++ b/core/keep/keep.go
@@ -50,7 +50,7 @@
 	Machines []pools.Machine
 	ListedAt int64 // local ms at which the list of machines was asked for, 0 before the first
 	Pools    []PoolPost
-	Over     map[jobs.Upkeep]bool // upkeeps that are recorded as done
+	Over     map[jobs.Upkeep]bool // upkeeps that are recorded: as ordered, or, if true, as done
 }
 
 // Keeper is the state of one keeper. It is not safe for concurrent use.
@@ -117,7 +117,7 @@
 func (k *Keeper) Records() ([]jobs.Record, error) {
 	var records []jobs.Record
 	for _, u := range k.upkept {
-		records = append(records, jobs.Record{Key: u.Key(), Value: []byte{1}})
+		records = append(records, u.Record(true))
 	}
 	k.upkept = nil
 	if k.dirty {
@@ -242,14 +242,22 @@
 			continue
 		}
 		m := k.machines[id]
+		if _, ordered := k.view.Over[key]; ordered && m != nil && m.order == nil && m.wave == 0 {
+			// An earlier keeper ordered it, and the order may still be under way. Given again under this
+			// keeper's fence number, it is carried out now or was already.
+			m.order = &pools.Order{Kind: pools.Upkeep, VM: m.VM, Item: id, Run: w.N, Fence: k.cfg.Epoch}
+			m.unsure = now + unsureMs
+		}
 		switch {
 		case m == nil || !m.listed:
 			k.missing(key, m, now)
 		case m.wave == w.N || m.order != nil && m.order.Kind == pools.Upkeep && (m.pending || now < m.unsure):
 			down++
-			if !m.pending && m.wave == 0 && now >= m.retryAt {
+			if !m.pending && m.wave == 0 && now >= m.retryAt && now >= k.cfg.StartAt {
 				k.send(m, *m.order, now) // the answer was lost; the order is given again
 			}
+		case m.State == pools.MachineBusy && m.target == "":
+			down++ // perhaps for its upkeep
 		default:
 			due = append(due, m)
 		}
--- /dev/null
+++ b/core/keep/keep_test.go
@@ -0,0 +1,157 @@
+package keep
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/pools"
+)
+
+// fleet is a platform of machines for the keeper, with its own count of upkeeps under way.
+type fleet struct {
+	t        *testing.T
+	now      int64
+	machines []pools.Machine
+	backAt   map[string]int64 // machines in their upkeep or being moved
+	wave     pools.Wave
+	done     map[string]bool
+	life     int
+	fence    map[string]int64
+	posts    []PoolPost
+	records  *jobs.Book
+}
+
+// Times of the stand-in, in milliseconds.
+const (
+	testUpkeepMs = 2000
+	testTurnMs   = 60
+	testListMs   = 400
+)
+
+func newFleet(t *testing.T, n, maxDown int) *fleet {
+	f := &fleet{
+		t: t, now: 10_000, backAt: map[string]int64{}, done: map[string]bool{}, fence: map[string]int64{},
+		records: jobs.NewBook(), wave: pools.Wave{N: 1, MaxDown: maxDown},
+		posts: []PoolPost{{Service: "a"}, {Service: "off", Spare: true}},
+	}
+	for i := range n {
+		id := fmt.Sprintf("m%02d", i)
+		pool := "a"
+		if i%2 == 0 {
+			pool = "off"
+		}
+		f.machines = append(f.machines, pools.Machine{ID: id, Pool: pool, VM: "vm-" + id, State: pools.MachineUp})
+		f.wave.Machines = append(f.wave.Machines, id)
+	}
+	return f
+}
+
+// down returns the machines of the wave that are in their upkeep.
+func (f *fleet) down() int { return len(f.backAt) }
+
+// do carries an order out, as the platform does.
+func (f *fleet) do(o pools.Order) pools.Reply {
+	if o.Fence < f.fence[o.Item] {
+		return pools.Reply{Kind: pools.Fenced}
+	}
+	f.fence[o.Item] = o.Fence
+	for i := range f.machines {
+		m := &f.machines[i]
+		if m.ID != o.Item || o.Kind != pools.Upkeep || f.done[m.ID] {
+			continue
+		}
+		assert.Assert(f.t, f.down() < f.wave.MaxDown, "LIMIT at %d ms: %s beside %d others", f.now, m.ID, f.down())
+		f.done[m.ID] = true
+		m.State, m.VM = pools.MachineBusy, ""
+		f.backAt[m.ID] = f.now + testUpkeepMs
+	}
+	return pools.Reply{Kind: pools.Done}
+}
+
+// step lets machines come back.
+func (f *fleet) step() {
+	f.now += testTurnMs
+	for i := range f.machines {
+		m := &f.machines[i]
+		if at, ok := f.backAt[m.ID]; ok && f.now >= at {
+			delete(f.backAt, m.ID)
+			f.life++
+			m.State, m.VM = pools.MachineUp, fmt.Sprintf("vm-%s-%d", m.ID, f.life)
+		}
+	}
+	f.posts[0].Post.Clear = nil
+	for i := range f.machines {
+		if f.machines[i].Pool == "a" {
+			f.posts[0].Post.Clear = append(f.posts[0].Post.Clear, f.machines[i].VM)
+		}
+	}
+}
+
+// run lets a keeper work for some time. lose tells of each order whether its answer is lost and how much
+// later it is carried out.
+func (f *fleet) run(epoch, forMs int64, lose func(n int) (bool, int64)) {
+	k := New(Config{Epoch: epoch})
+	late := map[int64][]pools.Order{}
+	var listed []pools.Machine
+	var listedAt int64
+	n := 0
+	for end := f.now + forMs; f.now < end; {
+		f.step()
+		for at, orders := range late {
+			if f.now >= at {
+				for _, o := range orders {
+					f.do(o)
+				}
+				delete(late, at)
+			}
+		}
+		if f.now-listedAt >= testListMs {
+			listed, listedAt = append([]pools.Machine(nil), f.machines...), f.now
+		}
+		orders := k.Plan(View{
+			Waves: []pools.Wave{f.wave}, Machines: listed, ListedAt: listedAt, Pools: f.posts, Over: f.records.Upkeeps,
+		}, f.now)
+		records, err := k.Records()
+		assert.NilError(f.t, err)
+		for _, o := range orders {
+			records = append(records, jobs.Upkeep{Wave: o.Run, Machine: o.Item}.Record(false))
+		}
+		for _, r := range records {
+			_, err := f.records.Apply(r)
+			assert.NilError(f.t, err)
+		}
+		for _, o := range orders {
+			n++
+			if lost, by := lose(n); lost {
+				if by > 0 {
+					late[f.now+by] = append(late[f.now+by], o)
+				}
+				k.Replied(o, pools.Reply{Kind: pools.NoReply}, f.now)
+				continue
+			}
+			k.Replied(o, f.do(o), f.now)
+		}
+	}
+}
+
+// TestWaveKeepsItsLimit guards against a keeper that takes down more machines of a wave than allowed: after
+// a change of keepers in the middle of upkeeps (LIMIT on the drawn day fresh-c311: the new keeper did not
+// count the upkeeps of the earlier one), and when answers are lost or orders are carried out late.
+func TestWaveKeepsItsLimit(t *testing.T) {
+	never := func(int) (bool, int64) { return false, 0 }
+	third := func(n int) (bool, int64) { return n%3 == 0, int64(n%5) * 900 }
+	for _, lose := range []func(int) (bool, int64){never, third} {
+		f := newFleet(t, 24, 4)
+		for epoch := int64(1); epoch <= 6; epoch++ {
+			f.run(epoch, 900, lose)
+		}
+		f.run(7, 60_000, never)
+		for _, id := range f.wave.Machines {
+			assert.Assert(t, f.done[id], "machine %s had no upkeep", id)
+			assert.Assert(t, f.records.Upkeeps[jobs.Upkeep{Wave: 1, Machine: id}], "upkeep of %s is not recorded as done", id)
+		}
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -282,7 +282,7 @@
 	return list
 }
 
-// upkeeps returns the upkeeps that are recorded as done.
+// upkeeps returns the upkeeps that are recorded: true for those that are done.
 func (n *Node) upkeeps() map[jobs.Upkeep]bool {
 	over := map[jobs.Upkeep]bool{}
 	if t := n.shards.Tail(keeperShard); t != nil {
--- a/io/owner/keeper.go
+++ b/io/owner/keeper.go
@@ -148,8 +148,14 @@
 		records = append(records, rec)
 		r.beatAt = now
 	}
-	// Orders need a fresh confirmation that nobody else is the keeper.
+	// An upkeep is recorded before it is ordered, so that a later keeper counts it. Moves need only a fresh
+	// confirmation that nobody else is the keeper.
 	fresh := r.o.Current()
+	for _, o := range orders {
+		if o.Kind == pools.Upkeep {
+			records = append(records, jobs.Upkeep{Wave: o.Run, Machine: o.Item}.Record(false))
+		}
+	}
 	if len(orders) > 0 && len(records) == 0 && !fresh {
 		rec, err := r.o.Renewal()
 		if err != nil {
@@ -159,8 +165,7 @@
 		r.beatAt = now
 	}
 	if fresh {
-		r.send(orders)
-		orders = nil
+		orders = r.sendMoves(orders)
 	}
 	if len(records) > 0 {
 		if !r.o.Write(ctx, records) {
@@ -179,6 +184,20 @@
 	return true
 }
 
+// sendMoves sends the moves among orders and returns the others.
+func (r *keeperRun) sendMoves(orders []pools.Order) []pools.Order {
+	var moves, rest []pools.Order
+	for _, o := range orders {
+		if o.Kind == pools.Move {
+			moves = append(moves, o)
+		} else {
+			rest = append(rest, o)
+		}
+	}
+	r.send(moves)
+	return rest
+}
+
 // send hands orders to the loops that carry them out.
 func (r *keeperRun) send(orders []pools.Order) {
 	for _, o := range orders {
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -330,12 +330,12 @@
 	return t.book.Vacate.VMs
 }
 
-// Upkeeps adds the upkeeps that are recorded as done to over.
+// Upkeeps adds the upkeeps that are recorded to over: true for those that are done.
 func (t *Tail) Upkeeps(over map[jobs.Upkeep]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for u := range t.book.Upkeeps {
-		over[u] = true
+	for u, done := range t.book.Upkeeps {
+		over[u] = over[u] || done
 	}
 }
 
