shard: Bound the work of a turn in large pools

Cause: each turn looked at all jobs, items and VMs; with 760 jobs and 259 VMs the owner's processor was used up and ends were read seconds late. Change: a job keeps the items that may start, items that fit nowhere cost no search, demand and leases are looked at every 40 to 100 ms, looks are spaced by the size of the pool, strong machines claim shards first.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -72,6 +72,10 @@
 	unmet    map[string]int64
 	notes    []Note
 	nextPace int64
+	nextTick int64
+	room     room
+	mark     int64 // number of looks taken over
+	nextNeed int64
 
 	need need
 }
@@ -372,6 +376,7 @@
 	}
 	it.phase = idle
 	it.since = now
+	it.job.stale = true
 	if it.job.state.Final() {
 		e.forgetIfOver(it.job, now)
 	}
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -41,6 +41,7 @@
 	movedAt  int64 // percent changed last
 	paced    int   // share of its speed it was told to work at, in percent
 	paceSent int64
+	seenIn   int64    // number of the newest look that showed it
 	avoid    []string // VMs on which it failed
 }
 
@@ -69,13 +70,37 @@
 	inherited bool  // it was there when the shard was taken over from an owner that was lost
 	chainMs   int64 // longest chain of estimates
 	tail      []int64
+	ready     []*item // that may start, as of the last look
+	stale     bool    // an item changed since
+	wakeAt    int64   // when an item's pause ends, 0 if none pauses
+}
+
+// startable returns the items that may start now.
+func (j *job) startable(now int64) []*item {
+	if !j.stale && (j.wakeAt == 0 || now < j.wakeAt) {
+		return j.ready
+	}
+	j.stale, j.wakeAt, j.ready = false, 0, j.ready[:0]
+	for _, it := range j.order {
+		if it.phase != idle || it.done || !j.turn(it) {
+			continue
+		}
+		if now < it.notBefore {
+			if j.wakeAt == 0 || it.notBefore < j.wakeAt {
+				j.wakeAt = it.notBefore
+			}
+			continue
+		}
+		j.ready = append(j.ready, it)
+	}
+	return j.ready
 }
 
 // newJob returns a job that arrived when its entry accepted it, by the time of day.
 func newJob(j *jobs.Job, now, wall int64) *job {
 	age := min(max(wall-j.AcceptedMs, 0), maxClockAge)
 	n := &job{
-		Job: j, items: map[jobs.Item]*item{}, left: map[[2]int]int{},
+		Job: j, items: map[jobs.Item]*item{}, left: map[[2]int]int{}, stale: true,
 		arrivedAt: now - age, clockDiff: wall - now,
 	}
 	n.tail = chainTails(j.Steps)
@@ -109,7 +134,7 @@
 
 // openOccurrence creates the items of all occurrences up to k.
 func (j *job) openOccurrence(k int) {
-	j.opened = max(j.opened, j.base)
+	j.opened, j.stale = max(j.opened, j.base), true
 	for ; j.opened <= k && j.opened < j.Occurrences(); j.opened++ {
 		for s := range j.Steps {
 			step := &j.Steps[s]
--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -94,7 +94,7 @@
 
 // compare sets what runs on a VM against what should.
 func (e *Engine) compare(v *vm, rows []pools.RunRow, begun, now int64) {
-	there := make(map[string]bool, len(rows))
+	e.mark++
 	v.foreign = 0
 	for i := range rows {
 		r := &rows[i]
@@ -107,11 +107,11 @@
 			e.stopForeign(v, r)
 			continue
 		}
-		there[r.Item] = true
+		it.seenIn = e.mark
 		e.observe(it, r, now)
 	}
-	for name, it := range v.runs {
-		if !there[name] && it.overWithout(begun) {
+	for _, it := range v.runs {
+		if it.seenIn != e.mark && it.overWithout(begun) {
 			e.note(Note{JobID: it.job.ID, VM: v.ID, What: "run missing", Reason: phaseNames[it.phase], N: it.run})
 			e.free(it, now)
 		}
@@ -130,7 +130,7 @@
 	if it == nil || it.done || it.phase != idle || it.run >= r.Run {
 		return nil
 	}
-	it.run, it.phase, it.since = r.Run, adopted, now
+	it.run, it.phase, it.since, j.stale = r.Run, adopted, now, true
 	v.attach(it)
 	if j.state == jobs.Queued {
 		j.state = jobs.Running
@@ -241,7 +241,7 @@
 		if m.done {
 			continue
 		}
-		m.done = true
+		m.done, j.stale = true, true
 		j.left[[2]int{m.K, m.Step}]--
 		if m.vm != nil && m.phase != planned {
 			e.stop(m, "gang done", now)
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -40,6 +40,7 @@
 			usable = append(usable, v)
 		}
 	}
+	e.room.measure(usable)
 	sort.Slice(usable, func(a, b int) bool { return usable[a].ID < usable[b].ID })
 	var starts []start
 	for _, c := range list {
@@ -55,12 +56,7 @@
 		if j.state.Final() || j.inherited && !settled {
 			continue
 		}
-		var ready []*item
-		for _, it := range j.order {
-			if it.phase == idle && !it.done && now >= it.notBefore && j.turn(it) {
-				ready = append(ready, it)
-			}
-		}
+		ready := j.startable(now)
 		if len(ready) > 0 {
 			list = append(list, e.rank(j, ready, now))
 		}
@@ -145,21 +141,24 @@
 }
 
 func (e *Engine) placeGroup(j *job, group []*item, usable []*vm, now int64) []start {
+	j.stale = true
 	run := 0
 	for _, it := range group {
 		run = max(run, it.run)
 	}
 	var starts []start
 	for _, it := range group {
+		if !e.room.mayFit(it.step) {
+			undo(starts)
+			return nil
+		}
 		v := e.choose(j, it, usable, now)
 		if v == nil {
-			for _, s := range starts { // no room for the whole gang
-				s.it.vm.detach(s.it)
-				s.it.phase = idle
-			}
+			undo(starts)
 			return nil
 		}
 		v.attach(it)
+		e.room.took(v, it, usable)
 		it.phase, it.since = planned, now
 		starts = append(starts, start{it, run + 1, v})
 	}
@@ -173,6 +172,41 @@
 	return starts
 }
 
+// undo gives back what was planned of a gang that has no room as a whole.
+func undo(starts []start) {
+	for _, s := range starts {
+		s.it.vm.detach(s.it)
+		s.it.phase = idle
+	}
+}
+
+// room is the most that is free on one VM, so that items that fit nowhere cost no search.
+type room struct {
+	cpu, mem int64
+}
+
+// mayFit reports whether a VM could have room for an item of a step.
+func (r *room) mayFit(s *jobs.Step) bool { return (s.Fill || s.CPU <= r.cpu) && s.MemMB <= r.mem }
+
+// measure finds the most that is free.
+func (r *room) measure(usable []*vm) {
+	r.cpu, r.mem = 0, 0
+	for _, v := range usable {
+		r.cpu, r.mem = max(r.cpu, v.CPU-v.cpu), max(r.mem, v.MemMB-v.mem)
+	}
+}
+
+// took notes that room on a VM was taken.
+func (r *room) took(v *vm, it *item, usable []*vm) {
+	free := v.CPU - v.cpu
+	if !it.step.Fill {
+		free += it.step.CPU
+	}
+	if free >= r.cpu || v.MemMB-v.mem+it.step.MemMB >= r.mem {
+		r.measure(usable)
+	}
+}
+
 // Weights of the choice of a VM, in thousandths of the VM's processor.
 const (
 	weightRemote = 1500 // data on another rack costs more than any packing gains
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -169,6 +169,7 @@
 	if it.phase != sent {
 		return
 	}
+	it.job.stale = true
 	switch r.Kind {
 	case pools.Done:
 		it.phase, it.since, it.startedAt, it.movedAt = running, now, now, now
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -5,6 +5,12 @@
 	"sassafrasvalve/core/pools"
 )
 
+// Pauses between turns of duties that look at everything, in milliseconds.
+const (
+	tickEveryMs = 40
+	needEveryMs = 100
+)
+
 // Judgement of VMs and runs.
 const (
 	// badFails of the newest 8 ends on a VM make it suspect.
@@ -32,11 +38,18 @@
 
 // tick does what is due at a time: leases that are over, repeated stops, runs that stand still, pacing.
 func (e *Engine) tick(now, wall int64) {
+	if now < e.nextTick {
+		return
+	}
+	e.nextTick = now + tickEveryMs
 	for _, v := range e.vms {
 		e.tickVM(v, now)
 	}
 	e.tickVacate(now)
-	e.tickNeed(now)
+	if now >= e.nextNeed {
+		e.nextNeed = now + needEveryMs
+		e.tickNeed(now)
+	}
 	for _, j := range e.jobs {
 		if j.Times > 0 && !j.state.Final() {
 			j.open(wall, e.cfg.EarlyMs)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -110,7 +110,7 @@
 	n.catalog.feed = feed.New(feed.Config{
 		Store: n.store, Topic: platform.TopicOperator, Wait: configWait, Log: log, Take: n.catalog.take,
 	})
-	n.shards = newShards(shardsConfig{Store: n.store, Parts: s.Store.Parts, Log: log, Open: n.open})
+	n.shards = newShards(shardsConfig{Store: n.store, Parts: s.Store.Parts, Weak: s.CPUShare > 0 && s.CPUShare < weakShare, Log: log, Open: n.open})
 	return n, nil
 }
 
@@ -237,7 +237,7 @@
 	go t.Run(n.ctx)
 	o := owner.New(owner.Config{
 		Member: n.member, Addr: n.cfg.Peer, Peers: n.peers, Service: service, Part: t.Part(), Store: n.store, Tail: t, Runner: n.runner(service, t),
-		Owned: &n.owned, Log: n.log, Stats: n.stats,
+		Owned: &n.owned, Handicap: handicap(n.cfg.CPUShare), Log: n.log, Stats: n.stats,
 	})
 	n.peers.add(t.Part(), o)
 	n.owners.Add(1)
@@ -247,6 +247,26 @@
 	}()
 }
 
+// Processor of a machine, in cores.
+const (
+	// weakShare is the share below which a machine leaves the watch over owners to others.
+	weakShare = 0.35
+	// fullShare is the share from which a machine claims shards without delay.
+	fullShare = 0.8
+	// claimSlope is the delay of a machine of no share at all.
+	claimSlope = 460 * time.Millisecond
+)
+
+// handicap returns by how much a machine with a share of a core delays its claims.
+func handicap(share float64) time.Duration {
+	if share <= 0 || share >= fullShare {
+		return 0
+	}
+	// The square keeps the delay short where all machines are of the middle size.
+	lacks := (fullShare - share) / fullShare
+	return time.Duration(float64(claimSlope) * lacks * lacks)
+}
+
 // runner returns what the owner of a shard does.
 func (n *Node) runner(service string, t *tail.Tail) owner.Runner {
 	if service == keeperShard {
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -14,11 +14,12 @@
 type Settings struct {
 	Node     string // name of the machine
 	DC       string
-	Front    string // IP:port for callers
-	Ready    string // IP:port for the balancer's checks
-	Peer     string // IP:port for other entries
-	Metrics  string // IP:port/path; empty serves none
-	MemoryMB int64  // limit of the process
+	Front    string  // IP:port for callers
+	Ready    string  // IP:port for the balancer's checks
+	Peer     string  // IP:port for other entries
+	Metrics  string  // IP:port/path; empty serves none
+	CPUShare float64 // of a core that the machine has
+	MemoryMB int64   // limit of the process
 	LogLevel string
 
 	Store StoreSettings
--- a/io/node/shards.go
+++ b/io/node/shards.go
@@ -41,6 +41,7 @@
 type shardsConfig struct {
 	Store *platform.Store
 	Parts int
+	Weak  bool
 	Log   *zap.Logger
 	// Open begins to follow a shard.
 	Open func(service string, t *tail.Tail)
@@ -65,7 +66,7 @@
 			continue
 		}
 		s.parts[r.Key] = part
-		t := tail.New(tail.Config{Store: s.cfg.Store, Part: part, Log: s.cfg.Log})
+		t := tail.New(tail.Config{Store: s.cfg.Store, Part: part, Weak: s.cfg.Weak, Log: s.cfg.Log})
 		s.tails[r.Key] = t
 		s.cfg.Log.Info("shard found", zap.String("service", r.Key), zap.Int("shard", part))
 		s.cfg.Open(r.Key, t)
--- a/io/owner/link.go
+++ b/io/owner/link.go
@@ -16,6 +16,8 @@
 	orderTimeout = 500 * time.Millisecond
 	// lookSlack is how long the answer to a look may take beyond the wait asked for.
 	lookSlack = 600 * time.Millisecond
+	// lookSpacingVM is what each VM of the pool adds up to: the looks of a large pool keep to a part of the processor.
+	lookSpacingVM = 250 * time.Microsecond
 	// lookPause is the pause after a look that brought no answer.
 	lookPause = 150 * time.Millisecond
 	// lookSpacing is the shortest time between two looks: ends that come close together share one.
@@ -126,6 +128,11 @@
 	}
 }
 
+// spacing returns the shortest time between two looks at a VM, which grows with the pool.
+func (r *run) spacing() time.Duration {
+	return max(lookSpacing, time.Duration(r.linkCount.Load())*lookSpacingVM)
+}
+
 // look asks once. It returns false if no answer came.
 func (l *vmLink) look() bool {
 	begun := clock.BootMs()
@@ -162,8 +169,8 @@
 		}
 		timer.Stop()
 	}
-	if spent := clock.BootMs() - begun; spent < lookSpacing.Milliseconds() {
-		wait(l.ctx, lookSpacing-time.Duration(spent)*time.Millisecond)
+	if pause := l.r.spacing() - time.Duration(clock.BootMs()-begun)*time.Millisecond; pause > 0 {
+		wait(l.ctx, pause)
 	}
 	return look.Kind == pools.Done
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -91,8 +91,10 @@
 	Tail    *tail.Tail
 	Runner  Runner
 	Owned   *atomic.Int64 // shards owned by this process
-	Log     *zap.Logger
-	Stats   *Stats
+	// Handicap delays the claims of a process on a weak machine, so that strong ones own the shards.
+	Handicap time.Duration
+	Log      *zap.Logger
+	Stats    *Stats
 }
 
 // The reasons of claims that matter to the next owner.
@@ -213,7 +215,7 @@
 func (o *Owner) pause(ctx context.Context) bool {
 	wait(ctx, rand.N(claimSpread))
 	// Counted after the random wait, since claims of other shards may have succeeded meanwhile.
-	wait(ctx, time.Duration(o.cfg.Owned.Load())*claimPerShard)
+	wait(ctx, time.Duration(o.cfg.Owned.Load())*claimPerShard+o.cfg.Handicap)
 	return ctx.Err() == nil && o.cfg.Tail.Catch(ctx) == nil
 }
 
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -63,19 +64,29 @@
 // Serve runs until the shard is lost (true) or ctx ends (false).
 func (p *PoolRunner) Serve(ctx context.Context, o *Owner) bool { return newRun(p.cfg, o).serve(ctx) }
 
+// Turns of a large pool.
+const (
+	// longTurn is the length of a turn above which a pause follows.
+	longTurn = time.Millisecond
+	// turnShare is how many times as long as the turn that pause is.
+	turnShare = 3
+)
+
 // run is one epoch of ownership.
 type run struct {
-	cfg     PoolConfig
-	o       *Owner
-	log     *zap.Logger
-	mu      sync.Mutex // guards engine
-	engine  *shard.Engine
-	links   map[string]*vmLink
-	wake    chan struct{}
-	batch   *shard.Batch // being appended
-	waiting []*intake    // whose records the next batch takes
+	cfg       PoolConfig
+	o         *Owner
+	log       *zap.Logger
+	mu        sync.Mutex // guards engine
+	engine    *shard.Engine
+	links     map[string]*vmLink
+	linkCount atomic.Int64
+	wake      chan struct{}
+	batch     *shard.Batch // being appended
+	waiting   []*intake    // whose records the next batch takes
 	// listed is the version of the VM list that the engine has, listedAt the local ms at which it got it.
 	listed, listedAt int64
+	idleUntil        int64 // unix nanoseconds until which no turn is taken, 0 for none
 	told             int64 // number of the last post that the keeper was told
 	stateAt          int64 // local ms of the last summary in the log
 	beatAt           int64 // local ms of the last renewal written
@@ -164,7 +175,17 @@
 		case <-ctx.Done():
 			return !r.finish(batches, appended)
 		}
-		if r.turn(batches) {
+		if r.idleUntil > 0 {
+			// A turn looks at all that waits. In a large pool the turns keep to a part of the processor.
+			wait(r.ctx, time.Duration(r.idleUntil-time.Now().UnixNano()))
+		}
+		begun := time.Now()
+		lost := r.turn(batches)
+		r.idleUntil = 0
+		if took := time.Since(begun); took > longTurn {
+			r.idleUntil = time.Now().Add(turnShare * took).UnixNano()
+		}
+		if lost {
 			r.log.Info("shard lost: a VM has seen a higher fence number")
 			return true
 		}
@@ -372,6 +393,7 @@
 			delete(r.links, id)
 		}
 	}
+	r.linkCount.Store(int64(len(r.links)))
 }
 
 // stateEvery is the pause between two summaries of a pool in the log, in milliseconds.
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -21,6 +21,8 @@
 	// followEvery is the pause between two reads of a shard that another process owns. It bounds
 	// how late a lost owner is noticed, and the age of the number of waiting jobs.
 	followEvery = 400 * time.Millisecond
+	// weakEvery replaces it on a weak machine, which leaves the watch to others.
+	weakEvery = 1100 * time.Millisecond
 	// readSlack bounds a read.
 	readSlack = 800 * time.Millisecond
 	// retryPause is the pause after a failed read.
@@ -39,6 +41,7 @@
 type Config struct {
 	Store Reader
 	Part  int
+	Weak  bool // the machine is not meant to own shards while others can
 	Log   *zap.Logger
 }
 
@@ -104,6 +107,9 @@
 	if t.owned {
 		return ownEvery
 	}
+	if t.cfg.Weak {
+		return weakEvery
+	}
 	return followEvery
 }
 
