--- a/bench/sim/arrive.go
+++ b/bench/sim/arrive.go
@@ -106,6 +106,8 @@
 		m.loseOrders = w.spec.LostOrders
 	}
 	for _, t := range w.spec.OwnersLost {
+		// The store takes nothing of the owner for some time before, and the owner goes on while its claim is fresh.
+		w.at(begin+t-unheardMs, func() { w.unheard = w.engine })
 		w.at(begin+t, func() { w.orphan = shard.New(w.cfg, w.catalog, w.now); w.engine = w.orphan })
 		w.at(begin+t+takeoverMs, func() { w.takeOver(false) })
 	}
--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -3,6 +3,7 @@
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file . -o codec_gen.go -tests=false -io=false -unexported=false
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 )
@@ -12,22 +13,42 @@
 	keyJob      = 'j'
 	keyProgress = 'p'
 	keyCancel   = 'c'
-	keyUpkeep   = 'u'
-	// KeyClaim is the key of the ownership record.
-	KeyClaim = "h"
 )
 
-// Keys of records of which a partition has one each.
+// The kinds of key in the owners' partition. The number of the shard follows the first two.
 const (
-	// KeyPost is the key of what a pool's owner tells the keeper.
-	KeyPost = "n"
-	// KeyVacate is the key of what the keeper asks of the owners.
-	KeyVacate = "v"
+	keyClaim  = 'h'
+	keyPost   = 'n'
+	keyVacate = 'v'
+	keyUpkeep = 'u'
 )
 
+// ClaimKey returns the key of the ownership record of a shard.
+func ClaimKey(part int) string { return string(keyClaim) + strconv.Itoa(part) }
+
+// PostKey returns the key of what the owner of a shard tells the keeper.
+func PostKey(part int) string { return string(keyPost) + strconv.Itoa(part) }
+
+// VacateKey is the key of what the keeper asks of the owners.
+const VacateKey = "vacate"
+
+// parsePart reads the number of a shard.
+func parsePart(s string) (int, error) {
+	n, err := strconv.Atoi(s)
+	if err != nil || n < 0 {
+		return 0, fmt.Errorf("%q is not the number of a shard", s)
+	}
+	return n, nil
+}
+
 // JobKey returns the key under which a job is stored.
 func JobKey(id string) string { return string(keyJob) + id }
 
+// SubmittedID returns the ID of the job whose record has a key, and false for any other key.
+func SubmittedID(key string) (string, bool) {
+	return strings.CutPrefix(key, string(keyJob))
+}
+
 // ProgressKey returns the key under which the progress of a job is stored.
 func ProgressKey(id string) string { return string(keyProgress) + id }
 
--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -9,9 +9,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Book) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 1
 	// string "Entries"
-	o = append(o, 0x85, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	o = append(o, 0x81, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
 	o = msgp.AppendMapHeader(o, uint32(len(z.Entries)))
 	for za0001, za0002 := range z.Entries {
 		o = msgp.AppendString(o, za0001)
@@ -25,32 +25,6 @@
 			}
 		}
 	}
-	// string "Claim"
-	o = append(o, 0xa5, 0x43, 0x6c, 0x61, 0x69, 0x6d)
-	o, err = z.Claim.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Claim")
-		return
-	}
-	// string "Claims"
-	o = append(o, 0xa6, 0x43, 0x6c, 0x61, 0x69, 0x6d, 0x73)
-	o = msgp.AppendInt(o, z.Claims)
-	// string "Post"
-	o = append(o, 0xa4, 0x50, 0x6f, 0x73, 0x74)
-	o, err = z.Post.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Post")
-		return
-	}
-	// string "Vacate"
-	o = append(o, 0xa6, 0x56, 0x61, 0x63, 0x61, 0x74, 0x65)
-	// map header, size 1
-	// string "v"
-	o = append(o, 0x81, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Vacate.VMs)))
-	for za0003 := range z.Vacate.VMs {
-		o = msgp.AppendString(o, z.Vacate.VMs[za0003])
-	}
 	return
 }
 
@@ -111,66 +85,6 @@
 				}
 				z.Entries[za0001] = za0002
 			}
-		case "Claim":
-			bts, err = z.Claim.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Claim")
-				return
-			}
-		case "Claims":
-			z.Claims, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Claims")
-				return
-			}
-		case "Post":
-			bts, err = z.Post.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Post")
-				return
-			}
-		case "Vacate":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Vacate")
-				return
-			}
-			for zb0003 > 0 {
-				zb0003--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Vacate")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "v":
-					var zb0004 uint32
-					zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Vacate", "VMs")
-						return
-					}
-					if cap(z.Vacate.VMs) >= int(zb0004) {
-						z.Vacate.VMs = (z.Vacate.VMs)[:zb0004]
-					} else {
-						z.Vacate.VMs = make([]string, zb0004)
-					}
-					for za0003 := range z.Vacate.VMs {
-						z.Vacate.VMs[za0003], bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Vacate", "VMs", za0003)
-							return
-						}
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Vacate")
-						return
-					}
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -197,10 +111,6 @@
 			}
 		}
 	}
-	s += 6 + z.Claim.Msgsize() + 7 + msgp.IntSize + 5 + z.Post.Msgsize() + 7 + 1 + 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Vacate.VMs {
-		s += msgp.StringPrefixSize + len(z.Vacate.VMs[za0003])
-	}
 	return
 }
 
@@ -361,9 +271,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 4
 	// string "ID"
-	o = append(o, 0x85, 0xa2, 0x49, 0x44)
+	o = append(o, 0x84, 0xa2, 0x49, 0x44)
 	o = msgp.AppendString(o, z.ID)
 	// string "Submitted"
 	o = append(o, 0xa9, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
@@ -371,12 +281,9 @@
 	// string "Cancelled"
 	o = append(o, 0xa9, 0x43, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Cancelled)
-	// string "Claimed"
-	o = append(o, 0xa7, 0x43, 0x6c, 0x61, 0x69, 0x6d, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Claimed)
-	// string "Posted"
-	o = append(o, 0xa6, 0x50, 0x6f, 0x73, 0x74, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Posted)
+	// string "Stale"
+	o = append(o, 0xa5, 0x53, 0x74, 0x61, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Stale)
 	return
 }
 
@@ -416,16 +323,10 @@
 				err = msgp.WrapError(err, "Cancelled")
 				return
 			}
-		case "Claimed":
-			z.Claimed, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Claimed")
-				return
-			}
-		case "Posted":
-			z.Posted, bts, err = msgp.ReadBoolBytes(bts)
+		case "Stale":
+			z.Stale, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Posted")
+				err = msgp.WrapError(err, "Stale")
 				return
 			}
 		default:
@@ -442,7 +343,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Change) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 10 + msgp.BoolSize + 10 + msgp.BoolSize + 8 + msgp.BoolSize + 7 + msgp.BoolSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 10 + msgp.BoolSize + 10 + msgp.BoolSize + 6 + msgp.BoolSize
 	return
 }
 
@@ -1450,6 +1351,181 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Roster) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "Vacate"
+	o = append(o, 0x81, 0xa6, 0x56, 0x61, 0x63, 0x61, 0x74, 0x65)
+	// map header, size 1
+	// string "v"
+	o = append(o, 0x81, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Vacate.VMs)))
+	for za0001 := range z.Vacate.VMs {
+		o = msgp.AppendString(o, z.Vacate.VMs[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Roster) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Vacate":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Vacate")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Vacate")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "v":
+					var zb0003 uint32
+					zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Vacate", "VMs")
+						return
+					}
+					if cap(z.Vacate.VMs) >= int(zb0003) {
+						z.Vacate.VMs = (z.Vacate.VMs)[:zb0003]
+					} else {
+						z.Vacate.VMs = make([]string, zb0003)
+					}
+					for za0001 := range z.Vacate.VMs {
+						z.Vacate.VMs[za0001], bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Vacate", "VMs", za0001)
+							return
+						}
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Vacate")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Roster) Msgsize() (s int) {
+	s = 1 + 7 + 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Vacate.VMs {
+		s += msgp.StringPrefixSize + len(z.Vacate.VMs[za0001])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Shard) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Claim"
+	o = append(o, 0x83, 0xa5, 0x43, 0x6c, 0x61, 0x69, 0x6d)
+	o, err = z.Claim.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Claim")
+		return
+	}
+	// string "Claims"
+	o = append(o, 0xa6, 0x43, 0x6c, 0x61, 0x69, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.Claims)
+	// string "Post"
+	o = append(o, 0xa4, 0x50, 0x6f, 0x73, 0x74)
+	o, err = z.Post.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Post")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Shard) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Claim":
+			bts, err = z.Claim.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claim")
+				return
+			}
+		case "Claims":
+			z.Claims, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claims")
+				return
+			}
+		case "Post":
+			bts, err = z.Post.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Post")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Shard) Msgsize() (s int) {
+	s = 1 + 6 + z.Claim.Msgsize() + 7 + msgp.IntSize + 5 + z.Post.Msgsize()
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z State) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/core/keep/keep.go
+++ b/core/keep/keep.go
@@ -126,7 +126,7 @@
 		if err != nil {
 			return nil, err
 		}
-		records = append(records, jobs.Record{Key: jobs.KeyVacate, Value: value})
+		records = append(records, jobs.Record{Key: jobs.VacateKey, Value: value})
 		k.dirty = false
 	}
 	return records, nil
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -59,6 +59,7 @@
 	vms     map[string]*vm
 	dirty   map[string]*job
 	orders  []pools.Order
+	stale   []string // jobs that are over, of which a record came again
 	drops   []string // finished jobs to drop from the log
 	done    []finished
 	lost    bool
@@ -191,11 +192,14 @@
 
 // Load takes a job over from the log. wall is the time of day in unix milliseconds.
 func (e *Engine) Load(id string, entry *jobs.Entry, now, wall int64) {
-	if entry.Job == nil || e.jobs[id] != nil {
-		return
-	}
 	if entry.Progress.State.Final() {
 		e.done = append(e.done, finished{id, now + e.cfg.StatusMs})
+		if entry.Job != nil || entry.Cancelled {
+			e.stale = append(e.stale, id)
+		}
+		return
+	}
+	if entry.Job == nil || e.jobs[id] != nil {
 		return
 	}
 	j := newJob(entry.Job, now, wall)
@@ -254,10 +258,14 @@
 		return
 	}
 	j.state = jobs.Cancelled
+	e.touch(j)
 	e.retire(j, now)
 	e.note(Note{JobID: id, What: "cancel", N: j.active()})
 }
 
+// Drop has the records of a job that is over dropped again.
+func (e *Engine) Drop(id string) { e.stale = append(e.stale, id) }
+
 // retire stops what runs of a job that is over, and forgets the job once nothing runs.
 func (e *Engine) retire(j *job, now int64) {
 	for _, it := range j.order {
@@ -274,7 +282,7 @@
 	if !j.state.Final() || j.active() > 0 {
 		return
 	}
-	if j.state != jobs.Cancelled && j.saved != j.state {
+	if j.saved != j.state {
 		return // its last record is not written yet
 	}
 	if e.jobs[j.ID] == j {
--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -99,7 +99,7 @@
 	for i := range rows {
 		r := &rows[i]
 		it := v.runs[r.Item]
-		if it == nil {
+		if it == nil || it.run < r.Run {
 			it = e.inherit(v, r, now)
 		}
 		if it == nil || it.run != r.Run {
@@ -127,9 +127,12 @@
 		return nil
 	}
 	it := j.items[key]
-	if it == nil || it.done || it.phase != idle || it.run >= r.Run {
+	if it == nil || it.done || it.run >= r.Run || it.phase != idle && it.phase != adopted {
 		return nil
 	}
+	if it.vm != nil {
+		it.vm.detach(it) // the run that is recorded ended before this one began
+	}
 	it.run, it.phase, it.since, j.stale = r.Run, adopted, now, true
 	v.attach(it)
 	if j.state == jobs.Queued {
@@ -203,8 +206,12 @@
 		return
 	}
 	current := it.vm == v && it.run == end.Run
-	if it.vm == nil && it.run < end.Run {
-		it.run, current = end.Run, true // an earlier owner started it and did not record it
+	if it.run < end.Run && (it.phase == idle || it.phase == adopted) {
+		// An earlier owner started it and did not record it.
+		if it.vm != nil {
+			e.free(it, now)
+		}
+		it.run, current = end.Run, true
 	}
 	if end.Ref != "" && !it.done {
 		it.ref = end.Ref
--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -39,7 +39,6 @@
 	peaks    []arrival // newest wants: at, number
 	posted   jobs.Post
 	postedAt int64
-	post     bool // due to be recorded
 	want     int
 }
 
@@ -252,7 +251,7 @@
 		return
 	}
 	p.Rev++
-	e.need.posted, e.need.postedAt, e.need.post = p, now, true
+	e.need.posted, e.need.postedAt = p, now
 }
 
 // Post returns what the keeper of the machines is told.
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -61,7 +61,7 @@
 func (e *Engine) Batch() (*Batch, error) {
 	b := &Batch{acks: map[string]int64{}, starts: e.waiting}
 	e.waiting = nil
-	if len(e.dirty) == 0 && len(e.drops) == 0 && !e.need.post {
+	if len(e.dirty) == 0 && len(e.drops) == 0 && len(e.stale) == 0 {
 		return nil, nil
 	}
 	size := 0
@@ -77,22 +77,20 @@
 		}
 		size += len(value)
 		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id), Value: value})
+		if j.state.Final() {
+			// Only the state is kept of a job that is over.
+			b.Records = append(b.Records, jobs.Record{Key: jobs.JobKey(id)}, jobs.Record{Key: jobs.CancelKey(id)})
+		}
 		b.touched = append(b.touched, recorded{j, j.state})
 		delete(e.dirty, id)
 	}
 	for _, id := range e.drops {
-		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id)}, jobs.Record{Key: jobs.CancelKey(id)},
-			jobs.Record{Key: jobs.JobKey(id)})
+		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id)})
 	}
-	e.drops = nil
-	if e.need.post {
-		value, err := e.need.posted.MarshalMsg(nil)
-		if err != nil {
-			return nil, err
-		}
-		b.Records = append(b.Records, jobs.Record{Key: jobs.KeyPost, Value: value})
-		e.need.post = false
+	for _, id := range e.stale {
+		b.Records = append(b.Records, jobs.Record{Key: jobs.JobKey(id)}, jobs.Record{Key: jobs.CancelKey(id)})
 	}
+	e.drops, e.stale = nil, nil
 	if len(e.dirty) == 0 {
 		for id, v := range e.vms {
 			b.acks[id] = v.seen
--- a/fake/pool/vm.go
+++ b/fake/pool/vm.go
@@ -34,6 +34,7 @@
 	Outlook func(o pools.Order) (workMs int64, fails bool, step jobs.Step)
 	// OnStart and OnEnd tell the checkers.
 	OnStart func(v *VM, r *Run)
+	OnNoted func(v *VM, end pools.EndRow) // an end that the owner has recorded
 	OnEnd   func(v *VM, r *Run, how pools.EndKind)
 }
 
@@ -167,6 +168,9 @@
 	v.fence = c.Fence
 	v.lease = max(v.lease, c.LeaseMs)
 	for len(v.ended) > 0 && v.ended[0].Seq <= c.Acked {
+		if v.OnNoted != nil {
+			v.OnNoted(v, v.ended[0])
+		}
 		v.ended = v.ended[1:]
 	}
 	l := pools.Look{Kind: pools.Done, ClockMs: v.clock(now), Born: v.Born, Ended: append([]pools.EndRow(nil), v.ended...)}
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -1,18 +1,17 @@
-// Package desk accepts callers' jobs and answers for them, from the log alone.
+// Package desk accepts callers' jobs and answers for them, through the owners of the shards.
 package desk
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
-	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/io/owner"
-	"sassafrasvalve/io/tail"
 	"sassafrasvalve/platform"
 )
 
@@ -28,8 +27,6 @@
 	maxAppending = 2500 * time.Millisecond
 	// maxConfigAge is the age of the configuration, in ms, above which nothing is decided by it.
 	maxConfigAge = 1900
-	// maxWaitingAge is the age of the number of waiting jobs, in ms, above which it is read anew.
-	maxWaitingAge = 1200
 	// comeBack is when a caller may try again after a refusal for want of the platform.
 	comeBack = time.Second
 	// defaultMaxBody is the greatest size of a job before a configuration was read, in bytes.
@@ -42,19 +39,22 @@
 	Catalog() (*jobs.Catalog, int64)
 }
 
-// Shards finds the tail of a service's shard.
+// Shards tells which service has which shard.
 type Shards interface {
-	Tail(service string) *tail.Tail
-	// All returns the tails of all shards.
-	All() []*tail.Tail
+	// Part returns the shard of a service, and false if it has none yet.
+	Part(service string) (int, bool)
+	// Parts returns all shards of services.
+	Parts() []int
 }
 
-// Owners hands records to the owners of shards.
+// Owners reaches the owners of shards.
 type Owners interface {
 	// Store hands a record to the owner of a shard. Owner of the answer is false if none has taken it.
-	Store(ctx context.Context, t *tail.Tail, rec jobs.Record) owner.Stored
-	// State asks the owner of a shard for the state of a job. It returns false if no owner knows it.
-	State(ctx context.Context, t *tail.Tail, id string) (jobs.State, bool)
+	Store(ctx context.Context, part int, rec jobs.Record) owner.Stored
+	// Job asks the owner of a shard for a job. sure is false if no owner could answer.
+	Job(ctx context.Context, part int, id string) (s jobs.State, known, sure bool)
+	// Waiting asks the owner of a shard for the number of jobs of a queue of which nothing was started.
+	Waiting(ctx context.Context, part int, queue string) (n int, sure bool)
 }
 
 // Config is what a desk needs.
@@ -103,15 +103,20 @@
 	return &platform.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: comeBack, Reason: reason}
 }
 
+// part returns the shard of a queue's service.
+func (d *Desk) part(q *jobs.Queue) (int, error) {
+	part, ok := d.cfg.Shards.Part(q.Service)
+	if !ok {
+		return 0, unavailable("the service has no shard yet")
+	}
+	return part, nil
+}
+
 // Submit stores a job. A nil error means that it is accepted.
 func (d *Desk) Submit(ctx context.Context, q *jobs.Queue, j *jobs.Job) error {
-	t := d.cfg.Shards.Tail(q.Service)
-	if t == nil {
-		return unavailable("the service has no shard yet")
-	}
-	if _, known := d.find(t, j.ID); known {
-		d.cfg.Log.Info("job known", zap.String("job", j.ID), zap.String("queue", q.Name))
-		return nil
+	part, err := d.part(q)
+	if err != nil {
+		return err
 	}
 	j.AcceptedMs = time.Now().UnixMilli()
 	value, err := j.MarshalMsg(nil)
@@ -119,11 +124,12 @@
 		return &platform.Refusal{Status: http.StatusBadRequest, Reason: err.Error()}
 	}
 	begun := time.Now()
-	verdict := d.storeAt(ctx, t, jobs.Record{Key: jobs.JobKey(j.ID), Value: value})
+	verdict := d.store(ctx, part, jobs.Record{Key: jobs.JobKey(j.ID), Value: value})
 	d.cfg.Stats.Time("submit."+q.Name, time.Since(begun))
 	d.cfg.Stats.Count("submit."+q.Name+"."+verdict.String(), 1)
-	d.cfg.Log.Info("job handed in", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("steps", len(j.Steps)),
-		zap.Int64("workMs", j.WorkMs()), zap.Stringer("stored", verdict), zap.Duration("took", time.Since(begun)))
+	d.cfg.Log.Info("job handed in", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("shard", part),
+		zap.Int("steps", len(j.Steps)), zap.Int64("workMs", j.WorkMs()), zap.Stringer("stored", verdict),
+		zap.Duration("took", time.Since(begun)))
 	return refusal(verdict)
 }
 
@@ -142,27 +148,17 @@
 	}
 }
 
-// partOf returns the tail of the shard that has a job.
-func (d *Desk) partOf(id string, q *jobs.Queue) *tail.Tail {
-	for _, t := range d.cfg.Shards.All() {
-		if _, known := t.Job(id); known {
-			return t
-		}
-	}
-	return d.cfg.Shards.Tail(q.Service)
-}
-
-// storeAt stores a record that may be stored twice without harm: through the owner of the shard, which
+// store stores a record that may be stored twice without harm: through the owner of the shard, which
 // stores the records of many callers with one append, or with an append of its own if no owner answers.
 // Ran means that it is stored, NotRun that it never will be.
-func (d *Desk) storeAt(ctx context.Context, t *tail.Tail, rec jobs.Record) retry.Verdict {
+func (d *Desk) store(ctx context.Context, part int, rec jobs.Record) retry.Verdict {
 	limit := time.Now().Add(maxAppending)
 	if dl, ok := ctx.Deadline(); ok && dl.Add(-answerReserve).Before(limit) {
 		limit = dl.Add(-answerReserve)
 	}
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	s := d.cfg.Owners.Store(ctx, t, rec)
+	s := d.cfg.Owners.Store(ctx, part, rec)
 	if s.Owner && s.Verdict != retry.MayHaveRun {
 		return s.Verdict
 	}
@@ -170,16 +166,20 @@
 	if s.Owner {
 		verdict = retry.MayHaveRun
 	}
+	return d.appendAlone(ctx, part, rec, limit, verdict)
+}
+
+// appendAlone appends a record without the owner. verdict is what is known of earlier attempts.
+func (d *Desk) appendAlone(ctx context.Context, part int, rec jobs.Record, limit time.Time, verdict retry.Verdict) retry.Verdict {
 	for time.Now().Before(limit) && ctx.Err() == nil {
 		deadline := time.Now().Add(appendTimeout)
 		if deadline.After(limit) {
 			deadline = limit
 		}
 		res, err := d.cfg.Store.Append(platform.Append{
-			Topic: platform.TopicJobs, Part: t.Part(), Records: []jobs.Record{rec}, At: -1, Deadline: deadline,
+			Topic: platform.TopicJobs, Part: part, Records: []jobs.Record{rec}, At: -1, Deadline: deadline,
 		})
 		if err == nil && res.Outcome == platform.Appended {
-			t.Put([]jobs.Record{rec})
 			return retry.Ran
 		}
 		if err != nil && platform.VerdictOf(err) != retry.NotRun {
@@ -192,94 +192,72 @@
 	return verdict
 }
 
-// State returns what a caller is told of a job. A job that is not known is refused as gone, after a fresh read only.
-func (d *Desk) State(ctx context.Context, q *jobs.Queue, id string) (jobs.State, error) {
-	t := d.cfg.Shards.Tail(q.Service)
-	if t == nil {
-		return 0, unavailable("the service has no shard yet")
-	}
-	s, known := d.find(t, id)
-	if known && s.Final() {
-		return s, nil
-	}
-	if s, ok := d.cfg.Owners.State(ctx, t, id); ok {
-		return s, nil
-	}
-	err := d.catch(ctx, t, known)
-	if s, known = d.find(t, id); known {
-		return s, nil
-	}
+// find asks the owners for a job: that of the queue's service first, then the others, since a configuration
+// may have given the queue to another service after the job was accepted. It returns the shard that has it.
+func (d *Desk) find(ctx context.Context, q *jobs.Queue, id string) (jobs.State, int, error) {
+	first, err := d.part(q)
 	if err != nil {
-		return 0, unavailable("the platform's log cannot be read at present")
-	}
-	return 0, &platform.Refusal{Status: http.StatusGone, Reason: "no such job"}
-}
-
-// find looks a job up: in the shard of its queue's service first, then in the others, since a
-// configuration may have given the queue to another service after the job was accepted.
-func (d *Desk) find(first *tail.Tail, id string) (jobs.State, bool) {
-	if s, known := first.Job(id); known {
-		return s, true
-	}
-	for _, t := range d.cfg.Shards.All() {
-		if s, known := t.Job(id); known {
-			return s, true
-		}
+		return 0, 0, err
 	}
-	return jobs.Queued, false
-}
-
-// catch reads up to the present end: of all shards for a job that was not found.
-func (d *Desk) catch(ctx context.Context, first *tail.Tail, known bool) error {
-	if err := first.Catch(ctx); err != nil || known {
-		return err
+	s, known, sure := d.cfg.Owners.Job(ctx, first, id)
+	if known {
+		return s, first, nil
 	}
-	for _, t := range d.cfg.Shards.All() {
-		if t == first {
+	for _, part := range d.cfg.Shards.Parts() {
+		if part == first {
 			continue
 		}
-		if err := t.Catch(ctx); err != nil {
-			return err
+		s, known, ok := d.cfg.Owners.Job(ctx, part, id)
+		if known {
+			return s, part, nil
 		}
+		sure = sure && ok
+	}
+	if !sure {
+		return 0, first, unavailable("the owner of the job's shard does not answer at present")
 	}
-	return nil
+	return 0, first, &platform.Refusal{Status: http.StatusGone, Reason: "no such job"}
 }
 
-// Cancel stores that a job is cancelled.
+// State returns what a caller is told of a job. A job that is not known is refused as gone only if all owners say so.
+func (d *Desk) State(ctx context.Context, q *jobs.Queue, id string) (jobs.State, error) {
+	s, _, err := d.find(ctx, q, id)
+	return s, err
+}
+
+// Cancel stores that a job is cancelled. Without an answer of its owner it is stored all the same: the
+// cancelling of a job that does not exist harms nobody.
 func (d *Desk) Cancel(ctx context.Context, q *jobs.Queue, id string) error {
-	t := d.cfg.Shards.Tail(q.Service)
-	if t == nil {
-		return unavailable("the service has no shard yet")
-	}
-	s, known := d.find(t, id)
-	if !known {
-		if err := d.catch(ctx, t, false); err != nil {
-			return unavailable("the platform's log cannot be read at present")
-		}
-		if s, known = d.find(t, id); !known {
-			return &platform.Refusal{Status: http.StatusGone, Reason: "no such job"}
-		}
+	first, err := d.part(q)
+	if err != nil {
+		return err
 	}
-	if s.Final() {
+	s, part, err := d.find(ctx, q, id)
+	var refused *platform.Refusal
+	switch {
+	case err == nil && s.Final():
 		return nil
+	case errors.As(err, &refused) && refused.Status == http.StatusGone:
+		return err
+	case err != nil:
+		part = first
 	}
 	begun := time.Now()
-	verdict := d.storeAt(ctx, d.partOf(id, q), jobs.Record{Key: jobs.CancelKey(id), Value: []byte{1}})
-	d.cfg.Log.Info("job cancelled", zap.String("job", id), zap.String("queue", q.Name),
+	verdict := d.store(ctx, part, jobs.Record{Key: jobs.CancelKey(id), Value: []byte{1}})
+	d.cfg.Log.Info("job cancelled", zap.String("job", id), zap.String("queue", q.Name), zap.Int("shard", part),
 		zap.Stringer("stored", verdict), zap.Duration("took", time.Since(begun)))
 	return refusal(verdict)
 }
 
 // Waiting returns the number of jobs of a queue of which nothing was started.
 func (d *Desk) Waiting(ctx context.Context, q *jobs.Queue) (int, error) {
-	n := 0
-	for _, t := range d.cfg.Shards.All() {
-		if clock.BootMs()-t.View().FreshAt > maxWaitingAge {
-			if err := t.Catch(ctx); err != nil {
-				return 0, unavailable("the platform's log cannot be read at present")
-			}
+	sum := 0
+	for _, part := range d.cfg.Shards.Parts() {
+		n, sure := d.cfg.Owners.Waiting(ctx, part, q.Name)
+		if first, ok := d.cfg.Shards.Part(q.Service); !sure && ok && part == first {
+			return 0, unavailable("the owner of the queue's shard does not answer at present")
 		}
-		n += t.Waiting(q.Name)
+		sum += n
 	}
-	return n, nil
+	return sum, nil
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -66,6 +66,7 @@
 	waves   *waves
 	regis   *regis.Registry
 	peers   *owners
+	roster  *tail.Roster
 	stats   *owner.Stats
 	metrics metrics.Registry
 	owned   atomic.Int64
@@ -103,14 +104,15 @@
 		cfg: s, log: log, level: level, member: fmt.Sprintf("%s#%d", s.Node, time.Now().UnixMilli()),
 		store: platform.NewStore(s.Store.Addr), metrics: registry, stats: owner.NewStats(registry),
 	}
-	n.peers = newOwners(n.member, log)
+	n.roster = tail.NewRoster(n.store, s.CPUShare > 0 && s.CPUShare < weakShare, log)
+	n.peers = newOwners(n.member, n.roster, log)
 	n.cloud = platform.NewCloud(s.Cloud.Addr, n.member)
 	n.waves = &waves{log: log, store: n.store, waves: map[int]pools.Wave{}, told: map[int]string{}}
 	n.catalog = &catalog{log: log, waves: n.waves}
 	n.catalog.feed = feed.New(feed.Config{
 		Store: n.store, Topic: platform.TopicOperator, Wait: configWait, Log: log, Take: n.catalog.take,
 	})
-	n.shards = newShards(shardsConfig{Store: n.store, Parts: s.Store.Parts, Weak: s.CPUShare > 0 && s.CPUShare < weakShare, Log: log, Open: n.open})
+	n.shards = newShards(shardsConfig{Store: n.store, Parts: s.Store.Parts, Log: log, Open: n.open})
 	return n, nil
 }
 
@@ -148,6 +150,7 @@
 		return err
 	}
 	go n.catalog.feed.Run(base)
+	go n.roster.Run(base)
 	go n.shards.loop(base, n.catalog.Current)
 	d := desk.New(desk.Config{Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards, Log: n.log, Stats: n.stats})
 	server := &http.Server{
@@ -232,14 +235,13 @@
 	}
 }
 
-// open follows a shard and takes part in its ownership.
-func (n *Node) open(service string, t *tail.Tail) {
-	go t.Run(n.ctx)
+// open takes part in the ownership of a shard.
+func (n *Node) open(service string, part int) {
 	o := owner.New(owner.Config{
-		Member: n.member, Addr: n.cfg.Peer, Peers: n.peers, Service: service, Part: t.Part(), Store: n.store, Tail: t, Runner: n.runner(service, t),
-		Owned: &n.owned, Handicap: handicap(n.cfg.CPUShare), Log: n.log, Stats: n.stats,
+		Member: n.member, Addr: n.cfg.Peer, Peers: n.peers, Service: service, Part: part, Store: n.store, Roster: n.roster,
+		Runner: n.runner(service), Owned: &n.owned, Handicap: handicap(n.cfg.CPUShare), Log: n.log, Stats: n.stats,
 	})
-	n.peers.add(t.Part(), o)
+	n.peers.add(part, o)
 	n.owners.Add(1)
 	go func() {
 		defer n.owners.Done()
@@ -268,15 +270,15 @@
 }
 
 // runner returns what the owner of a shard does.
-func (n *Node) runner(service string, t *tail.Tail) owner.Runner {
+func (n *Node) runner(service string) owner.Runner {
 	if service == keeperShard {
 		return owner.NewKeeperRunner(owner.KeeperConfig{
-			Cloud: n.cloud, Waves: n.waves.list, Pools: n.posts, Over: n.upkeeps,
+			Cloud: n.cloud, Waves: n.waves.list, Pools: n.posts, Over: n.roster.Upkeeps,
 			Tell: n.waves.tell, LeaseMs: n.cfg.Times.LeaseMs, Stats: n.stats,
 		})
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
-		Service: service, Tail: t, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.vacate, Tell: n.tell, Machines: n.cloud.Machines, Stats: n.stats,
+		Service: service, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.roster.Vacate, Tell: n.tell, Machines: n.cloud.Machines, Stats: n.stats,
 		Engine: shard.Config{
 			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
 			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs,
@@ -293,37 +295,19 @@
 	list := make([]keep.PoolPost, 0, len(c.Pools))
 	for i := range c.Pools {
 		p := keep.PoolPost{Service: c.Pools[i].Service, Spare: c.Pools[i].Spare}
-		if t := n.shards.Tail(p.Service); t != nil {
-			p.Post, _ = t.Post()
+		if part, ok := n.shards.Part(p.Service); ok {
+			p.Post = n.peers.post(p.Service, n.roster.Shard(part).Post)
 		}
-		p.Post = n.peers.post(p.Service, p.Post)
 		list = append(list, p)
 	}
 	return list
 }
 
-// upkeeps returns the upkeeps that are recorded: true for those that are done.
-func (n *Node) upkeeps() map[jobs.Upkeep]bool {
-	over := map[jobs.Upkeep]bool{}
-	if t := n.shards.Tail(keeperShard); t != nil {
-		t.Upkeeps(over)
-	}
-	return over
-}
-
 // tell hands a pool's post to the keeper of the machines, which reads its record later otherwise.
 func (n *Node) tell(service string, p jobs.Post) {
-	if t := n.shards.Tail(keeperShard); t != nil {
-		go n.peers.tell(t.View().Claim, service, p)
-	}
-}
-
-// vacate returns the VMs that the keeper asks to be emptied.
-func (n *Node) vacate() []string {
-	if t := n.shards.Tail(keeperShard); t != nil {
-		return t.Vacate()
+	if part, ok := n.shards.Part(keeperShard); ok {
+		go n.peers.tell(n.roster.Shard(part).Claim, service, p)
 	}
-	return nil
 }
 
 // statusMargin is how much longer than asked a finished job stays known, in ms.
@@ -348,10 +332,12 @@
 	case age > readyAge:
 		return "the configuration cannot be read at present"
 	}
+	if n.roster.View().Cursor < 0 {
+		return "the owners of the shards are not known yet"
+	}
 	for i := range c.Queues {
-		t := n.shards.Tail(c.Queues[i].Service)
-		if t == nil || t.View().Cursor < 0 {
-			return "a shard has not been read yet"
+		if _, ok := n.shards.Part(c.Queues[i].Service); !ok {
+			return "a service has no shard yet"
 		}
 	}
 	return ""
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -19,10 +19,11 @@
 
 // Methods between entries.
 const (
-	methodStore = "Store"
-	methodOwns  = "Owns"
-	methodState = "State"
-	methodPost  = "Post"
+	methodStore   = "Store"
+	methodOwns    = "Owns"
+	methodState   = "State"
+	methodPost    = "Post"
+	methodWaiting = "Waiting"
 )
 
 // storeTimeout bounds the wait for an owner to store a record. After it the entry appends by itself.
@@ -35,8 +36,8 @@
 	Records []jobs.Record
 }
 
-// stateTimeout bounds the question for a job's state. After it the entry reads the log.
-const stateTimeout = 300 * time.Millisecond
+// stateTimeout bounds a question to an owner.
+const stateTimeout = 500 * time.Millisecond
 
 // stateRequest asks for the state of a job.
 type stateRequest struct {
@@ -56,9 +57,22 @@
 // stateAnswer tells it.
 type stateAnswer struct {
 	Known bool
+	Sure  bool // the process is the owner for certain
 	State jobs.State
 }
 
+// waitingRequest asks how many jobs of a queue wait.
+type waitingRequest struct {
+	Part  int
+	Queue string
+}
+
+// waitingAnswer tells it.
+type waitingAnswer struct {
+	Sure bool
+	N    int
+}
+
 // ownsRequest asks whether a process is the owner of a shard.
 type ownsRequest struct {
 	Part int
@@ -75,15 +89,16 @@
 	member string
 	log    *zap.Logger
 	pool   *peer.Pool
+	roster *tail.Roster
 
 	mu    sync.Mutex
 	local map[int]*owner.Owner
 	posts map[string]jobs.Post // told by owners, by service
 }
 
-func newOwners(member string, log *zap.Logger) *owners {
+func newOwners(member string, roster *tail.Roster, log *zap.Logger) *owners {
 	return &owners{
-		member: member, log: log, local: map[int]*owner.Owner{}, posts: map[string]jobs.Post{},
+		member: member, log: log, roster: roster, local: map[int]*owner.Owner{}, posts: map[string]jobs.Post{},
 		pool: peer.NewPool(peer.PoolConfig{From: func() string { return member }, CallTimeout: storeTimeout, Log: log}),
 	}
 }
@@ -118,12 +133,19 @@
 		o.took(req.Service, req.Post)
 		return struct{}{}, nil
 	})
-	s.Handle(methodState, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	s.Handle(methodState, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
 		var req stateRequest
 		if err := json.Unmarshal(params, &req); err != nil {
 			return nil, err
 		}
-		return o.stateHere(req.Part, req.ID), nil
+		return o.stateHere(ctx, req.Part, req.ID), nil
+	})
+	s.Handle(methodWaiting, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
+		var req waitingRequest
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, err
+		}
+		return o.waitingHere(req.Part, req.Queue), nil
 	})
 	s.Handle(methodOwns, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
 		var req ownsRequest
@@ -135,33 +157,92 @@
 	})
 }
 
-// State asks the owner of a shard for the state of a job. It returns false if no owner knows it.
-func (o *owners) State(ctx context.Context, t *tail.Tail, id string) (jobs.State, bool) {
-	claim := t.View().Claim
+// Store hands a record to the owner of a shard. Owner of the answer is false if none has taken it.
+func (o *owners) Store(ctx context.Context, part int, rec jobs.Record) owner.Stored {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	claim := o.roster.Shard(part).Claim
 	switch claim.Owner {
 	case "":
-		return 0, false
+		return owner.Stored{Verdict: retry.NotRun}
 	case o.member:
-		a := o.stateHere(t.Part(), id)
-		return a.State, a.Known
+		return o.storeHere(ctx, part, []jobs.Record{rec})
 	}
-	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-	defer cancel()
+	var s owner.Stored
+	err := o.pool.Call(ctx, claim.Addr, methodStore, storeRequest{Part: part, Records: []jobs.Record{rec}}, &s)
+	if err == nil {
+		return s
+	}
+	o.log.Info("owner not reached", zap.Int("shard", part), zap.String("owner", claim.Owner), zap.Error(err))
+	var call *peer.CallError
+	if errors.As(err, &call) && call.NotRun {
+		return owner.Stored{Verdict: retry.NotRun}
+	}
+	return owner.Stored{Owner: true, Verdict: retry.MayHaveRun}
+}
+
+func (o *owners) storeHere(ctx context.Context, part int, records []jobs.Record) owner.Stored {
+	if own := o.find(part); own != nil {
+		return own.Store(ctx, records)
+	}
+	return owner.Stored{Verdict: retry.NotRun}
+}
+
+// Job asks the owner of a shard for a job. sure is false if no owner could answer.
+func (o *owners) Job(ctx context.Context, part int, id string) (s jobs.State, known, sure bool) {
 	var a stateAnswer
-	if err := o.pool.Call(ctx, claim.Addr, methodState, stateRequest{Part: t.Part(), ID: id}, &a); err != nil {
-		return 0, false // the log is read instead
+	claim := o.roster.Shard(part).Claim
+	switch claim.Owner {
+	case "":
+	case o.member:
+		a = o.stateHere(ctx, part, id)
+	default:
+		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+		defer cancel()
+		if err := o.pool.Call(ctx, claim.Addr, methodState, stateRequest{Part: part, ID: id}, &a); err != nil {
+			o.log.Info("owner not asked for a job", zap.String("job", id), zap.Int("shard", part), zap.Error(err))
+			return jobs.Queued, false, false
+		}
 	}
-	return a.State, a.Known
+	return a.State, a.Known, a.Sure
 }
 
 // stateHere tells the state of a job while this process surely owns its shard.
-func (o *owners) stateHere(part int, id string) stateAnswer {
+func (o *owners) stateHere(ctx context.Context, part int, id string) stateAnswer {
 	own := o.find(part)
-	if own == nil || !own.Current() {
+	if own == nil {
 		return stateAnswer{}
 	}
-	s, known := own.Job(id)
-	return stateAnswer{Known: known, State: s}
+	s, known, sure := own.Job(ctx, id)
+	return stateAnswer{State: s, Known: known, Sure: sure}
+}
+
+// Waiting asks the owner of a shard for the number of jobs of a queue of which nothing was started.
+func (o *owners) Waiting(ctx context.Context, part int, queue string) (n int, sure bool) {
+	var a waitingAnswer
+	claim := o.roster.Shard(part).Claim
+	switch claim.Owner {
+	case "":
+	case o.member:
+		a = o.waitingHere(part, queue)
+	default:
+		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+		defer cancel()
+		if err := o.pool.Call(ctx, claim.Addr, methodWaiting, waitingRequest{Part: part, Queue: queue}, &a); err != nil {
+			o.log.Info("owner not asked for waiting jobs", zap.String("queue", queue), zap.Int("shard", part), zap.Error(err))
+			return 0, false
+		}
+	}
+	return a.N, a.Sure
+}
+
+func (o *owners) waitingHere(part int, queue string) waitingAnswer {
+	own := o.find(part)
+	if own == nil {
+		return waitingAnswer{}
+	}
+	n, sure := own.Waiting(queue)
+	return waitingAnswer{N: n, Sure: sure}
 }
 
 // took keeps a post if it is newer than the one known.
@@ -199,37 +280,6 @@
 	}
 }
 
-func (o *owners) storeHere(ctx context.Context, part int, records []jobs.Record) owner.Stored {
-	if own := o.find(part); own != nil {
-		return own.Store(ctx, records)
-	}
-	return owner.Stored{Verdict: retry.NotRun}
-}
-
-// Store hands a record to the owner of a shard. Owner of the answer is false if none has taken it.
-func (o *owners) Store(ctx context.Context, t *tail.Tail, rec jobs.Record) owner.Stored {
-	claim := t.View().Claim
-	switch claim.Owner {
-	case "":
-		return owner.Stored{Verdict: retry.NotRun}
-	case o.member:
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		defer cancel()
-		return o.storeHere(ctx, t.Part(), []jobs.Record{rec})
-	}
-	var s owner.Stored
-	err := o.pool.Call(ctx, claim.Addr, methodStore, storeRequest{Part: t.Part(), Records: []jobs.Record{rec}}, &s)
-	if err == nil {
-		return s
-	}
-	o.log.Info("owner not reached", zap.Int("shard", t.Part()), zap.String("owner", claim.Owner), zap.Error(err))
-	var call *peer.CallError
-	if errors.As(err, &call) && call.NotRun {
-		return owner.Stored{Verdict: retry.NotRun}
-	}
-	return owner.Stored{Owner: true, Verdict: retry.MayHaveRun}
-}
-
 // Owns asks the process at addr whether it is the owner of a shard. It returns false only if that process
 // is gone or says so itself.
 func (o *owners) Owns(ctx context.Context, addr string, part int, member string) bool {
--- a/io/node/shards.go
+++ b/io/node/shards.go
@@ -11,7 +11,6 @@
 
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/io/feed"
-	"sassafrasvalve/io/tail"
 	"sassafrasvalve/platform"
 )
 
@@ -34,21 +33,19 @@
 	feed  *feed.Feed
 	mu    sync.Mutex
 	parts map[string]int
-	tails map[string]*tail.Tail
 }
 
 // shardsConfig is what the directory needs.
 type shardsConfig struct {
 	Store *platform.Store
 	Parts int
-	Weak  bool
 	Log   *zap.Logger
-	// Open begins to follow a shard.
-	Open func(service string, t *tail.Tail)
+	// Open has the process take part in the ownership of a shard.
+	Open func(service string, part int)
 }
 
 func newShards(cfg shardsConfig) *shards {
-	s := &shards{cfg: cfg, parts: map[string]int{}, tails: map[string]*tail.Tail{}}
+	s := &shards{cfg: cfg, parts: map[string]int{}}
 	s.feed = feed.New(feed.Config{Store: cfg.Store, Topic: platform.TopicShards, Log: cfg.Log, Take: s.take})
 	return s
 }
@@ -66,28 +63,30 @@
 			continue
 		}
 		s.parts[r.Key] = part
-		t := tail.New(tail.Config{Store: s.cfg.Store, Part: part, Weak: s.cfg.Weak, Log: s.cfg.Log})
-		s.tails[r.Key] = t
 		s.cfg.Log.Info("shard found", zap.String("service", r.Key), zap.Int("shard", part))
-		s.cfg.Open(r.Key, t)
+		s.cfg.Open(r.Key, part)
 	}
 }
 
-// Tail returns the tail of a service's shard, nil if it has none yet.
-func (s *shards) Tail(service string) *tail.Tail {
+// Part returns the shard of a service, and false if it has none yet.
+func (s *shards) Part(service string) (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tails[service]
+	part, ok := s.parts[service]
+	return part, ok
 }
 
-// All returns the tails of all shards.
-func (s *shards) All() []*tail.Tail {
+// Parts returns all shards of services.
+func (s *shards) Parts() []int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := make([]*tail.Tail, 0, len(s.tails))
-	for _, t := range s.tails {
-		list = append(list, t)
+	list := make([]int, 0, len(s.parts))
+	for service, part := range s.parts {
+		if service != keeperShard {
+			list = append(list, part)
+		}
 	}
+	sort.Ints(list)
 	return list
 }
 
--- a/io/owner/intake.go
+++ b/io/owner/intake.go
@@ -27,9 +27,12 @@
 	if !o.owning.Load() {
 		return Stored{Verdict: retry.NotRun}
 	}
-	if o.failing.Load() != 0 {
+	if o.lost.Load() || o.health.failing.Load() != 0 {
 		return Stored{Verdict: retry.NotRun} // the store may still serve the entry that asks
 	}
+	if r := o.run.Load(); r != nil && r.knows(records) {
+		return Stored{Owner: true, Verdict: retry.Ran}
+	}
 	in := &intake{records: records, done: make(chan Stored, 1)}
 	select {
 	case o.inbox <- in:
@@ -57,6 +60,37 @@
 	}
 }
 
+// endIntakes answers those whose records no batch has taken.
+func (o *Owner) endIntakes(waiting []*intake) {
+	answer(append(waiting, o.takeIntakes()...), Stored{Verdict: retry.NotRun})
+}
+
+// Job returns the state of a job, and whether the answer is sure: whether this process certainly owns the
+// shard and, for a job that is not known, has read all that other entries appended.
+func (o *Owner) Job(ctx context.Context, id string) (s jobs.State, known, sure bool) {
+	r := o.run.Load()
+	if r == nil || !o.Current() {
+		return jobs.Queued, false, false
+	}
+	if s, known = r.ledger.Job(id); known {
+		return s, true, true
+	}
+	if r.ledger.Catch(ctx) != nil {
+		return jobs.Queued, false, false
+	}
+	s, known = r.ledger.Job(id)
+	return s, known, o.Current()
+}
+
+// Waiting returns the number of jobs of a queue of which nothing was started, and false without a sure answer.
+func (o *Owner) Waiting(queue string) (int, bool) {
+	r := o.run.Load()
+	if r == nil || !o.Current() {
+		return 0, false
+	}
+	return r.ledger.Waiting(queue), true
+}
+
 // answer ends a list of intakes.
 func answer(list []*intake, s Stored) {
 	for _, in := range list {
--- a/io/owner/keeper.go
+++ b/io/owner/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -55,12 +56,16 @@
 // NewKeeperRunner returns the runner of the keeper.
 func NewKeeperRunner(cfg KeeperConfig) *KeeperRunner { return &KeeperRunner{cfg} }
 
-// Serve runs until the ownership is lost (true) or ctx ends (false).
+// Serve runs until ctx ends. It returns whether all that was done is recorded.
 func (k *KeeperRunner) Serve(ctx context.Context, o *Owner) bool {
 	r := &keeperRun{
 		cfg: k.cfg, o: o, log: o.log.With(zap.Int64("epoch", o.Epoch())),
 		orders: make(chan pools.Order, machineOrders),
 	}
+	r.writer = writer{
+		store: o.cfg.Store, topic: platform.TopicOwners, producer: keeperProducer, epoch: o.Epoch(),
+		seq: rand.Int64N(maxFirstSeq), patience: appendTimeout, health: &o.health, log: r.log, stats: k.cfg.Stats,
+	}
 	start := clock.BootMs()
 	if o.reason == reasonSilent {
 		start += k.cfg.LeaseMs
@@ -78,6 +83,9 @@
 	return r.loop(ctx)
 }
 
+// keeperProducer is the name under which keepers write what they ask of the owners, and upkeeps.
+const keeperProducer = "keeper"
+
 // orderLoops is the number of orders about machines that are sent at once.
 const orderLoops = 4
 
@@ -90,7 +98,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
-	beatAt int64
+	writer writer // of the owners' partition, beside that of the claim
 
 	mu       sync.Mutex // guards the following
 	keeper   *keep.Keeper
@@ -104,14 +112,11 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return false
+			return true
 		case <-ticker.C:
-		case in := <-r.o.inbox: // callers hand nothing in at this shard
-			in.done <- Stored{Verdict: retry.NotRun}
-			continue
 		}
 		if !r.turn(ctx) {
-			return ctx.Err() == nil
+			return false
 		}
 	}
 }
@@ -131,6 +136,7 @@
 	r.mu.Unlock()
 	if lost {
 		r.log.Info("keeper lost: the platform has seen a higher fence number")
+		r.o.lost.Store(true)
 		return false
 	}
 	if err != nil {
@@ -140,14 +146,6 @@
 		r.log.Info("machine: "+n.What, zap.String("machine", n.Machine), zap.String("reason", n.Reason), zap.Int("wave", n.N))
 		r.cfg.Stats.Count("machine."+n.What, 1)
 	}
-	if now-r.beatAt >= beatEvery {
-		rec, err := r.o.Renewal()
-		if err != nil {
-			r.log.Error("claim not encoded", zap.Error(err))
-		}
-		records = append(records, rec)
-		r.beatAt = now
-	}
 	// An upkeep is recorded before it is ordered, so that a later keeper counts it. Moves need only a fresh
 	// confirmation that nobody else is the keeper.
 	fresh := r.o.Current()
@@ -156,22 +154,22 @@
 			records = append(records, jobs.Upkeep{Wave: o.Run, Machine: o.Item}.Record(false))
 		}
 	}
-	if len(orders) > 0 && len(records) == 0 && !fresh {
-		rec, err := r.o.Renewal()
-		if err != nil {
-			r.log.Error("claim not encoded", zap.Error(err))
-		}
-		records = append(records, rec)
-		r.beatAt = now
-	}
 	if fresh {
 		orders = r.sendMoves(orders)
+	} else if len(records) == 0 {
+		for _, o := range orders {
+			r.replied(o, pools.Reply{Kind: pools.Unsent})
+		}
+		orders = nil
 	}
 	if len(records) > 0 {
-		if !r.o.Write(ctx, records) {
+		if !r.writer.write(ctx, records, nil) {
+			if ctx.Err() == nil {
+				r.o.lost.Store(true)
+			}
 			return false
 		}
-		r.o.cfg.Tail.Put(records)
+		r.o.cfg.Roster.Put(records)
 	}
 	if clock.BootMs()-now > machineTimeout.Milliseconds() {
 		for _, o := range orders {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -1,9 +1,10 @@
-// Package owner claims a shard, runs its engine while the claim holds, and hands it over.
+// Package owner claims shards, runs what belongs to them while the claim holds, and hands them over.
 package owner
 
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -11,7 +12,6 @@
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
-	"sassafrasvalve/core/retry"
 	"sassafrasvalve/io/tail"
 	"sassafrasvalve/platform"
 )
@@ -19,8 +19,8 @@
 // Ownership, in milliseconds and as durations.
 const (
 	// beatEvery is the pause between two renewals of a claim.
-	beatEvery = 500
-	// lapseAfter is how long the others wait for a renewal. It spans two of them, and a slow answer of the store.
+	beatEvery = 500 * time.Millisecond
+	// lapseAfter is how long the others wait for a renewal. It spans three of them, and a slow answer of the store.
 	lapseAfter = 2000
 	// probeAfter is the silence after which an owner is asked whether it still is one. An owner that this
 	// process has never heard of is asked at once.
@@ -34,42 +34,31 @@
 	refusedAfter = 700
 	// currentMs is the age of the last confirmation up to which an owner answers for its shard. Others claim
 	// it after a longer silence only.
-	currentMs = 800
+	currentMs = 900
 	// claimSpread spreads the claims of processes that see a free shard at the same time.
 	claimSpread = 120 * time.Millisecond
 	// claimPerShard is the handicap for each shard that a process owns already.
 	claimPerShard = 250 * time.Millisecond
 	// claimTries is how often a claim is repeated when another record came in between.
-	claimTries = 6
-	// appendTimeout bounds one append. An append whose answer is lost is repeated.
-	appendTimeout = 700 * time.Millisecond
-	// slowAppendTimeout replaces it after a timeout, for a store that is slow.
-	slowAppendTimeout = 2 * time.Second
-	// patienceTimes is how many times as long as the last append the next one may take.
-	patienceTimes = 3
-	// slowAppend is the time above which an append is logged.
-	slowAppend = 200 * time.Millisecond
-	// appendPause is the pause before an append is repeated.
-	appendPause = 60 * time.Millisecond
-	// maxFirstSeq bounds the first sequence number of an epoch.
-	maxFirstSeq = 1 << 40
+	claimTries = 8
 	// tickEvery is the pause between two turns without an event.
 	tickEvery = 100 * time.Millisecond
 	// releaseTimeout bounds the release of a shard at a stop.
 	releaseTimeout = 1500 * time.Millisecond
 )
 
-// producer is the name under which owners write, so that the store fences earlier ones.
-const producer = "owner"
+// producerOf is the name under which the owners of a shard write, so that the store fences earlier ones.
+func producerOf(part int) string { return "owner-" + strconv.Itoa(part) }
 
-// Store is what an owner writes to.
+// Store is what an owner writes to and reads from.
 type Store interface {
+	tail.Reader
 	Append(a platform.Append) (platform.AppendResult, error)
 }
 
 // Runner does the work of a shard while this process owns it.
 type Runner interface {
-	// Serve runs until the shard is lost (true) or ctx ends (false).
+	// Serve runs until ctx ends. It returns whether all that was done is recorded.
 	Serve(ctx context.Context, o *Owner) bool
 }
 
@@ -88,7 +77,7 @@
 	Service string
 	Part    int
 	Store   Store
-	Tail    *tail.Tail
+	Roster  *tail.Roster
 	Runner  Runner
 	Owned   *atomic.Int64 // shards owned by this process
 	// Handicap delays the claims of a process on a weak machine, so that strong ones own the shards.
@@ -97,36 +86,30 @@
 	Stats    *Stats
 }
 
-// The reasons of claims that matter to the next owner.
-const (
-	reasonFirst    = "no owner yet"
-	reasonReleased = "released"
-	reasonSilent   = "owner silent" // it may still be at work
-)
-
 // Owner takes part in the election of one shard.
 type Owner struct {
-	cfg   Config
-	log   *zap.Logger
-	epoch int64
-	seq   int64 // of the last append of the epoch
+	cfg    Config
+	log    *zap.Logger
+	moved  <-chan struct{}
+	claims writer // of the claim and what goes with it
+	reason string // of the present claim
+	health health
+	owning atomic.Bool
+	lost   atomic.Bool  // another process owns the shard
+	inbox  chan *intake // records that entries hand in
+	run    atomic.Pointer[run]
+	post   atomic.Pointer[jobs.Post] // to be written with the next renewal
 
-	claims    int   // renewals seen
-	beatAt    int64 // local ms at which the last renewal was seen
-	owning    atomic.Bool
-	reason    string        // of the present claim
-	patience  time.Duration // with the next append
-	confirmed atomic.Int64  // local ms at which the last append that succeeded was sent
-	failing   atomic.Int64  // local ms since when appends bring no success, 0 while they do
-	inbox     chan *intake  // records that entries hand in
-	gone      int           // number of claims seen when the owner turned out to be gone, 0 before
-	probeAt   int64         // local ms of the next question to a silent owner
+	seen    int   // renewals seen
+	beatAt  int64 // local ms at which the last renewal was seen
+	gone    int   // number of claims seen when the owner turned out to be gone, 0 before
+	probeAt int64 // local ms of the next question to a silent owner
 }
 
 // New returns an owner that does not run yet.
 func New(cfg Config) *Owner {
 	return &Owner{
-		cfg: cfg, inbox: make(chan *intake, maxIntakes),
+		cfg: cfg, inbox: make(chan *intake, maxIntakes), moved: cfg.Roster.Moved(),
 		log: cfg.Log.With(zap.Int("shard", cfg.Part), zap.String("service", cfg.Service)),
 	}
 }
@@ -139,7 +122,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-o.cfg.Tail.Moved():
+		case <-o.moved:
 		}
 		if reason := o.free(); reason != "" && o.pause(ctx) && o.free() != "" && o.claim(ctx, reason) {
 			o.own(ctx)
@@ -149,63 +132,64 @@
 }
 
 // Epoch returns the number of the present ownership. It is the fence number of all orders.
-func (o *Owner) Epoch() int64 { return o.epoch }
-
-// Renewal returns the record that renews the claim.
-func (o *Owner) Renewal() (jobs.Record, error) {
-	return claimRecord(jobs.Claim{Epoch: o.epoch, Owner: o.cfg.Member, Addr: o.cfg.Addr, Reason: "renewed"})
-}
+func (o *Owner) Epoch() int64 { return o.claims.epoch }
 
 // Current reports whether the store has confirmed the ownership so lately that no other process can have
 // recorded anything since.
 func (o *Owner) Current() bool {
-	return o.owning.Load() && o.failing.Load() == 0 && clock.BootMs()-o.confirmed.Load() < currentMs
+	return o.owning.Load() && !o.lost.Load() && o.health.failing.Load() == 0 &&
+		clock.BootMs()-o.health.confirmed.Load() < currentMs
 }
 
-// Job returns the state of a job as recorded, and false if it is not known.
-func (o *Owner) Job(id string) (jobs.State, bool) { return o.cfg.Tail.Job(id) }
+// Owns reports whether this process owns the shard and the store has taken its records lately.
+func (o *Owner) Owns() bool {
+	f := o.health.failing.Load()
+	return o.owning.Load() && !o.lost.Load() && (f == 0 || clock.BootMs()-f < refusedAfter)
+}
 
 // clean reports whether the earlier owner recorded all that it did before it left.
 func (o *Owner) clean() bool { return o.reason == reasonReleased || o.reason == reasonFirst }
 
-// Owns reports whether this process owns the shard and the store has taken its records lately.
-func (o *Owner) Owns() bool {
-	f := o.failing.Load()
-	return o.owning.Load() && (f == 0 || clock.BootMs()-f < refusedAfter)
-}
+// The reasons of claims that matter to the next owner.
+const (
+	reasonFirst    = "no owner yet"
+	reasonReleased = "released"
+	reasonSilent   = "owner silent" // it may still be at work
+	reasonGone     = "owner gone"
+)
 
 // free returns why the shard may be claimed, empty if it may not.
 func (o *Owner) free() string {
-	v := o.cfg.Tail.View()
+	v, s := o.cfg.Roster.View(), o.cfg.Roster.Shard(o.cfg.Part)
 	now := clock.BootMs()
 	if v.Failed || v.Cursor < 0 {
 		o.beatAt = 0 // silence counts only while this process can hear
 		return ""
 	}
-	if v.Claims != o.claims || o.beatAt == 0 {
+	if s.Claims != o.seen || o.beatAt == 0 {
 		if o.beatAt != 0 {
 			o.probeAt = now + probeAfter
 		}
-		o.claims, o.beatAt = v.Claims, now
+		o.seen, o.beatAt = s.Claims, now
 	}
 	switch {
-	case v.Claim.Epoch == 0:
+	case s.Claim.Epoch == 0:
 		return reasonFirst
-	case v.Claim.Owner == "":
-		return reasonReleased
-	case v.Claim.Owner == o.cfg.Member:
+	case s.Claim.Owner == "":
+		return s.Claim.Reason
+	case s.Claim.Owner == o.cfg.Member:
 		return "own claim left over"
 	case now-o.beatAt > lapseAfter:
 		return reasonSilent
-	case o.gone == v.Claims:
-		return "owner gone"
-	case now >= o.probeAt && v.Claim.Addr != "":
+	case o.gone == s.Claims:
+		return reasonGone
+	case now >= o.probeAt && s.Claim.Addr != "":
 		o.probeAt = now + probeEvery
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		if !o.cfg.Peers.Owns(ctx, v.Claim.Addr, o.cfg.Part, v.Claim.Owner) {
-			o.gone = v.Claims
-			return "owner gone"
+		if !o.cfg.Peers.Owns(ctx, s.Claim.Addr, o.cfg.Part, s.Claim.Owner) {
+			o.gone = s.Claims
+			return reasonGone
 		}
 	}
 	return ""
@@ -216,131 +200,128 @@
 	wait(ctx, rand.N(claimSpread))
 	// Counted after the random wait, since claims of other shards may have succeeded meanwhile.
 	wait(ctx, time.Duration(o.cfg.Owned.Load())*claimPerShard+o.cfg.Handicap)
-	return ctx.Err() == nil && o.cfg.Tail.Catch(ctx) == nil
+	return ctx.Err() == nil && o.cfg.Roster.Catch(ctx) == nil
 }
 
 // claim writes the next claim behind all records that this process has seen.
 func (o *Owner) claim(ctx context.Context, reason string) bool {
 	for range claimTries {
-		if ctx.Err() != nil || o.cfg.Tail.Catch(ctx) != nil {
+		if ctx.Err() != nil || o.cfg.Roster.Catch(ctx) != nil || o.free() == "" {
 			return false
 		}
-		v := o.cfg.Tail.View()
-		if o.free() == "" {
-			return false
+		v, s := o.cfg.Roster.View(), o.cfg.Roster.Shard(o.cfg.Part)
+		// The store answers a repeat of an epoch and a sequence number as it answered the first call, whoever
+		// sends it. A random first number keeps the claims of two processes apart.
+		w := writer{
+			store: o.cfg.Store, topic: platform.TopicOwners, producer: producerOf(o.cfg.Part), epoch: s.Claim.Epoch + 1,
+			seq: rand.Int64N(maxFirstSeq), patience: appendTimeout, health: &o.health, log: o.log, stats: o.cfg.Stats,
 		}
-		epoch := v.Claim.Epoch + 1
-		rec, err := claimRecord(jobs.Claim{Epoch: epoch, Owner: o.cfg.Member, Addr: o.cfg.Addr, Reason: reason})
+		rec, err := o.claimRecord(w.epoch, o.cfg.Member, reason)
 		if err != nil {
 			o.log.Error("claim not encoded", zap.Error(err))
 			return false
 		}
-		// The store answers a repeat of an epoch and a sequence number as it answered the first call, whoever
-		// sends it. A random first number keeps the claims of two processes apart.
-		seq := rand.Int64N(maxFirstSeq)
+		sent := clock.BootMs()
 		res, err := o.cfg.Store.Append(platform.Append{
-			Topic: platform.TopicJobs, Part: o.cfg.Part, Records: []jobs.Record{rec}, At: v.Cursor,
-			Producer: producer, Epoch: epoch, Seq: seq, Deadline: time.Now().Add(appendTimeout),
+			Topic: w.topic, Records: []jobs.Record{rec}, At: v.Cursor,
+			Producer: w.producer, Epoch: w.epoch, Seq: w.seq, Deadline: time.Now().Add(appendTimeout),
 		})
 		switch {
 		case err != nil:
-			o.log.Warn("claim not confirmed", zap.Int64("epoch", epoch), zap.Error(err))
+			o.log.Warn("claim not confirmed", zap.Int64("epoch", w.epoch), zap.Error(err))
 			return false
 		case res.Outcome == platform.Appended:
-			o.epoch, o.seq, o.reason, o.patience = epoch, seq, reason, appendTimeout
-			o.failing.Store(0)
-			o.confirmed.Store(clock.BootMs() - appendTimeout.Milliseconds())
-			o.log.Info("shard claimed", zap.Int64("epoch", epoch), zap.String("reason", reason),
-				zap.String("previous", v.Claim.Owner), zap.Int64("offset", v.Cursor))
+			o.claims, o.reason = w, reason
+			o.health.failing.Store(0)
+			o.health.confirmed.Store(sent)
+			o.log.Info("shard claimed", zap.Int64("epoch", w.epoch), zap.String("reason", reason),
+				zap.String("previous", s.Claim.Owner), zap.Int64("offset", v.Cursor))
 			return true
 		case res.Outcome != platform.Moved:
-			o.log.Info("claim refused", zap.Int64("epoch", epoch), zap.Int("outcome", int(res.Outcome)))
+			o.log.Info("claim refused", zap.Int64("epoch", w.epoch), zap.Int("outcome", int(res.Outcome)))
 			return false
 		}
 	}
 	return false
 }
 
-func claimRecord(c jobs.Claim) (jobs.Record, error) {
+func (o *Owner) claimRecord(epoch int64, member, reason string) (jobs.Record, error) {
+	c := jobs.Claim{Epoch: epoch, Owner: member, Addr: o.cfg.Addr, Reason: reason}
 	value, err := c.MarshalMsg(nil)
-	return jobs.Record{Key: jobs.KeyClaim, Value: value}, err
-}
-
-// Write appends records of this epoch until their fate is known. It returns false once the epoch is over.
-func (o *Owner) Write(ctx context.Context, records []jobs.Record) bool {
-	return o.write(ctx, records, nil)
+	return jobs.Record{Key: jobs.ClaimKey(o.cfg.Part), Value: value}, err
 }
 
-// write is Write. Once the store refuses the records, and no earlier attempt may have stored them, refused
-// returns those that are still to be written.
-func (o *Owner) write(ctx context.Context, records []jobs.Record, refused func() []jobs.Record) bool {
-	o.seq++
-	timeout := o.patience
-	begun, begunAt := time.Now(), clock.BootMs()
-	unknown := false
-	for ctx.Err() == nil {
-		sent := time.Now()
-		res, err := o.cfg.Store.Append(platform.Append{
-			Topic: platform.TopicJobs, Part: o.cfg.Part, Records: records, At: -1,
-			Producer: producer, Epoch: o.epoch, Seq: o.seq, Deadline: time.Now().Add(timeout),
-		})
-		if err == nil {
-			o.failing.Store(0)
-			o.confirmed.Store(begunAt)
-			if res.Outcome != platform.Appended {
-				o.log.Info("shard lost to another owner", zap.Int64("epoch", o.epoch), zap.Int("outcome", int(res.Outcome)))
-				return false
-			}
-			took := time.Since(begun)
-			// The next append waits as long as this one suggests, so that a slow store is not asked twice.
-			o.patience = min(max(appendTimeout, patienceTimes*time.Since(sent)), slowAppendTimeout)
-			o.cfg.Stats.Time("append", took)
-			if took > slowAppend {
-				o.log.Info("append slow", zap.Duration("took", took), zap.Int("records", len(records)), zap.Bool("unanswered", unknown))
-			}
-			return true
-		}
-		o.failing.CompareAndSwap(0, begunAt)
-		o.cfg.Stats.Count("append.failed", 1)
-		if platform.VerdictOf(err) != retry.NotRun {
-			unknown = true
-			timeout = slowAppendTimeout
-		} else if !unknown && refused != nil {
-			if records = refused(); len(records) == 0 {
-				o.seq--
-				return true
-			}
-			refused = nil
-		}
-		wait(ctx, appendPause)
-	}
-	return false
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// own runs the engine until the shard is lost or ctx ends.
+// own runs the shard until it is lost or ctx ends.
 func (o *Owner) own(ctx context.Context) {
 	o.cfg.Owned.Add(1)
 	defer o.cfg.Owned.Add(-1)
+	o.lost.Store(false)
 	o.owning.Store(true)
 	defer o.owning.Store(false)
-	if o.cfg.Runner.Serve(ctx, o) {
+	work, stop := context.WithCancel(ctx)
+	defer stop()
+	beats, endBeats := context.WithCancel(context.WithoutCancel(ctx))
+	beaten := make(chan struct{})
+	go o.beatLoop(beats, stop, beaten)
+	recorded := o.cfg.Runner.Serve(work, o)
+	endBeats()
+	<-beaten
+	o.endIntakes(nil)
+	if o.lost.Load() {
 		return
 	}
+	o.release(ctx, recorded)
+}
+
+// release makes the shard free for others.
+func (o *Owner) release(ctx context.Context, recorded bool) {
+	reason := reasonReleased
+	if !recorded {
+		reason = "released in haste"
+	}
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	rec, err := claimRecord(jobs.Claim{Epoch: o.epoch, Reason: "stop"})
-	if err == nil && o.Write(c, []jobs.Record{rec}) {
-		o.log.Info("shard released", zap.Int64("epoch", o.epoch))
+	rec, err := o.claimRecord(o.claims.epoch, "", reason)
+	if err == nil && o.claims.write(c, []jobs.Record{rec}, nil) {
+		o.log.Info("shard released", zap.Int64("epoch", o.claims.epoch), zap.String("reason", reason))
 		return
 	}
-	o.log.Warn("shard not released", zap.Int64("epoch", o.epoch), zap.Error(err))
+	o.log.Warn("shard not released", zap.Int64("epoch", o.claims.epoch), zap.Error(err))
+}
+
+// beatLoop renews the claim until ctx ends, and calls stop once the shard is lost.
+func (o *Owner) beatLoop(ctx context.Context, stop func(), done chan<- struct{}) {
+	defer close(done)
+	var told *jobs.Post
+	for {
+		wait(ctx, beatEvery)
+		if ctx.Err() != nil {
+			return
+		}
+		rec, err := o.claimRecord(o.claims.epoch, o.cfg.Member, "renewed")
+		if err != nil {
+			o.log.Error("claim not encoded", zap.Error(err))
+			continue
+		}
+		records := []jobs.Record{rec}
+		if p := o.post.Load(); p != told && p != nil {
+			value, err := p.MarshalMsg(nil)
+			if err != nil {
+				o.log.Error("post not encoded", zap.Error(err))
+			} else {
+				records = append(records, jobs.Record{Key: jobs.PostKey(o.cfg.Part), Value: value})
+			}
+			told = p
+		}
+		if !o.claims.write(ctx, records, nil) && ctx.Err() == nil {
+			o.lose(stop)
+			return
+		}
+	}
+}
+
+// lose notes that another process owns the shard, and ends the work.
+func (o *Owner) lose(stop func()) {
+	o.lost.Store(true)
+	stop()
 }
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/tail"
+	"sassafrasvalve/platform"
 )
 
 // Pool tells which VMs the platform lists, and makes clients of them.
@@ -40,7 +42,6 @@
 // PoolConfig is what the work of a pool's owner needs.
 type PoolConfig struct {
 	Service string
-	Tail    *tail.Tail
 	Pool    Pool
 	Catalog func() *jobs.Catalog
 	// Machines reads the platform's list of machines.
@@ -61,7 +62,7 @@
 // NewPoolRunner returns the runner of a pool.
 func NewPoolRunner(cfg PoolConfig) *PoolRunner { return &PoolRunner{cfg} }
 
-// Serve runs until the shard is lost (true) or ctx ends (false).
+// Serve runs until ctx ends. It returns whether all that was done is recorded.
 func (p *PoolRunner) Serve(ctx context.Context, o *Owner) bool { return newRun(p.cfg, o).serve(ctx) }
 
 // Turns of a large pool.
@@ -74,29 +75,40 @@
 
 // run is one epoch of ownership.
 type run struct {
-	cfg       PoolConfig
-	o         *Owner
-	log       *zap.Logger
-	mu        sync.Mutex // guards engine
-	engine    *shard.Engine
-	links     map[string]*vmLink
-	linkCount atomic.Int64
-	wake      chan struct{}
-	batch     *shard.Batch // being appended
-	waiting   []*intake    // whose records the next batch takes
-	// listed is the version of the VM list that the engine has, listedAt the local ms at which it got it.
-	listed, listedAt int64
-	idleUntil        int64 // unix nanoseconds until which no turn is taken, 0 for none
-	told             int64 // number of the last post that the keeper was told
-	stateAt          int64 // local ms of the last summary in the log
-	beatAt           int64 // local ms of the last renewal written
-	ctx              context.Context
-	cancel           context.CancelFunc
-	wg               sync.WaitGroup
+	cfg    PoolConfig
+	o      *Owner
+	log    *zap.Logger
+	ledger *tail.Ledger
+	writer writer // of the shard's partition
+	wake   chan struct{}
+	ctx    context.Context // of the loops and the links
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex // guards engine
+	engine *shard.Engine
+
+	// The following belong to the loop.
+	links            map[string]*vmLink
+	linkCount        atomic.Int64
+	batch            *shard.Batch // being appended
+	waiting          []*intake    // whose records the next batch takes
+	listed, listedAt int64        // version of the VM list that the engine has, local ms at which it got it
+	idleUntil        int64        // unix nanoseconds until which no turn is taken, 0 for none
+	told             int64        // number of the last post that the keeper was told
+	stateAt          int64        // local ms of the last summary in the log
 }
 
 func newRun(cfg PoolConfig, o *Owner) *run {
-	return &run{cfg: cfg, o: o, log: o.log.With(zap.Int64("epoch", o.epoch)), links: map[string]*vmLink{}, wake: make(chan struct{}, 1)}
+	log := o.log.With(zap.Int64("epoch", o.Epoch()))
+	return &run{
+		cfg: cfg, o: o, log: log, links: map[string]*vmLink{}, wake: make(chan struct{}, 1),
+		ledger: tail.NewLedger(o.cfg.Store, o.cfg.Part, log),
+		writer: writer{
+			store: o.cfg.Store, topic: platform.TopicJobs, part: o.cfg.Part, producer: producerOf(o.cfg.Part), epoch: o.Epoch(),
+			seq: rand.Int64N(maxFirstSeq), patience: appendTimeout, health: &o.health, log: log, stats: cfg.Stats,
+		},
+	}
 }
 
 // signal has the loop take a turn soon.
@@ -107,29 +119,71 @@
 	}
 }
 
-// serve runs until the shard is lost (true) or ctx ends (false).
+// knows reports whether the records are of a job that is stored already.
+func (r *run) knows(records []jobs.Record) bool {
+	if len(records) != 1 {
+		return false
+	}
+	id, ok := jobs.SubmittedID(records[0].Key)
+	if !ok {
+		return false
+	}
+	_, known := r.ledger.Job(id)
+	return known
+}
+
+// serve runs until ctx ends. It returns whether all that was done is recorded.
 func (r *run) serve(ctx context.Context) bool {
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.wg.Wait()
 	defer r.cancel()
+	defer r.cfg.Pool.Watch(r.wake)()
+	if !r.takeOver(ctx) {
+		return true // nothing was done
+	}
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		r.ledger.Run(r.ctx)
+	}()
+	r.o.run.Store(r)
+	defer r.o.run.Store(nil)
+	return r.loop(ctx)
+}
+
+// loadPause is the pause before the load of a shard is tried again.
+const loadPause = 100 * time.Millisecond
+
+// takeOver fences earlier owners, reads the shard and makes the engine. It returns false if ctx has ended.
+func (r *run) takeOver(ctx context.Context) bool {
+	// An append without records makes the epoch known, so that nothing of an earlier owner comes behind the load.
+	if !r.writer.write(ctx, nil, nil) {
+		if ctx.Err() == nil {
+			r.o.lost.Store(true)
+		}
+		return false
+	}
+	for r.ledger.Catch(ctx) != nil {
+		wait(ctx, loadPause)
+		if ctx.Err() != nil {
+			return false
+		}
+	}
 	now, wall := clock.BootMs(), time.Now().UnixMilli()
 	cfg := r.cfg.Engine
 	cfg.Service, cfg.Epoch = r.cfg.Service, r.o.Epoch()
 	r.engine = shard.New(cfg, r.cfg.Catalog(), now)
-	r.beatAt = now
-	r.engine.Confirm(r.o.confirmed.Load())
-	r.cfg.Tail.Attach(r.wake, func(b *jobs.Book) {
+	r.engine.Confirm(r.o.health.confirmed.Load())
+	r.ledger.Attach(r.wake, func(b *jobs.Book) {
 		for id, e := range b.Entries {
 			r.engine.Load(id, e, now, wall)
 		}
 	})
-	defer r.cfg.Tail.Detach()
-	defer r.cfg.Pool.Watch(r.wake)()
 	if !r.o.clean() {
 		r.suspect(now)
 	}
 	r.log.Info("shard taken over", zap.Any("counts", r.engine.Counts(now)))
-	return r.loop(ctx)
+	return true
 }
 
 // listTimeout bounds the wait for the list of VMs at a takeover, and listPause is the time between two looks at it.
@@ -155,7 +209,7 @@
 	defer ticker.Stop()
 	appended := make(chan bool, 1)
 	batches := make(chan *batch, 1)
-	defer r.endIntakes()
+	defer func() { r.o.endIntakes(r.waiting) }()
 	defer close(batches)
 	r.wg.Add(1)
 	go r.appendLoop(batches, appended)
@@ -165,7 +219,8 @@
 		select {
 		case ok := <-appended:
 			if !ok {
-				return true
+				r.o.lost.Store(true)
+				return false
 			}
 			r.committed()
 		case <-r.wake:
@@ -173,7 +228,7 @@
 			r.waiting = append(r.waiting, in)
 		case <-ticker.C:
 		case <-ctx.Done():
-			return !r.finish(batches, appended)
+			return r.finish(batches, appended)
 		}
 		if r.idleUntil > 0 {
 			// A turn looks at all that waits. In a large pool the turns keep to a part of the processor.
@@ -187,13 +242,17 @@
 		}
 		if lost {
 			r.log.Info("shard lost: a VM has seen a higher fence number")
-			return true
+			r.o.lost.Store(true)
+			return false
 		}
 	}
 }
 
-// finish records what was decided, so that the next owner has it all. It returns false if the shard is lost.
+// finish records what was decided, so that the next owner has it all. It returns whether it could.
 func (r *run) finish(batches chan<- *batch, appended <-chan bool) bool {
+	if r.o.lost.Load() {
+		return false
+	}
 	if r.batch != nil {
 		if !<-appended {
 			return false
@@ -225,7 +284,7 @@
 func (r *run) appendLoop(batches <-chan *batch, appended chan<- bool) {
 	defer r.wg.Done()
 	for b := range batches {
-		ok := r.o.write(r.ctx, b.records(), func() []jobs.Record {
+		ok := r.writer.write(r.ctx, b.records(), func() []jobs.Record {
 			// The store refuses calls at present: the callers learn at once that nothing was stored.
 			answer(b.intakes, Stored{Owner: true, Verdict: retry.NotRun})
 			b.intakes = nil
@@ -233,7 +292,7 @@
 		})
 		if ok {
 			for _, in := range b.intakes {
-				r.cfg.Tail.Put(in.records)
+				r.ledger.Put(in.records)
 			}
 			answer(b.intakes, Stored{Owner: true, Verdict: retry.Ran})
 		} else {
@@ -243,13 +302,6 @@
 	}
 }
 
-// endIntakes answers those whose records no batch has taken.
-func (r *run) endIntakes() {
-	r.waiting = append(r.waiting, r.o.takeIntakes()...)
-	answer(r.waiting, Stored{Verdict: retry.NotRun})
-	r.waiting = nil
-}
-
 // livesEvery is the pause between two looks at whether a VM is in doubt.
 const livesEvery = 300 * time.Millisecond
 
@@ -288,24 +340,28 @@
 		r.engine.SetVMs(list, now)
 		r.listed, r.listedAt = version, now
 	}
-	r.cfg.Tail.Changes(func(c jobs.Change, e *jobs.Entry) {
+	r.ledger.Changes(func(c jobs.Change, e *jobs.Entry) {
 		if c.Submitted {
 			r.engine.Submit(e, now, wall)
 		}
 		if c.Cancelled {
 			r.engine.Cancel(c.ID, now)
 		}
+		if c.Stale {
+			r.engine.Drop(c.ID)
+		}
 	})
-	if v := r.cfg.Tail.View(); !v.Failed {
+	if v := r.ledger.View(); !v.Failed {
 		r.engine.Contact(v.FreshAt)
 	}
 	if r.engine.Lost() {
 		return true
 	}
-	r.engine.Confirm(r.o.confirmed.Load())
+	r.engine.Confirm(r.o.health.confirmed.Load())
 	r.engine.Step(now, wall)
 	if p := r.engine.Post(); p.Rev != r.told {
 		r.told = p.Rev
+		r.o.post.Store(&p)
 		r.cfg.Tell(r.cfg.Service, p)
 	}
 	if r.batch == nil {
@@ -317,7 +373,7 @@
 	return false
 }
 
-// begin plans a batch, with a renewal of the claim when one is due.
+// begin starts the next batch, if there is something to record.
 func (r *run) begin(batches chan<- *batch, now int64) {
 	b, err := r.engine.Batch()
 	if err != nil {
@@ -328,15 +384,6 @@
 	if b != nil {
 		records = b.Records
 	}
-	if now-r.beatAt >= beatEvery {
-		rec, err := r.o.Renewal()
-		if err != nil {
-			r.log.Error("claim not encoded", zap.Error(err))
-		} else {
-			records = append(records, rec)
-			r.beatAt = now
-		}
-	}
 	r.waiting = append(r.waiting, r.o.takeIntakes()...)
 	if len(records) == 0 && len(r.waiting) == 0 {
 		return
@@ -353,7 +400,7 @@
 // committed sends the orders of the batch that was stored.
 func (r *run) committed() {
 	now := clock.BootMs()
-	r.cfg.Tail.Put(r.batch.Records)
+	r.ledger.Put(r.batch.Records)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	orders := r.engine.Committed(r.batch, now)
--- /dev/null
+++ b/io/tail/ledger.go
@@ -0,0 +1,83 @@
+package tail
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/platform"
+)
+
+// ledgerEvery is the pause between two reads of an owned shard. What callers hand in comes to the owner
+// directly; the log brings only what an entry appended while it did not reach the owner.
+const ledgerEvery = 120 * time.Millisecond
+
+// Ledger follows the jobs of one shard, for its owner.
+type Ledger struct {
+	*Tail
+	book    *jobs.Book
+	log     *zap.Logger
+	changes []jobs.Change
+	watcher chan<- struct{} // signalled on changes, nil before Attach
+}
+
+// NewLedger returns a ledger that has read nothing yet.
+func NewLedger(store Reader, part int, log *zap.Logger) *Ledger {
+	l := &Ledger{book: jobs.NewBook(), log: log}
+	l.Tail = newTail(Config{Store: store, Topic: platform.TopicJobs, Part: part, Every: ledgerEvery, Log: log}, l.take, func() {})
+	return l
+}
+
+func (l *Ledger) take(records []jobs.Record) {
+	for _, r := range records {
+		c, err := l.book.Apply(r)
+		if err != nil {
+			l.log.Warn("record skipped", zap.Int("shard", l.cfg.Part), zap.Error(err))
+			continue
+		}
+		if l.watcher != nil && (c.Submitted || c.Cancelled || c.Stale) {
+			l.changes = append(l.changes, c)
+		}
+	}
+	if l.watcher != nil && len(l.changes) > 0 {
+		select {
+		case l.watcher <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Attach signals w on changes from now on, and hands the fold to load.
+func (l *Ledger) Attach(w chan<- struct{}, load func(b *jobs.Book)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watcher, l.changes = w, nil
+	load(l.book)
+}
+
+// Changes hands over the jobs that changed since the last call, as the fold has them now.
+func (l *Ledger) Changes(take func(c jobs.Change, e *jobs.Entry)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.changes {
+		if e := l.book.Entries[c.ID]; e != nil {
+			take(c, e)
+		}
+	}
+	l.changes = nil
+}
+
+// Job returns the state of a job, and false if the fold does not hold it.
+func (l *Ledger) Job(id string) (jobs.State, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Find(id)
+}
+
+// Waiting returns the number of jobs of a queue of which nothing was started.
+func (l *Ledger) Waiting(queue string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Waiting(queue)
+}
--- /dev/null
+++ b/io/tail/roster.go
@@ -0,0 +1,97 @@
+package tail
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/platform"
+)
+
+// Pace of the roster.
+const (
+	// rosterEvery is the pause between two reads of the roster. It bounds how late a lost owner is noticed.
+	rosterEvery = 300 * time.Millisecond
+	// weakEvery replaces it on a weak machine, which leaves the watch to others.
+	weakEvery = 900 * time.Millisecond
+)
+
+// Roster follows the owners' partition: who owns which shard, and what the owners and the keeper tell.
+type Roster struct {
+	*Tail
+	fold *jobs.Roster
+	log  *zap.Logger
+
+	subMu sync.Mutex
+	subs  []chan struct{}
+}
+
+// NewRoster returns a roster that has read nothing yet. weak is set on a machine that is not meant to own
+// shards while others can.
+func NewRoster(store Reader, weak bool, log *zap.Logger) *Roster {
+	r := &Roster{fold: jobs.NewRoster(), log: log}
+	every := rosterEvery
+	if weak {
+		every = weakEvery
+	}
+	r.Tail = newTail(Config{Store: store, Topic: platform.TopicOwners, Every: every, Log: log}, r.take, r.moved)
+	return r
+}
+
+func (r *Roster) take(records []jobs.Record) {
+	for _, rec := range records {
+		if err := r.fold.Apply(rec); err != nil {
+			r.log.Warn("record skipped", zap.String("topic", platform.TopicOwners), zap.Error(err))
+		}
+	}
+}
+
+// Moved returns a channel that is signalled after each read, answered or not.
+func (r *Roster) Moved() <-chan struct{} {
+	c := make(chan struct{}, 1)
+	r.subMu.Lock()
+	defer r.subMu.Unlock()
+	r.subs = append(r.subs, c)
+	return c
+}
+
+func (r *Roster) moved() {
+	r.subMu.Lock()
+	defer r.subMu.Unlock()
+	for _, c := range r.subs {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Shard returns what is known of a shard.
+func (r *Roster) Shard(part int) jobs.Shard {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.fold.Shards[part]; s != nil {
+		return *s
+	}
+	return jobs.Shard{}
+}
+
+// Vacate returns the VMs that the keeper asks to be emptied.
+func (r *Roster) Vacate() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fold.Vacate.VMs
+}
+
+// Upkeeps returns the upkeeps that are recorded: true for those that are done.
+func (r *Roster) Upkeeps() map[jobs.Upkeep]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	over := make(map[jobs.Upkeep]bool, len(r.fold.Upkeeps))
+	for u, done := range r.fold.Upkeeps {
+		over[u] = done
+	}
+	return over
+}
