shard: Count the failed runs of an earlier owner by their numbers

Cause: an owner was lost before it recorded two failed runs. Ruled out: an end acknowledged before its record. Change: the record lists the numbers of the failed runs, and each end counts once by its number.

--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -605,7 +605,10 @@
 	o = msgp.AppendInt(o, z.Index)
 	o = msgp.AppendInt(o, z.Run)
 	o = msgp.AppendString(o, z.VM)
-	o = msgp.AppendInt(o, z.Fails)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Failed)))
+	for za0001 := range z.Failed {
+		o = msgp.AppendInt(o, z.Failed[za0001])
+	}
 	o = msgp.AppendBool(o, z.Done)
 	o = msgp.AppendString(o, z.Ref)
 	o = msgp.AppendInt64(o, z.VMBorn)
@@ -649,11 +652,24 @@
 		err = msgp.WrapError(err, "VM")
 		return
 	}
-	z.Fails, bts, err = msgp.ReadIntBytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Fails")
+		err = msgp.WrapError(err, "Failed")
 		return
 	}
+	if cap(z.Failed) >= int(zb0002) {
+		z.Failed = (z.Failed)[:zb0002]
+	} else {
+		z.Failed = make([]int, zb0002)
+	}
+	for za0001 := range z.Failed {
+		z.Failed[za0001], bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Failed", za0001)
+			return
+		}
+	}
 	z.Done, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Done")
@@ -675,7 +691,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ItemState) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.VM) + msgp.IntSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.Ref) + msgp.Int64Size
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.VM) + msgp.ArrayHeaderSize + (len(z.Failed) * (msgp.IntSize)) + msgp.BoolSize + msgp.StringPrefixSize + len(z.Ref) + msgp.Int64Size
 	return
 }
 
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -50,7 +50,7 @@
 	Index  int
 	Run    int    // number of its last start
 	VM     string // VM that was told to run it; empty when it runs nowhere
-	Fails  int    // runs that ended failed
+	Failed []int  // runs that ended failed, of an item that does not last
 	Done   bool
 	Ref    string // newest checkpoint
 	VMBorn int64  // lifetime of VM, unix milliseconds of its start; 0 when unknown
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -230,7 +230,7 @@
 	if it == nil {
 		return
 	}
-	it.run, it.fails, it.done, it.ref = s.Run, s.Fails, s.Done, s.Ref
+	it.run, it.failed, it.done, it.ref = s.Run, s.Failed, s.Done, s.Ref
 	if s.VM == "" || s.Done {
 		return
 	}
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -23,10 +23,10 @@
 	step *jobs.Step
 	name string
 
-	run   int
-	fails int
-	done  bool
-	ref   string
+	run    int
+	failed []int // runs that ended failed, of an item that does not last
+	done   bool
+	ref    string
 
 	phase     phase
 	vm        *vm
@@ -206,7 +206,7 @@
 			continue
 		}
 		s := jobs.ItemState{
-			K: it.K, Step: it.Step, Index: it.Index, Run: it.run, Fails: it.fails, Done: it.done, Ref: it.ref,
+			K: it.K, Step: it.Step, Index: it.Index, Run: it.run, Failed: it.failed, Done: it.done, Ref: it.ref,
 		}
 		if it.vm != nil && !it.done {
 			s.VM, s.VMBorn = it.vm.ID, it.vm.born
--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"slices"
+
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
 )
@@ -230,7 +232,12 @@
 		}
 	case pools.EndFailed:
 		if current {
-			e.failed(j, it, v, now)
+			it.avoid = append(it.avoid, v.ID)
+			e.judge(v, v.result(true), now)
+		}
+		e.failed(j, it, v, end.Run, now)
+		if current && it.step.Gang && !j.state.Final() {
+			e.breakGang(j, it, now)
 		}
 	case pools.EndStopped:
 		if it.ref != "" {
@@ -286,21 +293,17 @@
 	}
 }
 
-// failed counts a failed run, and fails the job once there were as many as its queue allows.
-func (e *Engine) failed(j *job, it *item, v *vm, now int64) {
-	it.fails++
-	it.avoid = append(it.avoid, v.ID)
-	e.touch(j)
-	e.judge(v, v.result(true), now)
-	if it.step.Gang {
-		e.breakGang(j, it, now)
-	}
-	if it.step.Persistent {
+// failed counts a failed run, and fails the job once there were as many as its queue allows. An end may be
+// listed again to a new owner, and those of several VMs come in any order, so each run is counted once.
+func (e *Engine) failed(j *job, it *item, v *vm, run int, now int64) {
+	if it.step.Persistent || slices.Contains(it.failed, run) {
 		return
 	}
+	it.failed = append(it.failed, run)
+	e.touch(j)
 	fails := 0
 	for _, m := range j.members(it) {
-		fails += m.fails
+		fails += len(m.failed)
 	}
 	q := e.catalog.Queue(j.Queue)
 	if q == nil || q.Attempts <= 0 || fails < q.Attempts {
