shard: Ask the policy for tickets where a queue is advised

Cause: a queue may have advice; its starts were refused for want of a ticket for ever. Before: nothing of such a queue ran.

--- a/core/pools/pools.go
+++ b/core/pools/pools.go
@@ -49,7 +49,8 @@
 	Ref     string // checkpoint to resume from
 	LeaseMs int64  // end of the lease by the VM's clock; a start that arrives later is refused
 	Fence   int64
-	Percent int // of its speed
+	Percent int    // of its speed
+	Ticket  string // of the policy that allows the VM, empty where none is asked
 }
 
 // ReplyKind is what became of an order.
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -70,13 +70,16 @@
 	waiting   []start // starts whose record is to be written first
 	// unmet are VMs on which an earlier owner may have started items that it did not record, with the time
 	// until which such runs can live.
-	unmet    map[string]int64
-	notes    []Note
-	nextPace int64
-	nextTick int64
-	room     room
-	mark     int64 // number of looks taken over
-	nextNeed int64
+	unmet     map[string]int64
+	notes     []Note
+	nextPace  int64
+	nextTick  int64
+	room      room
+	advice    map[stepKey]*advice
+	questions []Question
+	asking    int   // questions under way
+	mark      int64 // number of looks taken over
+	nextNeed  int64
 
 	need need
 }
@@ -100,7 +103,7 @@
 func New(cfg Config, catalog *jobs.Catalog, now int64) *Engine {
 	return &Engine{
 		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
-		dirty: map[string]*job{}, contact: now,
+		dirty: map[string]*job{}, contact: now, advice: map[stepKey]*advice{},
 	}
 }
 
@@ -287,6 +290,7 @@
 	}
 	if e.jobs[j.ID] == j {
 		delete(e.jobs, j.ID)
+		e.forgetAdvice(j.Job)
 		e.done = append(e.done, finished{j.ID, now + e.cfg.StatusMs})
 	}
 }
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -42,6 +42,7 @@
 	paced    int   // share of its speed it was told to work at, in percent
 	paceSent int64
 	seenIn   int64    // number of the newest look that showed it
+	ticket   string   // of the policy, for the VM chosen
 	avoid    []string // VMs on which it failed
 }
 
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -141,6 +141,10 @@
 }
 
 func (e *Engine) placeGroup(j *job, group []*item, usable []*vm, now int64) []start {
+	tickets, advised := e.advisedOnly(j, group[0], now)
+	if advised && len(tickets) == 0 {
+		return nil
+	}
 	j.stale = true
 	run := 0
 	for _, it := range group {
@@ -152,11 +156,12 @@
 			undo(starts)
 			return nil
 		}
-		v := e.choose(j, it, usable, now)
+		v := e.choose(j, it, allowedBy(usable, tickets), now)
 		if v == nil {
 			undo(starts)
 			return nil
 		}
+		it.ticket = tickets[v.ID]
 		v.attach(it)
 		e.room.took(v, it, usable)
 		it.phase, it.since = planned, now
@@ -172,6 +177,20 @@
 	return starts
 }
 
+// allowedBy returns the VMs that have a ticket, all of them if none is needed.
+func allowedBy(usable []*vm, tickets map[string]string) []*vm {
+	if tickets == nil {
+		return usable
+	}
+	list := make([]*vm, 0, len(tickets))
+	for _, v := range usable {
+		if _, ok := tickets[v.ID]; ok {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
 // undo gives back what was planned of a gang that has no room as a whole.
 func undo(starts []start) {
 	for _, s := range starts {
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -53,7 +53,7 @@
 	s.vm.lease = max(s.vm.lease, lease)
 	return pools.Order{
 		Kind: pools.Start, VM: s.vm.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Spec: it.job.Spec,
-		Ref: it.ref, LeaseMs: lease, Fence: e.cfg.Epoch,
+		Ref: it.ref, LeaseMs: lease, Fence: e.cfg.Epoch, Ticket: it.ticket,
 	}
 }
 
@@ -183,6 +183,8 @@
 		v.fullUntil = now + roomRetryMs
 	case pools.Unwell:
 		v.badUntil = now + unwellMs
+	case pools.NoTicket:
+		e.dropTickets(it)
 	case pools.Rejected:
 		it.notBefore = now + rejectedMs
 	default:
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -61,6 +61,7 @@
 	member  string
 	store   *platform.Store
 	cloud   *platform.Cloud
+	policy  *platform.Policy
 	catalog *catalog
 	shards  *shards
 	waves   *waves
@@ -106,6 +107,7 @@
 	}
 	n.roster = tail.NewRoster(n.store, s.CPUShare > 0 && s.CPUShare < weakShare, log)
 	n.peers = newOwners(n.member, n.roster, log)
+	n.policy = platform.NewPolicy(s.Policy)
 	n.cloud = platform.NewCloud(s.Cloud.Addr, n.member)
 	n.waves = &waves{log: log, store: n.store, waves: map[int]pools.Wave{}, told: map[int]string{}}
 	n.catalog = &catalog{log: log, waves: n.waves}
@@ -278,7 +280,7 @@
 		})
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
-		Service: service, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.roster.Vacate, Tell: n.tell, Machines: n.cloud.Machines, Stats: n.stats,
+		Service: service, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.roster.Vacate, Tell: n.tell, Machines: n.cloud.Machines, Advise: n.policy.Advise, Stats: n.stats,
 		Engine: shard.Config{
 			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
 			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs,
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -17,6 +17,7 @@
 	Front    string  // IP:port for callers
 	Ready    string  // IP:port for the balancer's checks
 	Peer     string  // IP:port for other entries
+	Policy   string  // IP:port of the policy that allows VMs for the steps of some queues; may be empty
 	Metrics  string  // IP:port/path; empty serves none
 	CPUShare float64 // of a core that the machine has
 	MemoryMB int64   // limit of the process
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -44,6 +44,8 @@
 	Service string
 	Pool    Pool
 	Catalog func() *jobs.Catalog
+	// Advise asks the policy which VMs may run a step.
+	Advise func(q shard.Question, deadline time.Time) (*shard.Verdicts, error)
 	// Machines reads the platform's list of machines.
 	Machines func(deadline time.Time) ([]pools.Machine, error)
 	// Tell hands a post to the keeper of the machines, ahead of its record.
@@ -75,15 +77,16 @@
 
 // run is one epoch of ownership.
 type run struct {
-	cfg    PoolConfig
-	o      *Owner
-	log    *zap.Logger
-	ledger *tail.Ledger
-	writer writer // of the shard's partition
-	wake   chan struct{}
-	ctx    context.Context // of the loops and the links
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	cfg       PoolConfig
+	o         *Owner
+	log       *zap.Logger
+	ledger    *tail.Ledger
+	writer    writer // of the shard's partition
+	wake      chan struct{}
+	questions chan shard.Question
+	ctx       context.Context // of the loops and the links
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 
 	mu     sync.Mutex // guards engine
 	engine *shard.Engine
@@ -103,7 +106,8 @@
 	log := o.log.With(zap.Int64("epoch", o.Epoch()))
 	return &run{
 		cfg: cfg, o: o, log: log, links: map[string]*vmLink{}, wake: make(chan struct{}, 1),
-		ledger: tail.NewLedger(o.cfg.Store, o.cfg.Part, log),
+		questions: make(chan shard.Question, questionsWaiting),
+		ledger:    tail.NewLedger(o.cfg.Store, o.cfg.Part, log),
 		writer: writer{
 			store: o.cfg.Store, topic: platform.TopicJobs, part: o.cfg.Part, producer: producerOf(o.cfg.Part), epoch: o.Epoch(),
 			seq: rand.Int64N(maxFirstSeq), patience: appendTimeout, health: &o.health, log: log, stats: cfg.Stats,
@@ -213,8 +217,9 @@
 	defer close(batches)
 	r.wg.Add(1)
 	go r.appendLoop(batches, appended)
-	r.wg.Add(1)
+	r.wg.Add(2)
 	go r.livesLoop()
+	go r.adviceLoop()
 	for {
 		select {
 		case ok := <-appended:
@@ -369,6 +374,7 @@
 	}
 	r.syncLinks()
 	r.send(r.engine.TakeOrders())
+	r.ask(r.engine.TakeQuestions())
 	r.report(now)
 	return false
 }
