keep, node: Pace waves by shortage, leave a slow log to the owner

Cause: a wave took 76 machines at once while pools lacked machines; the demand of a pool kept expecting a rise after its turn; while the log is slow, entries appended by themselves and slowed it further. Change: a wave takes down what it needs to be in time while pools lack machines; what is expected to come is bounded by what the jobs at hand can use; an owner that answers is waited for.

--- a/core/keep/keep.go
+++ b/core/keep/keep.go
@@ -28,6 +28,16 @@
 	joinMs = 5000
 )
 
+// Pace of a wave.
+const (
+	// upkeepRoundMs is what the upkeep of one machine takes, with its way out of and into a pool.
+	upkeepRoundMs = 3000
+	// waveMargin is how much faster than needed a wave goes, in percent.
+	waveMargin = 140
+	// waveReserveMs is left at the end of a wave's time for machines that cannot be emptied at once.
+	waveReserveMs = 4000
+)
+
 // outShare is the part of a pool that may be out for upkeep at once: one in outShare.
 const outShare = 4
 
@@ -294,7 +304,7 @@
 
 // takeDown orders upkeeps while the wave allows more, and returns the VMs to empty next.
 func (k *Keeper) takeDown(w *pools.Wave, due []*machine, down int, now int64) []string {
-	limit := max(w.MaxDown, 1)
+	limit := k.paceOf(w, len(due)+down, now)
 	var vacate []string
 	out := map[string]int{}
 	for _, m := range k.machines {
@@ -323,6 +333,18 @@
 	return vacate
 }
 
+// paceOf returns how many machines of a wave may be down now. While pools lack machines, no more are taken
+// down than the wave needs to be in time.
+func (k *Keeper) paceOf(w *pools.Wave, left int, now int64) int {
+	limit := max(w.MaxDown, 1)
+	if w.DueMs == 0 || len(k.shortages()) == 0 {
+		return limit
+	}
+	time := max(w.DueMs-now-waveReserveMs, upkeepRoundMs)
+	need := (int64(left)*upkeepRoundMs*waveMargin/100 + time - 1) / time
+	return min(limit, max(int(need), 1))
+}
+
 // missing records a machine that is gone for good, so that its wave can be complete.
 func (k *Keeper) missing(key jobs.Upkeep, m *machine, now int64) {
 	if m == nil {
--- a/core/pools/pools.go
+++ b/core/pools/pools.go
@@ -127,7 +127,8 @@
 type Wave struct {
 	N        int
 	Machines []string
-	MaxDown  int // machines that may be down for it at once
+	MaxDown  int   // machines that may be down for it at once
+	DueMs    int64 // local ms by which all should have had their upkeep, 0 if not told
 }
 
 // MachineState is where a machine stands.
--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -12,6 +12,9 @@
 	rateMs = 1000
 	// aheadMs is how far a rise of the demand is extrapolated: a machine joins about so long after it was asked for.
 	aheadMs = 2000
+	// aheadRising and aheadSteady bound what is expected to come, in percent of what the jobs at hand can use.
+	aheadRising = 250
+	aheadSteady = 110
 	// trendJobs is the number of jobs in a window that make half of a trend believed.
 	trendJobs = 6
 	// clearMs is the time in which work that waits should be done.
@@ -19,7 +22,7 @@
 	// fillShare is the part of the VMs' processors that can be filled, in percent.
 	fillShare = 85
 	// holdMs is how long a lower demand must last before VMs are offered.
-	holdMs = 1500
+	holdMs = 900
 	// postEvery is the shortest pause between two posts with another number of VMs only.
 	postEvery = 250
 	// memMargin is the memory that lasting items need together in whole VMs, in percent of their sum.
@@ -130,7 +133,11 @@
 	trend := (newest - mean) * count / (count + trendJobs)
 	coming := max(mean+trend*(1+2*aheadMs/rateMs), 0)
 	// Work in core-milliseconds over milliseconds is cores. What is here can use no more than its items ask for.
-	d.cores = max(min(waiting*1000/clearMs, usable), min(coming*1000/rateMs, usable*2))
+	ahead := usable * aheadSteady / 100
+	if count >= trendJobs && newest > before {
+		ahead = usable * aheadRising / 100
+	}
+	d.cores = max(min(waiting*1000/clearMs, usable), min(coming*1000/rateMs, ahead))
 	return d
 }
 
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -26,9 +26,16 @@
 	methodWaiting = "Waiting"
 )
 
-// storeTimeout bounds the wait for an owner to store a record. After it the entry appends by itself.
-// A slow store takes that long for two appends of the owner; appends of single entries would slow it further.
-const storeTimeout = 1700 * time.Millisecond
+// Times of a record that is handed to an owner.
+const (
+	// storeTimeout bounds the wait for an owner to store a record.
+	storeTimeout = 2400 * time.Millisecond
+	// storeProbe is when an owner that has not answered is asked whether it is still there. If it is, the log is
+	// slow, and an append of the entry's own would only slow it further; if not, the entry appends by itself.
+	storeProbe = 1500 * time.Millisecond
+	// aliveTimeout bounds that question.
+	aliveTimeout = 250 * time.Millisecond
+)
 
 // storeRequest hands records to the owner of a shard.
 type storeRequest struct {
@@ -168,6 +175,14 @@
 	case o.member:
 		return o.storeHere(ctx, part, []jobs.Record{rec})
 	}
+	probe := time.AfterFunc(storeProbe, func() {
+		alive, end := context.WithTimeout(ctx, aliveTimeout)
+		defer end()
+		if !o.answers(alive, claim.Addr, part) {
+			cancel()
+		}
+	})
+	defer probe.Stop()
 	var s owner.Stored
 	err := o.pool.Call(ctx, claim.Addr, methodStore, storeRequest{Part: part, Records: []jobs.Record{rec}}, &s)
 	if err == nil {
@@ -280,6 +295,11 @@
 	}
 }
 
+// answers reports whether the process at addr answers a question about a shard.
+func (o *owners) answers(ctx context.Context, addr string, part int) bool {
+	return o.pool.Call(ctx, addr, methodOwns, ownsRequest{Part: part}, nil) == nil
+}
+
 // Owns asks the process at addr whether it is the owner of a shard. It returns false only if that process
 // is gone or says so itself.
 func (o *owners) Owns(ctx context.Context, addr string, part int, member string) bool {
--- a/io/node/waves.go
+++ b/io/node/waves.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
 	"sassafrasvalve/platform"
@@ -26,7 +27,7 @@
 
 // take folds a record of the operator's topic.
 func (w *waves) take(r jobs.Record) {
-	wave, ok, err := platform.DecodeWave(r)
+	wave, ok, err := platform.DecodeWave(r, clock.BootMs())
 	if err != nil {
 		w.log.Warn("wave ignored", zap.Error(err))
 		return
@@ -36,7 +37,10 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if _, known := w.waves[wave.N]; !known {
+	old, known := w.waves[wave.N]
+	if known {
+		wave.DueMs = old.DueMs // a record that is read again is not younger
+	} else {
 		w.log.Info("wave asked for", zap.Int("wave", wave.N), zap.Int("machines", len(wave.Machines)), zap.Int("maxDown", wave.MaxDown))
 	}
 	w.waves[wave.N] = wave
