owner: Tell a slow store from one that refuses

Cause: one renewal without an answer (a slow store, 0.6 s an append) made the owner refuse callers' records for 1.3 s and say that it was no owner; entries then appended by themselves, half of them without an answer in time. Ruled out: the calls between entries (they waited for appends). Change: an owner refuses records while the store refuses its own, or answers nothing for 1.5 s; an entry's own append waits 1.5 s for its answer.

--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -18,7 +18,7 @@
 // Times of the desk.
 const (
 	// appendTimeout bounds one append of a job or a cancelling. One without an answer is repeated.
-	appendTimeout = 700 * time.Millisecond
+	appendTimeout = 1500 * time.Millisecond
 	// appendPause is the pause before an append is repeated.
 	appendPause = 50 * time.Millisecond
 	// answerReserve is kept of the caller's time for the way back of the answer.
--- a/io/owner/intake.go
+++ b/io/owner/intake.go
@@ -27,7 +27,7 @@
 	if !o.owning.Load() {
 		return Stored{Verdict: retry.NotRun}
 	}
-	if o.lost.Load() || o.health.failing.Load() != 0 {
+	if o.lost.Load() || o.health.failing.Load() != 0 && o.health.refused.Load() || o.health.doubtful() {
 		return Stored{Verdict: retry.NotRun} // the store may still serve the entry that asks
 	}
 	if r := o.run.Load(); r != nil && r.knows(records) {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -29,9 +29,11 @@
 	probeEvery = 300
 	// probeTimeout bounds such a question.
 	probeTimeout = 250 * time.Millisecond
-	// refusedAfter is how long the store may take none of an owner's records until the owner says that it is none.
+	// refusedAfter is how long the store may refuse an owner's records until the owner says that it is none.
 	// The store may refuse single machines; another one can then own the shard.
 	refusedAfter = 700
+	// unansweredAfter replaces it while appends bring no answer, as a slow store may need a second for one.
+	unansweredAfter = 1500
 	// currentMs is the age of the last confirmation up to which an owner answers for its shard. Others claim
 	// it after a longer silence only.
 	currentMs = 900
@@ -143,8 +145,7 @@
 
 // Owns reports whether this process owns the shard and the store has taken its records lately.
 func (o *Owner) Owns() bool {
-	f := o.health.failing.Load()
-	return o.owning.Load() && !o.lost.Load() && (f == 0 || clock.BootMs()-f < refusedAfter)
+	return o.owning.Load() && !o.lost.Load() && !o.health.doubtful()
 }
 
 // clean reports whether the earlier owner recorded all that it did before it left.
--- a/io/owner/writer.go
+++ b/io/owner/writer.go
@@ -31,10 +31,21 @@
 
 // health is what an owner knows of the store: whether it takes this epoch's records.
 type health struct {
+	refused   atomic.Bool  // the last append that failed was refused, and not merely unanswered
 	failing   atomic.Int64 // local ms since when appends bring no success, 0 while they do
 	confirmed atomic.Int64 // local ms at which the last append that succeeded was sent
 }
 
+// doubtful reports whether the store has taken none of the owner's records for so long that another process may do better.
+func (h *health) doubtful() bool {
+	f := h.failing.Load()
+	limit := int64(unansweredAfter)
+	if h.refused.Load() {
+		limit = refusedAfter
+	}
+	return f != 0 && clock.BootMs()-f >= limit
+}
+
 // writer appends to one partition as the owner of an epoch. The store fences earlier epochs. It is not safe
 // for concurrent use.
 type writer struct {
@@ -68,6 +79,7 @@
 			return w.answered(res, begun, sent, begunAt, len(records), unknown)
 		}
 		w.health.failing.CompareAndSwap(0, begunAt)
+		w.health.refused.Store(platform.VerdictOf(err) == retry.NotRun)
 		w.stats.Count("append.failed", 1)
 		if platform.VerdictOf(err) != retry.NotRun {
 			unknown = true
