shard: Extrapolate a pool's demand by the slope of what its jobs can use

Cause: 2.5 times what jobs could use was asked for during any rise; on 349 VMs half of the hot pool idled. Change: the rise of what the jobs can use over 0.7 s is carried on for 2.3 s, weighed by the number of jobs.

--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -11,10 +11,11 @@
 	// rateMs is the window over which arriving work is measured.
 	rateMs = 1000
 	// aheadMs is how far a rise of the demand is extrapolated: a machine joins about so long after it was asked for.
-	aheadMs = 2000
-	// aheadRising and aheadSteady bound what is expected to come, in percent of what the jobs at hand can use.
-	aheadRising = 250
-	aheadSteady = 110
+	aheadMs = 2300
+	// aheadSteady bounds what is expected without a rise, in percent of what the jobs at hand can use.
+	aheadSteady = 115
+	// slopeMs is the time over which the rise of what jobs can use is measured.
+	slopeMs = 700
 	// trendJobs is the number of jobs in a window that make half of a trend believed.
 	trendJobs = 6
 	// clearMs is the time in which work that waits should be done.
@@ -22,7 +23,7 @@
 	// fillShare is the part of the VMs' processors that can be filled, in percent.
 	fillShare = 85
 	// holdMs is how long a lower demand must last before VMs are offered.
-	holdMs = 900
+	holdMs = 1200
 	// postEvery is the shortest pause between two posts with another number of VMs only.
 	postEvery = 250
 	// memMargin is the memory that lasting items need together in whole VMs, in percent of their sum.
@@ -42,6 +43,7 @@
 type need struct {
 	arrivals []arrival
 	peaks    []arrival // newest wants: at, number
+	usable   []arrival // newest figures of what the jobs could use: at, thousandths of a core
 	posted   jobs.Post
 	postedAt int64
 	want     int
@@ -71,6 +73,22 @@
 	return newest, before, count
 }
 
+// slope returns by how many thousandths of a core what the jobs can use rises in a second, 0 while it falls.
+func (n *need) slope(usable, now int64) int64 {
+	keep := n.usable[:0]
+	for _, u := range n.usable {
+		if u.at > now-slopeMs {
+			keep = append(keep, u)
+		}
+	}
+	n.usable = append(keep, arrival{now, usable})
+	first := n.usable[0]
+	if now-first.at < slopeMs/3 {
+		return 0
+	}
+	return max((usable-first.coreMs)*1000/(now-first.at), 0)
+}
+
 // tickNeed works out how many VMs the pool can use, and offers what it does not use.
 func (e *Engine) tickNeed(now int64) {
 	size, mem := e.vmSize()
@@ -133,10 +151,9 @@
 	trend := (newest - mean) * count / (count + trendJobs)
 	coming := max(mean+trend*(1+2*aheadMs/rateMs), 0)
 	// Work in core-milliseconds over milliseconds is cores. What is here can use no more than its items ask for.
-	ahead := usable * aheadSteady / 100
-	if count >= trendJobs && newest > before {
-		ahead = usable * aheadRising / 100
-	}
+	// A rise by few jobs is mostly chance.
+	rise := e.need.slope(usable, now) * aheadMs / 1000 * count / (count + trendJobs)
+	ahead := usable*aheadSteady/100 + rise
 	d.cores = max(min(waiting*1000/clearMs, usable), min(coming*1000/rateMs, ahead))
 	return d
 }
