logs, stats: Write the log through a bounded ring, serve metrics as text

Cause: the log was written on the caller's goroutine and could block it; metrics were in a form of their own.

--- a/bench/sim/scenarios.go
+++ b/bench/sim/scenarios.go
@@ -11,9 +11,9 @@
 }
 
 // large is a class of few, wide jobs, as draws and renewals are.
-func large(perS float64) Class {
+func large() Class {
 	return Class{
-		Name: "large", PerS: perS, Turn: 4, TurnMs: 1000, PeriodMs: 4000, PhaseMs: 1000,
+		Name: "large", PerS: 0.921, Turn: 4, TurnMs: 1000, PeriodMs: 4000, PhaseMs: 1000,
 		Steps: 2, MaxSteps: 5, Width: 8, MaxWidth: 32, WorkMs: 2100, MaxWorkMs: 5200, Spread: 0.5,
 		CPU: 7700, MaxCPU: 23_000, MemMB: 22_000, MaxMemMB: 66_000, Uneven: 0.3, EstOff: 0.5, Saves: 0.8,
 		Stretch: 1.6, SLOMs: 600, Worth: 4.59, LateWorth: 0.324, Priority: 1, Attempts: 3, Poison: 0.01, Cancelled: 0.05,
@@ -33,10 +33,10 @@
 		return Spec{Name: name, Seed: seed, VMs: vms, CPU: poolCPU, MemMB: poolMemMB, Rack: rackSize, ForMs: scenarioS, Classes: c, Serving: 2}
 	}
 	turns := base("turns of small jobs", 8, small(7.86))
-	wide := base("turns of large jobs", 9, large(0.921))
+	wide := base("turns of large jobs", 9, large())
 	flood := base("burst of small jobs", 8, small(7.86))
 	flood.Bursts = []Burst{{Class: "small", Times: 2, FromMs: 8000, ToMs: 13_000}}
-	heavy := base("burst of large jobs", 9, large(0.921))
+	heavy := base("burst of large jobs", 9, large())
 	heavy.Bursts = []Burst{{Class: "large", Times: 2.6, FromMs: 4000, ToMs: 9000}}
 	dark := base("rack dark", 8, small(7.86))
 	dark.Dark = []Outage{{VMs: []int{0, 1, 2, 3}, FromMs: 9000, ToMs: 15_000}}
@@ -44,13 +44,13 @@
 	slow.Slow = []Slow{{VMs: []int{2, 5}, Times: 6, FromMs: 6000, ToMs: 13_000}}
 	grey := base("VMs that fail all they start", 8, small(7.86))
 	grey.Grey = []Grey{{VMs: []int{1}, FromMs: 6000, ToMs: 13_000}}
-	hang := base("VMs on which work stands still", 9, large(0.921))
+	hang := base("VMs on which work stands still", 9, large())
 	hang.Grey = []Grey{{VMs: []int{1}, Hang: true, FromMs: 6000, ToMs: 12_000}}
 	lost := base("owner lost three times", 8, small(7.86))
 	lost.OwnersLost = []int64{5000, 9000, 17_000}
 	late := base("orders without an answer", 8, small(7.86))
 	late.LostOrders = 0.05
-	both := base("orders without an answer, owner lost, VMs dark", 9, large(0.921), small(4))
+	both := base("orders without an answer, owner lost, VMs dark", 9, large(), small(4))
 	both.LostOrders = 0.04
 	both.OwnersLost = []int64{4000, 9300, 21_000}
 	both.Dark = []Outage{{VMs: []int{1, 2}, FromMs: 8800, ToMs: 13_000}, {VMs: []int{5}, FromMs: 20_000, ToMs: 24_000}}
--- a/bench/sim/world.go
+++ b/bench/sim/world.go
@@ -68,8 +68,6 @@
 	order   []*drawn
 	vms     []*machine
 	busy    bool // a batch is being appended
-	turning bool
-	version int
 
 	unheard *shard.Engine // the owner of which the store takes nothing
 	orphan  *shard.Engine // stands in while there is no owner
--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -81,7 +81,8 @@
 			keep = append(keep, u)
 		}
 	}
-	n.usable = append(keep, arrival{now, usable})
+	keep = append(keep, arrival{now, usable})
+	n.usable = keep
 	first := n.usable[0]
 	if now-first.at < slopeMs/3 {
 		return 0
@@ -218,10 +219,10 @@
 	for _, p := range e.need.peaks {
 		if p.at > now-holdMs {
 			keep = append(keep, p)
-			want = max(want, 0)
 		}
 	}
-	e.need.peaks = append(keep, arrival{now, int64(want)})
+	keep = append(keep, arrival{now, int64(want)})
+	e.need.peaks = keep
 	for _, p := range e.need.peaks {
 		want = max(want, int(p.coreMs))
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -49,7 +49,7 @@
 	d := &Demo{out: out, ended: make(chan error, entries)}
 	defer d.close()
 	for _, step := range []func(context.Context) error{
-		d.startPlatform, d.startEntries, d.applyConfig, d.sendRequest, d.drain, d.planStop,
+		d.startPlatform, d.startEntries, d.applyConfig, d.sendRequest, d.drain, d.planStop, d.runJob,
 	} {
 		if err := step(ctx); err != nil {
 			return err
--- a/fake/plat/plat.go
+++ b/fake/plat/plat.go
@@ -1,6 +1,7 @@
 package plat
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -125,7 +126,7 @@
 }
 
 func (p *Platform) listen(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
--- a/fake/pool/vm.go
+++ b/fake/pool/vm.go
@@ -122,7 +122,7 @@
 		if r := v.Runs[o.Item]; r != nil && r.Run <= o.Run && r.StopAt == 0 {
 			r.StopAt = now + v.StopMs
 		}
-	case pools.Pace, pools.Upkeep:
+	case pools.Pace, pools.Upkeep, pools.Move:
 	}
 	return pools.Reply{Kind: kind, ClockMs: v.clock(now)}
 }
--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"sassafrasvalve/io/stats"
+
 	"go.uber.org/zap"
 
 	"sassafrasvalve/core/jobs"
@@ -64,7 +66,7 @@
 	Catalog Catalog
 	Shards  Shards
 	Log     *zap.Logger
-	Stats   *owner.Stats
+	Stats   *stats.Stats
 }
 
 // Desk serves callers.
@@ -125,8 +127,9 @@
 	}
 	begun := time.Now()
 	verdict := d.store(ctx, part, jobs.Record{Key: jobs.JobKey(j.ID), Value: value})
-	d.cfg.Stats.Time("submit."+q.Name, time.Since(begun))
-	d.cfg.Stats.Count("submit."+q.Name+"."+verdict.String(), 1)
+	d.cfg.Stats.Timer("sassafrasvalve_submit_seconds", stats.Labels{{Name: "queue", Value: q.Name}})(time.Since(begun))
+	d.cfg.Stats.Count("sassafrasvalve_submitted_total",
+		stats.Labels{{Name: "queue", Value: q.Name}, {Name: "verdict", Value: verdict.String()}}, 1)
 	d.cfg.Log.Info("job handed in", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("shard", part),
 		zap.Int("steps", len(j.Steps)), zap.Int64("workMs", j.WorkMs()), zap.Stringer("stored", verdict),
 		zap.Duration("took", time.Since(begun)))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,7 +15,8 @@
 	"syscall"
 	"time"
 
-	metrics "github.com/rcrowley/go-metrics"
+	"sassafrasvalve/io/stats"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -25,6 +26,7 @@
 	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/desk"
 	"sassafrasvalve/io/feed"
+	"sassafrasvalve/io/logs"
 	"sassafrasvalve/io/owner"
 	"sassafrasvalve/io/peer"
 	"sassafrasvalve/io/regis"
@@ -58,6 +60,7 @@
 	cfg     *Settings
 	log     *zap.Logger
 	level   zap.AtomicLevel
+	sink    *logs.Sink
 	member  string
 	store   *platform.Store
 	cloud   *platform.Cloud
@@ -68,8 +71,7 @@
 	regis   *regis.Registry
 	peers   *owners
 	roster  *tail.Roster
-	stats   *owner.Stats
-	metrics metrics.Registry
+	stats   *stats.Stats
 	owned   atomic.Int64
 	leaving atomic.Bool
 
@@ -94,16 +96,16 @@
 
 // New returns an entry that does not run yet.
 func New(s *Settings) (*Node, error) {
-	log, level, err := newLogger(s.LogLevel)
+	sink := logs.NewSink(os.Stdout)
+	log, level, err := logs.New(sink, s.LogLevel)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("LogLevel: %w", err)
 	}
 	setMemoryLimit(s.MemoryMB)
 	debug.SetGCPercent(gcPercent)
-	registry := metrics.NewRegistry()
 	n := &Node{
 		cfg: s, log: log, level: level, member: fmt.Sprintf("%s#%d", s.Node, time.Now().UnixMilli()),
-		store: platform.NewStore(s.Store.Addr), metrics: registry, stats: owner.NewStats(registry),
+		sink: sink, store: platform.NewStore(s.Store.Addr), stats: stats.New(),
 	}
 	n.roster = tail.NewRoster(n.store, s.CPUShare > 0 && s.CPUShare < weakShare, log)
 	n.peers = newOwners(n.member, n.roster, log)
@@ -114,22 +116,11 @@
 	n.catalog.feed = feed.New(feed.Config{
 		Store: n.store, Topic: platform.TopicOperator, Wait: configWait, Log: log, Take: n.catalog.take,
 	})
+	n.addGauges()
 	n.shards = newShards(shardsConfig{Store: n.store, Parts: s.Store.Parts, Log: log, Open: n.open})
 	return n, nil
 }
 
-// newLogger returns a logger that writes JSON lines to standard output.
-func newLogger(level string) (*zap.Logger, zap.AtomicLevel, error) {
-	l, err := zap.ParseAtomicLevel(level)
-	if err != nil {
-		return nil, l, fmt.Errorf("LogLevel: %w", err)
-	}
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.EpochMillisTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stdout), l)
-	return zap.New(core), l, nil
-}
-
 // Run serves until ctx ends, then hands the shards over, finishes open requests and returns.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("entry starts", zap.String("member", n.member), zap.String("dc", n.cfg.DC))
@@ -138,11 +129,12 @@
 	n.ctx = base
 	n.ownersCtx, n.cancelOwners = context.WithCancel(base)
 	n.regis = regis.New(base, regis.Config{Store: n.store, Log: n.log})
-	front, err := net.Listen("tcp", n.cfg.Front)
+	var listen net.ListenConfig
+	front, err := listen.Listen(ctx, "tcp", n.cfg.Front)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	ready, err := net.Listen("tcp", n.cfg.Ready)
+	ready, err := listen.Listen(ctx, "tcp", n.cfg.Ready)
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
@@ -176,7 +168,8 @@
 	}
 	n.stop(server)
 	_ = checks.Close() // the process ends
-	n.log.Info("entry stops", zap.String("member", n.member))
+	n.log.Info("entry stops", zap.String("member", n.member), zap.Int64("linesDropped", n.sink.Dropped()))
+	n.sink.Close()
 	return nil
 }
 
@@ -345,20 +338,38 @@
 	return ""
 }
 
+// addGauges registers what is read at each scrape.
+func (n *Node) addGauges() {
+	n.stats.Gauge("sassafrasvalve_shards_owned", nil, func() float64 { return float64(n.owned.Load()) })
+	n.stats.Gauge("sassafrasvalve_log_lines_dropped", nil, func() float64 { return float64(n.sink.Dropped()) })
+	n.stats.Gauge("sassafrasvalve_config_age_seconds", nil, func() float64 {
+		_, age := n.catalog.Catalog()
+		return float64(age) / 1000
+	})
+	n.stats.Gauge("sassafrasvalve_config_version", nil, func() float64 {
+		if c := n.catalog.Current(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+}
+
 // serveMetrics serves counters and histograms as text, if the settings name an address.
 func (n *Node) serveMetrics(failed chan<- error) {
 	addr, path, _ := strings.Cut(n.cfg.Metrics, "/")
 	if addr == "" {
 		return
 	}
-	l, err := net.Listen("tcp", addr)
+	l, err := new(net.ListenConfig).Listen(n.ctx, "tcp", addr)
 	if err != nil {
 		n.log.Error("metrics are not served", zap.Error(err))
 		return
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/"+path, func(w http.ResponseWriter, _ *http.Request) {
-		metrics.WriteOnce(n.metrics, w)
+		if err := n.stats.WriteText(w); err != nil {
+			n.log.Info("metrics not written", zap.Error(err))
+		}
 	})
 	go n.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, l, failed)
 }
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -19,10 +19,9 @@
 
 // entry is one entry under test.
 type entry struct {
-	front  string
-	stop   context.CancelFunc
-	ended  chan error
-	killed bool
+	front string
+	stop  context.CancelFunc
+	ended chan error
 }
 
 // freeAddr returns a loopback address with a free port.
--- a/io/owner/keeper.go
+++ b/io/owner/keeper.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"sassafrasvalve/io/stats"
+
 	"go.uber.org/zap"
 
 	"sassafrasvalve/core/clock"
@@ -45,7 +47,7 @@
 	Over    func() map[jobs.Upkeep]bool
 	Tell    func(wave int, complete bool)
 	LeaseMs int64 // for so long after another keeper's order a machine is left alone
-	Stats   *Stats
+	Stats   *stats.Stats
 }
 
 // KeeperRunner moves machines and takes them down while this process is the keeper.
@@ -65,6 +67,7 @@
 	r.writer = writer{
 		store: o.cfg.Store, topic: platform.TopicOwners, producer: keeperProducer, epoch: o.Epoch(),
 		seq: rand.Int64N(maxFirstSeq), patience: appendTimeout, health: &o.health, log: r.log, stats: k.cfg.Stats,
+		timed: k.cfg.Stats.Timer(metricAppend, nil),
 	}
 	start := clock.BootMs()
 	if o.reason == reasonSilent {
@@ -144,7 +147,7 @@
 	}
 	for _, n := range notes {
 		r.log.Info("machine: "+n.What, zap.String("machine", n.Machine), zap.String("reason", n.Reason), zap.Int("wave", n.N))
-		r.cfg.Stats.Count("machine."+n.What, 1)
+		r.cfg.Stats.Count("sassafrasvalve_machine_decisions_total", stats.Labels{{Name: "what", Value: n.What}}, 1)
 	}
 	// An upkeep is recorded before it is ordered, so that a later keeper counts it. Moves need only a fresh
 	// confirmation that nobody else is the keeper.
--- a/io/owner/link.go
+++ b/io/owner/link.go
@@ -100,7 +100,7 @@
 	switch o.Kind {
 	case pools.Start:
 		reply, err = l.client.Start(o, deadline)
-		l.r.cfg.Stats.Time("start", time.Since(begun))
+		l.r.timeStart(time.Since(begun))
 	case pools.Stop:
 		reply, err = l.client.Stop(o, deadline)
 	case pools.Pace:
@@ -111,7 +111,7 @@
 	if err == nil {
 		return reply
 	}
-	l.r.cfg.Stats.Count("order.failed", 1)
+	l.r.cfg.Stats.Count("sassafrasvalve_orders_failed_total", nil, 1)
 	if platform.VerdictOf(err) == retry.NotRun {
 		return pools.Reply{Kind: pools.Unsent}
 	}
@@ -157,7 +157,7 @@
 		l.r.signal()
 	}
 	if err != nil {
-		l.r.cfg.Stats.Count("look.failed", 1)
+		l.r.cfg.Stats.Count("sassafrasvalve_looks_failed_total", nil, 1)
 		return false
 	}
 	if behind {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasvalve/io/stats"
+
 	"go.uber.org/zap"
 
 	"sassafrasvalve/core/clock"
@@ -85,7 +87,7 @@
 	// Handicap delays the claims of a process on a weak machine, so that strong ones own the shards.
 	Handicap time.Duration
 	Log      *zap.Logger
-	Stats    *Stats
+	Stats    *stats.Stats
 }
 
 // Owner takes part in the election of one shard.
@@ -216,6 +218,7 @@
 		w := writer{
 			store: o.cfg.Store, topic: platform.TopicOwners, producer: producerOf(o.cfg.Part), epoch: s.Claim.Epoch + 1,
 			seq: rand.Int64N(maxFirstSeq), patience: appendTimeout, health: &o.health, log: o.log, stats: o.cfg.Stats,
+			timed: o.cfg.Stats.Timer(metricAppend, nil),
 		}
 		rec, err := o.claimRecord(w.epoch, o.cfg.Member, reason)
 		if err != nil {
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasvalve/io/stats"
+
 	"go.uber.org/zap"
 
 	"sassafrasvalve/core/clock"
@@ -53,7 +55,7 @@
 	// Vacate returns the VMs that the keeper of the machines asks to be emptied.
 	Vacate func() []string
 	Engine shard.Config
-	Stats  *Stats
+	Stats  *stats.Stats
 }
 
 // PoolRunner places the work of one pool while this process owns its shard.
@@ -84,7 +86,8 @@
 	writer    writer // of the shard's partition
 	wake      chan struct{}
 	questions chan shard.Question
-	ctx       context.Context // of the loops and the links
+	timeStart func(time.Duration) // takes the duration of each order to start
+	ctx       context.Context     // of the loops and the links
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
 
@@ -106,11 +109,12 @@
 	log := o.log.With(zap.Int64("epoch", o.Epoch()))
 	return &run{
 		cfg: cfg, o: o, log: log, links: map[string]*vmLink{}, wake: make(chan struct{}, 1),
-		questions: make(chan shard.Question, questionsWaiting),
-		ledger:    tail.NewLedger(o.cfg.Store, o.cfg.Part, log),
+		timeStart: cfg.Stats.Timer("sassafrasvalve_start_seconds", nil), questions: make(chan shard.Question, questionsWaiting),
+		ledger: tail.NewLedger(o.cfg.Store, o.cfg.Part, log),
 		writer: writer{
 			store: o.cfg.Store, topic: platform.TopicJobs, part: o.cfg.Part, producer: producerOf(o.cfg.Part), epoch: o.Epoch(),
 			seq: rand.Int64N(maxFirstSeq), patience: appendTimeout, health: &o.health, log: log, stats: cfg.Stats,
+			timed: cfg.Stats.Timer(metricAppend, nil),
 		},
 	}
 }
@@ -265,7 +269,7 @@
 		r.committed()
 	}
 	r.mu.Lock()
-	r.begin(batches, clock.BootMs())
+	r.begin(batches)
 	r.mu.Unlock()
 	return r.batch == nil || <-appended
 }
@@ -370,7 +374,7 @@
 		r.cfg.Tell(r.cfg.Service, p)
 	}
 	if r.batch == nil {
-		r.begin(batches, now)
+		r.begin(batches)
 	}
 	r.syncLinks()
 	r.send(r.engine.TakeOrders())
@@ -380,7 +384,7 @@
 }
 
 // begin starts the next batch, if there is something to record.
-func (r *run) begin(batches chan<- *batch, now int64) {
+func (r *run) begin(batches chan<- *batch) {
 	b, err := r.engine.Batch()
 	if err != nil {
 		r.log.Error("batch not encoded", zap.Error(err))
@@ -462,6 +466,6 @@
 	}
 	for _, n := range r.engine.TakeNotes() {
 		r.log.Info(n.What, zap.String("job", n.JobID), zap.String("vm", n.VM), zap.String("reason", n.Reason), zap.Int("n", n.N))
-		r.cfg.Stats.Count("decision."+n.What, 1)
+		r.cfg.Stats.Count("sassafrasvalve_decisions_total", stats.Labels{{Name: "what", Value: n.What}}, 1)
 	}
 }
--- a/io/owner/writer.go
+++ b/io/owner/writer.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasvalve/io/stats"
+
 	"go.uber.org/zap"
 
 	"sassafrasvalve/core/clock"
@@ -29,6 +31,9 @@
 	maxFirstSeq = 1 << 40
 )
 
+// metricAppend is the histogram of appends.
+const metricAppend = "sassafrasvalve_append_seconds"
+
 // health is what an owner knows of the store: whether it takes this epoch's records.
 type health struct {
 	refused   atomic.Bool  // the last append that failed was refused, and not merely unanswered
@@ -58,7 +63,8 @@
 	patience time.Duration
 	health   *health
 	log      *zap.Logger
-	stats    *Stats
+	stats    *stats.Stats
+	timed    func(time.Duration) // takes the duration of each append
 }
 
 // write appends records until their fate is known. It returns false once the epoch is over or ctx has ended.
@@ -80,7 +86,7 @@
 		}
 		w.health.failing.CompareAndSwap(0, begunAt)
 		w.health.refused.Store(platform.VerdictOf(err) == retry.NotRun)
-		w.stats.Count("append.failed", 1)
+		w.stats.Count("sassafrasvalve_appends_failed_total", nil, 1)
 		if platform.VerdictOf(err) != retry.NotRun {
 			unknown = true
 			timeout = slowAppendTimeout
@@ -110,7 +116,7 @@
 	// The next append waits as long as this one suggests, so that a slow store is not asked twice.
 	w.patience = min(max(appendTimeout, patienceTimes*time.Since(sent)), slowAppendTimeout)
 	took := time.Since(begun)
-	w.stats.Time("append", took)
+	w.timed(took)
 	if took > slowAppend {
 		w.log.Info("append slow", zap.String("topic", w.topic), zap.Duration("took", took), zap.Int("records", n),
 			zap.Bool("unanswered", unknown))
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -203,3 +204,16 @@
 func escapeLabel(value string) string {
 	return labelEscapes.Replace(strings.ToValidUTF8(value, "\uFFFD"))
 }
+
+// Count adds n to the counter of a series.
+func (s *Stats) Count(name string, labels Labels, n int64) { s.Counter(name, labels).Inc(n) }
+
+// Timer returns a function that adds a duration to the histogram of a series. Beyond maxSeries, all label
+// values count as Other. Frequent callers keep the function, since finding the series takes microseconds.
+func (s *Stats) Timer(name string, labels Labels) func(d time.Duration) {
+	t, ok := s.register(summary, name, labels, newTimer()).(*timer)
+	if !ok {
+		return func(time.Duration) {} // dropped
+	}
+	return t.add
+}
