shard: Judge runs by fresh looks only

Change: a run is judged by a look of the last 1.2 s, and a lasting item is ended for standing still only as its step's budget allows.

--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -23,6 +23,8 @@
 	// estimate, is ended and goes elsewhere.
 	stuckMs     = 1500
 	stuckFactor = 1
+	// freshLookMs is the age of a look up to which runs are judged by it.
+	freshLookMs = 1200
 	// startupMs is how long an item that lasts may take until it is at work.
 	startupMs = 4000
 )
@@ -104,9 +106,12 @@
 
 // stuck reports whether a run makes no progress.
 func (e *Engine) stuck(it *item, now int64) bool {
+	if now-it.vm.lastLook > freshLookMs {
+		return false // what the VM said is too old to judge by
+	}
 	still := now - it.movedAt
 	if it.step.Persistent {
-		return it.percent < 100 && it.paced == 100 && now-it.startedAt > startupMs && still > startupMs
+		return it.percent < 100 && it.paced == 100 && now-it.startedAt > startupMs && still > startupMs && e.mayInterrupt(it, now)
 	}
 	return still > stuckMs && still > stuckFactor*it.step.EstimateMs && it.percent < 100
 }
