--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -203,8 +203,11 @@
 		return 0, 0, err
 	}
 	s, known, sure := d.cfg.Owners.Job(ctx, first, id)
-	if known {
+	switch {
+	case known:
 		return s, first, nil
+	case !sure: // asking the others as well would only burden them while a shard has no owner
+		return 0, first, unavailable("the owner of the job's shard does not answer at present")
 	}
 	for _, part := range d.cfg.Shards.Parts() {
 		if part == first {
