front: Log refused requests, and the start and the end of each job

Cause: a refusal for an old configuration and the completion of a job left no line, so an id could not be followed. Change: one line a refusal with its status and reason, one at a job's first start and one at its completion with the time since it was handed in.

--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -280,6 +280,7 @@
 	j.trim()
 	if j.complete() {
 		j.state = jobs.Complete
+		e.note(Note{JobID: j.ID, What: "job complete", Reason: "ms since it was handed in", N: int(now - j.arrivedAt)})
 		e.retire(j, now)
 	}
 }
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -172,6 +172,7 @@
 	}
 	if j.state == jobs.Queued {
 		j.state = jobs.Running
+		e.note(Note{JobID: j.ID, VM: starts[0].vm.ID, What: "job starts", Reason: "ms since it was handed in", N: int(now - j.arrivedAt)})
 	}
 	e.touch(j)
 	return starts
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -148,7 +148,7 @@
 	go n.shards.loop(base, n.catalog.Current)
 	d := desk.New(desk.Config{Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards, Log: n.log, Stats: n.stats})
 	server := &http.Server{
-		Handler: &platform.Front{Desk: d}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: &platform.Front{Desk: d, Log: n.log}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	checks := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 4)
