--- /dev/null
+++ b/system/soak/proxy_test.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// fault is what a proxy does to its connections.
+type fault int32
+
+const (
+	healthy fault = iota
+	slow          // each piece is delayed
+	silent        // nothing passes, and nothing is closed
+	oneWay        // answers do not pass
+	faults
+)
+
+// slowBy is the delay of a slow link.
+const slowBy = 120 * time.Millisecond
+
+// proxy passes a loopback address on to another one, and spoils the connections.
+type proxy struct {
+	listener net.Listener
+	target   string
+	fault    atomic.Int32
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+}
+
+// newProxy starts a proxy in front of target.
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.loop()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.listener.Addr().String() }
+
+func (p *proxy) loop() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		t, err := net.Dial("tcp", p.target)
+		if err != nil {
+			c.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.conns[c], p.conns[t] = true, true
+		p.mu.Unlock()
+		go p.pass(c, t, false)
+		go p.pass(t, c, true)
+	}
+}
+
+// pass copies one direction; back is set for answers.
+func (p *proxy) pass(from, to net.Conn, back bool) {
+	defer p.drop(from, to)
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		switch f := fault(p.fault.Load()); {
+		case f == slow:
+			time.Sleep(slowBy)
+		case f == silent, f == oneWay && back:
+			_, _ = io.Copy(io.Discard, from) // the connection hangs until an end closes it
+			return
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) drop(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+		delete(p.conns, c)
+	}
+}
+
+// reset breaks all connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		c.Close()
+		delete(p.conns, c)
+	}
+}
+
+func (p *proxy) close() {
+	p.listener.Close()
+	p.reset()
+}
--- /dev/null
+++ b/system/soak/soak_test.go
@@ -0,0 +1,338 @@
+// Package soak runs the real program as separate processes against a stand-in of the platform and injects
+// faults from outside them, by proxies and signals, in random order.
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/fake/plat"
+)
+
+// Sizes and times of a run.
+const (
+	entryCount = 3
+	vmCount    = 4
+	faultsFor  = 8 * time.Second
+	healTime   = 30 * time.Second
+	ciSeeds    = "1-2"
+)
+
+// seedsEnv names the variable with the seeds to run, as FIRST-LAST.
+const seedsEnv = "SOAK_SEEDS"
+
+// regressions are seeds that failed once, each with its cause.
+var regressions = map[uint64]string{}
+
+// process is one entry, which is started again after it ends.
+type process struct {
+	t        *testing.T
+	bin, dir string
+	name     string
+	settings string
+	front    string
+	store    *proxy
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	paused   bool
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newProcess(t *testing.T, bin, dir, name string, p *plat.Platform) *process {
+	store, err := newProxy(p.Store())
+	assert.NilError(t, err)
+	e := &process{t: t, bin: bin, dir: dir, name: name, front: freeAddr(t), store: store, settings: filepath.Join(dir, name+".toml")}
+	text := fmt.Sprintf(`Node = %q
+Front = %q
+Ready = %q
+Peer = %q
+LogLevel = "info"
+[Store]
+Addr = %q
+Parts = 12
+[Cloud]
+Addr = %q
+[Times]
+StatusMs = 120000
+GraceMs = 6000
+LeaseMs = 300
+`, name, e.front, freeAddr(t), freeAddr(t), store.addr(), p.Cloud())
+	assert.NilError(t, os.WriteFile(e.settings, []byte(text), 0o600))
+	return e
+}
+
+// start runs the program.
+func (e *process) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(e.dir, e.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	assert.NilError(e.t, err)
+	defer log.Close()
+	e.cmd = exec.Command(e.bin, "entry", "--settings", e.settings)
+	e.cmd.Stdout, e.cmd.Stderr = log, log
+	assert.NilError(e.t, e.cmd.Start())
+}
+
+// signal sends a signal to the process that this test started.
+func (e *process) signal(s syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = e.cmd.Process.Signal(s) // it may have ended by itself
+}
+
+// end waits for the process, which a signal has ended or is about to end.
+func (e *process) end() {
+	e.mu.Lock()
+	cmd := e.cmd
+	e.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // killed processes have no clean state
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(8 * time.Second):
+		_ = cmd.Process.Kill()
+		<-done
+	}
+}
+
+// soak is one run.
+type soak struct {
+	t       *testing.T
+	rng     *rand.Rand
+	plat    *plat.Platform
+	entries []*process
+	vms     []*proxy
+	client  *http.Client
+	story   []string
+}
+
+func (s *soak) tell(format string, args ...any) {
+	s.story = append(s.story, fmt.Sprintf(format, args...))
+}
+
+func (s *soak) call(e *process, method, path string, body any) (int, string) {
+	b, err := json.Marshal(body)
+	assert.NilError(s.t, err)
+	req, err := http.NewRequest(method, "http://"+e.front+path, bytes.NewReader(b))
+	assert.NilError(s.t, err)
+	req.Host = plat.Host
+	res, err := s.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return res.StatusCode, string(text)
+}
+
+// submit hands a job in at a random entry. It returns the status, 0 without an answer.
+func (s *soak) submit(id string) int {
+	n := 1 + s.rng.IntN(4)
+	ms := 50 + s.rng.Int64N(600)
+	steps := []jobs.Step{{Count: n, CPU: 2000, MemMB: 1000, EstimateMs: ms}, {Count: 1, CPU: 1000, MemMB: 500, EstimateMs: ms, After: []int{0}}}
+	s.plat.Expect(id, steps)
+	status, _ := s.call(s.entries[s.rng.IntN(len(s.entries))], http.MethodPost, plat.Prefix+id, map[string]any{"spec": "x", "steps": []any{
+		map[string]any{"count": n, "cpu": 2000, "mem_mb": 1000, "estimate_ms": ms},
+		map[string]any{"count": 1, "cpu": 1000, "mem_mb": 500, "estimate_ms": ms, "after": []int{0}},
+	}})
+	return status
+}
+
+// spoil injects one random fault.
+func (s *soak) spoil() {
+	e := s.entries[s.rng.IntN(len(s.entries))]
+	switch s.rng.IntN(8) {
+	case 0:
+		s.tell("kill %s", e.name)
+		e.signal(syscall.SIGKILL)
+		e.end()
+		e.start()
+	case 1:
+		s.tell("stop %s", e.name)
+		e.signal(syscall.SIGTERM)
+		go func() {
+			e.end()
+			e.start()
+		}()
+	case 2:
+		s.tell("pause %s", e.name)
+		e.signal(syscall.SIGSTOP)
+		time.AfterFunc(time.Duration(500+s.rng.IntN(4000))*time.Millisecond, func() { e.signal(syscall.SIGCONT) })
+	case 3:
+		f := fault(s.rng.Int32N(int32(faults)))
+		s.tell("store of %s: fault %d", e.name, f)
+		e.store.fault.Store(int32(f))
+	case 4:
+		s.tell("store of %s: reset", e.name)
+		e.store.reset()
+	case 5:
+		i := s.rng.IntN(len(s.vms))
+		f := fault(s.rng.Int32N(int32(faults)))
+		s.tell("vm %d: fault %d", i, f)
+		s.vms[i].fault.Store(int32(f))
+	case 6:
+		i := s.rng.IntN(vmCount)
+		s.tell("crash of machine %d", i)
+		assert.NilError(s.t, s.plat.Crash(i))
+	case 7:
+		down := s.rng.IntN(2) == 0
+		s.tell("log down %v", down)
+		s.plat.Log.Set(down, []int{0, 3, 9}[s.rng.IntN(3)])
+	}
+}
+
+// heal ends all faults.
+func (s *soak) heal() {
+	s.plat.Log.Set(false, 0)
+	for _, e := range s.entries {
+		e.signal(syscall.SIGCONT)
+		e.store.fault.Store(int32(healthy))
+		e.store.reset()
+	}
+	for _, v := range s.vms {
+		v.fault.Store(int32(healthy))
+		v.reset()
+	}
+}
+
+// run plays one seed: jobs are handed in while faults come, then all that was accepted has to be complete.
+func run(t *testing.T, bin string, seed uint64) {
+	s := &soak{
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)),
+		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	p, err := plat.Start(plat.Config{VMs: vmCount, Spare: 2, Route: func(addr string) (string, error) {
+		v, err := newProxy(addr)
+		if err != nil {
+			return "", err
+		}
+		s.vms = append(s.vms, v)
+		return v.addr(), nil
+	}})
+	assert.NilError(t, err)
+	s.plat = p
+	dir := t.TempDir()
+	for i := range entryCount {
+		s.entries = append(s.entries, newProcess(t, bin, dir, "e"+strconv.Itoa(i), p))
+		s.entries[i].start()
+	}
+	defer func() {
+		for _, e := range s.entries {
+			e.signal(syscall.SIGCONT)
+			e.signal(syscall.SIGKILL)
+			e.end()
+			e.store.close()
+		}
+		p.Close()
+	}()
+	accepted, refused := s.play()
+	s.heal()
+	s.settle(accepted)
+	for id := range refused {
+		assert.Assert(t, !p.Started(id), "seed %d: job %s was refused and ran: %s", seed, id, strings.Join(s.story, "; "))
+	}
+	assert.Equal(t, len(p.Faults()), 0, "seed %d: %v: %s", seed, p.Faults(), strings.Join(s.story, "; "))
+	t.Logf("seed %d: %d accepted, %d refused, %d faults", seed, len(accepted), len(refused), len(s.story))
+}
+
+// play hands jobs in while faults come. It returns those accepted, and those of which every answer was a refusal.
+func (s *soak) play() (accepted map[string]bool, refused map[string]bool) {
+	accepted, refused = map[string]bool{}, map[string]bool{}
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		if s.submit("00000000000000aa") == http.StatusOK {
+			accepted["00000000000000aa"] = true
+			break
+		}
+	}
+	next := time.Now()
+	n := 0
+	for until := time.Now().Add(faultsFor); time.Now().Before(until); time.Sleep(40 * time.Millisecond) {
+		if time.Now().After(next) {
+			s.spoil()
+			next = time.Now().Add(time.Duration(s.rng.IntN(900)) * time.Millisecond)
+		}
+		n++
+		id := fmt.Sprintf("%016x", 0x1000+n)
+		switch s.submit(id) {
+		case http.StatusOK:
+			accepted[id] = true
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			refused[id] = true
+		}
+	}
+	return accepted, refused
+}
+
+// settle waits until all accepted jobs are complete.
+func (s *soak) settle(accepted map[string]bool) {
+	left := map[string]bool{}
+	for id := range accepted {
+		left[id] = true
+	}
+	for until := time.Now().Add(healTime); len(left) > 0 && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		for id := range left {
+			status, body := s.call(s.entries[s.rng.IntN(len(s.entries))], http.MethodGet, plat.Prefix+id, nil)
+			assert.Assert(s.t, status != http.StatusGone, "job %s was accepted and is not known: %s", id, strings.Join(s.story, "; "))
+			if status == http.StatusOK && strings.Contains(body, "complete") {
+				delete(left, id)
+			}
+		}
+	}
+	assert.Equal(s.t, len(left), 0, "accepted jobs are not complete %v after all faults ended: %v: %s", healTime, left, strings.Join(s.story, "; "))
+}
+
+// TestSoak guards against jobs that are lost, run twice, or run after a refusal while processes and links fail.
+// SOAK_SEEDS=FIRST-LAST runs other seeds than those of CI.
+func TestSoak(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "sassafrasvalve")
+	out, err := exec.Command("go", "build", "-o", bin, "sassafrasvalve/cmd/sassafrasvalve").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	spec := os.Getenv(seedsEnv)
+	if spec == "" {
+		spec = ciSeeds
+	}
+	first, last, _ := strings.Cut(spec, "-")
+	from, err := strconv.ParseUint(first, 10, 64)
+	assert.NilError(t, err)
+	to, err := strconv.ParseUint(last, 10, 64)
+	assert.NilError(t, err)
+	seeds := map[uint64]bool{}
+	for seed := from; seed <= to; seed++ {
+		seeds[seed] = true
+	}
+	for seed := range regressions {
+		seeds[seed] = true
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { run(t, bin, seed) })
+	}
+}
