--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -51,7 +51,6 @@
 	store    *proxy
 	mu       sync.Mutex
 	cmd      *exec.Cmd
-	paused   bool
 }
 
 func freeAddr(t *testing.T) string {
@@ -240,7 +239,7 @@
 	}})
 	assert.NilError(t, err)
 	s.plat = p
-	dir := t.TempDir()
+	dir := logDir(t, seed)
 	for i := range entryCount {
 		s.entries = append(s.entries, newProcess(t, bin, dir, "e"+strconv.Itoa(i), p))
 		s.entries[i].start()
@@ -336,3 +335,17 @@
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { run(t, bin, seed) })
 	}
 }
+
+// logsEnv names the variable with a folder in which the logs of the processes are kept.
+const logsEnv = "SOAK_LOGS"
+
+// logDir returns the folder for the files of one seed.
+func logDir(t *testing.T, seed uint64) string {
+	base := os.Getenv(logsEnv)
+	if base == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(base, strconv.FormatUint(seed, 10))
+	assert.NilError(t, os.MkdirAll(dir, 0o700))
+	return dir
+}
