soak: Replace one process at a time, guard the list of VMs

An entry that was killed while its SIGTERM was still awaited was waited for, and started again, twice; the list of VMs' proxies grew in the stand-in's goroutine while the test read it. Ruled out: the product; both reports name the test's own goroutines only. Change: one goroutine waits for each process, replacements take turns and end with the test, a mutex guards the list. Conclusion: the checks of the soak are unchanged.

--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,7 +42,8 @@
 // regressions are seeds that failed once, each with its cause.
 var regressions = map[uint64]string{
 	10: "the stand-in booted a second VM on a machine that crashed while it was moving; the list of machines named " +
-		"one of them, so the owner took the other for dead and started its items again",
+		"one of them, so the owner took the other for dead and started its items again; later, an entry that was killed " +
+		"while it was being replaced was waited for, and started again, twice",
 }
 
 // process is one entry, which is started again after it ends.
@@ -54,6 +56,9 @@
 	store    *proxy
 	mu       sync.Mutex
 	cmd      *exec.Cmd
+	over     chan struct{} // closed when cmd has ended
+	closed   bool
+	swap     sync.Mutex // held while one process replaces another
 }
 
 func freeAddr(t *testing.T) string {
@@ -86,54 +91,98 @@
 	return e
 }
 
-// start runs the program.
+// start runs the program, unless the test is over, and waits for its end beside.
 func (e *process) start() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.closed {
+		return
+	}
 	log, err := os.OpenFile(filepath.Join(e.dir, e.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	assert.NilError(e.t, err)
 	defer log.Close()
-	e.cmd = exec.Command(e.bin, "entry", "--settings", e.settings)
-	e.cmd.Stdout, e.cmd.Stderr = log, log
-	assert.NilError(e.t, e.cmd.Start())
+	cmd, over := exec.Command(e.bin, "entry", "--settings", e.settings), make(chan struct{})
+	cmd.Stdout, cmd.Stderr = log, log
+	assert.NilError(e.t, cmd.Start())
+	go func() {
+		_ = cmd.Wait() // killed processes have no clean state
+		close(over)
+	}()
+	e.cmd, e.over = cmd, over
 }
 
-// signal sends a signal to the process that this test started.
-func (e *process) signal(s syscall.Signal) {
+// signal sends a signal to the process that this test started, and returns it.
+func (e *process) signal(s syscall.Signal) *exec.Cmd {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_ = e.cmd.Process.Signal(s) // it may have ended by itself
+	return e.cmd
+}
+
+// replace ends the process by a signal and starts the next one. A process that is being replaced already gets
+// the signal only, so that there are never two of one name.
+func (e *process) replace(s syscall.Signal) {
+	cmd := e.signal(s)
+	e.swap.Lock()
+	defer e.swap.Unlock()
+	if e.current() != cmd {
+		return
+	}
+	e.end()
+	e.start()
+}
+
+func (e *process) current() *exec.Cmd {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cmd
 }
 
 // end waits for the process, which a signal has ended or is about to end.
 func (e *process) end() {
 	e.mu.Lock()
-	cmd := e.cmd
+	cmd, over := e.cmd, e.over
 	e.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		_ = cmd.Wait() // killed processes have no clean state
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-over:
 	case <-time.After(8 * time.Second):
 		_ = cmd.Process.Kill()
-		<-done
+		<-over
 	}
 }
 
+// close ends the process for good, also one that a replacement is about to start.
+func (e *process) close() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
+	e.signal(syscall.SIGCONT)
+	e.signal(syscall.SIGKILL)
+	e.swap.Lock()
+	defer e.swap.Unlock()
+	e.end()
+	e.store.close()
+}
+
 // soak is one run.
 type soak struct {
 	t       *testing.T
 	rng     *rand.Rand
 	plat    *plat.Platform
 	entries []*process
-	vms     []*proxy
 	client  *http.Client
+	mu      sync.Mutex
+	vms     []*proxy // grows when the stand-in boots a VM
 	story   []string
 }
 
+// links returns the proxies of the VMs that were booted up to now.
+func (s *soak) links() []*proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.vms)
+}
+
 func (s *soak) tell(format string, args ...any) {
 	s.story = append(s.story, fmt.Sprintf(format, args...))
 }
@@ -175,16 +224,10 @@
 	switch s.rng.IntN(8) {
 	case 0:
 		s.tell("kill %s", e.name)
-		e.signal(syscall.SIGKILL)
-		e.end()
-		e.start()
+		e.replace(syscall.SIGKILL)
 	case 1:
 		s.tell("stop %s", e.name)
-		e.signal(syscall.SIGTERM)
-		go func() {
-			e.end()
-			e.start()
-		}()
+		go e.replace(syscall.SIGTERM)
 	case 2:
 		s.tell("pause %s", e.name)
 		e.signal(syscall.SIGSTOP)
@@ -197,10 +240,11 @@
 		s.tell("store of %s: reset", e.name)
 		e.store.reset()
 	case 5:
-		i := s.rng.IntN(len(s.vms))
+		vms := s.links()
+		i := s.rng.IntN(len(vms))
 		f := fault(s.rng.Int32N(int32(faults)))
 		s.tell("vm %d: fault %d", i, f)
-		s.vms[i].fault.Store(int32(f))
+		vms[i].fault.Store(int32(f))
 	case 6:
 		i := s.rng.IntN(vmCount)
 		s.tell("crash of machine %d", i)
@@ -220,7 +264,7 @@
 		e.store.fault.Store(int32(healthy))
 		e.store.reset()
 	}
-	for _, v := range s.vms {
+	for _, v := range s.links() {
 		v.fault.Store(int32(healthy))
 		v.reset()
 	}
@@ -237,7 +281,9 @@
 		if err != nil {
 			return "", err
 		}
+		s.mu.Lock()
 		s.vms = append(s.vms, v)
+		s.mu.Unlock()
 		return v.addr(), nil
 	}})
 	assert.NilError(t, err)
@@ -249,10 +295,7 @@
 	}
 	defer func() {
 		for _, e := range s.entries {
-			e.signal(syscall.SIGCONT)
-			e.signal(syscall.SIGKILL)
-			e.end()
-			e.store.close()
+			e.close()
 		}
 		p.Close()
 	}()
