stats: Read the types of metrics after their series

A scrape copied the metrics' types, then read the series; a metric that got its first series between the two had a series and no type, and scrapers refuse such a page as a whole. Ruled out: the test's parser, which is strict as the text format is. Change: the series are read first. A metric gets its type before its first series, so the type is always known.

--- a/io/stats/stats_test.go
+++ b/io/stats/stats_test.go
@@ -95,6 +95,32 @@
 	assert.Equal(t, scrape(t, s)[`sassafrasvalve_attempts_total`], 800.0)
 }
 
+// TestNewMetricsWhileScraped guards against a page that has a metric's first series but not yet its type, which
+// scrapers refuse as a whole.
+func TestNewMetricsWhileScraped(t *testing.T) {
+	s := stats.New()
+	names := make([]string, 4000)
+	for i := range names {
+		names[i] = "sassafrasvalve_test_" + strconv.Itoa(i) + "_total"
+		s.Describe(names[i], "Metrics that get their first series during a scrape.")
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, name := range names {
+			s.Count(name, nil, 1)
+		}
+	}()
+	for adding := true; adding; {
+		select {
+		case <-done:
+			adding = false
+		default:
+		}
+		scrape(t, s)
+	}
+}
+
 // scrape returns the value of each series of a page that keeps all rules of the format.
 func scrape(t *testing.T, s *stats.Stats) map[string]float64 {
 	t.Helper()
--- a/io/stats/text.go
+++ b/io/stats/text.go
@@ -50,17 +50,18 @@
 
 // families returns all metrics that have a series, by name.
 func (s *Stats) families() []family {
+	rows := map[string][]row{}
+	s.registry.Each(func(key string, m any) {
+		name, _, _ := strings.Cut(key, "{")
+		rows[name] = append(rows[name], rowOf(key, m))
+	})
+	// Read after the series, since a metric gets its type before its first series.
 	s.mu.Lock()
 	infos, sources := map[string]info{}, maps.Clone(s.sources)
 	for name, i := range s.infos {
 		infos[name] = *i
 	}
 	s.mu.Unlock()
-	rows := map[string][]row{}
-	s.registry.Each(func(key string, m any) {
-		name, _, _ := strings.Cut(key, "{")
-		rows[name] = append(rows[name], rowOf(key, m))
-	})
 	for name, source := range sources {
 		rows[name] = s.sourceRows(name, source)
 	}
