node, owner, tail: Use the waits and comparisons that exist

Cause: io/feed, io/tail, io/node and io/owner had four copies of wire.Sleep, core/keep and core/shard their own slices.Equal, and io/node decoded the parameters of five methods in five copies. Ruled out: one reader for io/feed and io/tail, whose rules for a lost offset and for shared reads differ; it needs a change of behaviour. Before and after: 42 lines replace 99 in 11 files. Conclusion: behaviour is unchanged.

--- a/core/keep/keep.go
+++ b/core/keep/keep.go
@@ -3,6 +3,7 @@
 package keep
 
 import (
+	"slices"
 	"sort"
 
 	"sassafrasvalve/core/jobs"
@@ -152,7 +153,7 @@
 	k.offers(now)
 	k.orders = nil
 	vacate := k.planWaves(now)
-	if !sameList(vacate, k.vacate) {
+	if !slices.Equal(vacate, k.vacate) {
 		k.vacate, k.dirty = vacate, true
 	}
 	if now >= k.cfg.StartAt {
@@ -438,15 +439,3 @@
 	}
 	return n
 }
-
-func sameList(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"sort"
 
 	"sassafrasvalve/core/jobs"
@@ -282,7 +283,7 @@
 	sort.Strings(p.Offers)
 	sort.Strings(p.Clear)
 	old := &e.need.posted
-	lists := !equal(p.Offers, old.Offers) || !equal(p.Clear, old.Clear)
+	lists := !slices.Equal(p.Offers, old.Offers) || !slices.Equal(p.Clear, old.Clear)
 	if !lists && (p.Want == old.Want && p.Min == old.Min || now-e.need.postedAt < postEvery) {
 		return
 	}
@@ -306,15 +307,3 @@
 
 // maxPriority is above every priority of a queue.
 const maxPriority = 100
-
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -10,6 +10,7 @@
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/io/wire"
 	"sassafrasvalve/platform"
 )
 
@@ -80,12 +81,7 @@
 		if pause == 0 {
 			continue
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		wire.Sleep(ctx, pause)
 	}
 }
 
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -125,42 +125,27 @@
 
 // serve registers the methods that other entries call.
 func (o *owners) serve(s *peer.Server) {
-	s.Handle(methodStore, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-		var req storeRequest
-		if err := json.Unmarshal(params, &req); err != nil {
-			return nil, err
-		}
-		return o.storeHere(ctx, req.Part, req.Records), nil
-	})
-	s.Handle(methodPost, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
-		var req postRequest
-		if err := json.Unmarshal(params, &req); err != nil {
-			return nil, err
-		}
+	handle(s, methodStore, func(ctx context.Context, req storeRequest) any { return o.storeHere(ctx, req.Part, req.Records) })
+	handle(s, methodPost, func(_ context.Context, req postRequest) any {
 		o.took(req.Service, req.Post)
-		return struct{}{}, nil
-	})
-	s.Handle(methodState, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-		var req stateRequest
-		if err := json.Unmarshal(params, &req); err != nil {
-			return nil, err
-		}
-		return o.stateHere(ctx, req.Part, req.ID), nil
+		return struct{}{}
 	})
-	s.Handle(methodWaiting, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
-		var req waitingRequest
-		if err := json.Unmarshal(params, &req); err != nil {
-			return nil, err
-		}
-		return o.waitingHere(req.Part, req.Queue), nil
+	handle(s, methodState, func(ctx context.Context, req stateRequest) any { return o.stateHere(ctx, req.Part, req.ID) })
+	handle(s, methodWaiting, func(_ context.Context, req waitingRequest) any { return o.waitingHere(req.Part, req.Queue) })
+	handle(s, methodOwns, func(_ context.Context, req ownsRequest) any {
+		own := o.find(req.Part)
+		return ownsAnswer{Member: o.member, Owns: own != nil && own.Owns()}
 	})
-	s.Handle(methodOwns, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
-		var req ownsRequest
+}
+
+// handle registers a method with decoded parameters. Malformed ones are answered with the decoder's error.
+func handle[P any](s *peer.Server, method string, f func(ctx context.Context, req P) any) {
+	s.Handle(method, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+		var req P
 		if err := json.Unmarshal(params, &req); err != nil {
 			return nil, err
 		}
-		own := o.find(req.Part)
-		return ownsAnswer{Member: o.member, Owns: own != nil && own.Owns()}, nil
+		return f(ctx, req), nil
 	})
 }
 
--- a/io/node/shards.go
+++ b/io/node/shards.go
@@ -11,6 +11,7 @@
 
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/io/feed"
+	"sassafrasvalve/io/wire"
 	"sassafrasvalve/platform"
 )
 
@@ -102,12 +103,7 @@
 		} else if catalog() == nil {
 			pause = directoryRetry
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		wire.Sleep(ctx, pause)
 	}
 }
 
--- a/io/owner/keeper.go
+++ b/io/owner/keeper.go
@@ -15,6 +15,7 @@
 	"sassafrasvalve/core/keep"
 	"sassafrasvalve/core/pools"
 	"sassafrasvalve/core/retry"
+	"sassafrasvalve/io/wire"
 	"sassafrasvalve/platform"
 )
 
@@ -280,6 +281,6 @@
 			r.log.Info("list of machines", zap.Bool("available", err == nil), zap.Error(err))
 		}
 		failed = err != nil
-		wait(r.ctx, machinesEvery)
+		wire.Sleep(r.ctx, machinesEvery)
 	}
 }
--- a/io/owner/link.go
+++ b/io/owner/link.go
@@ -7,6 +7,7 @@
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/pools"
 	"sassafrasvalve/core/retry"
+	"sassafrasvalve/io/wire"
 	"sassafrasvalve/platform"
 )
 
@@ -129,7 +130,7 @@
 	defer l.r.wg.Done()
 	for l.ctx.Err() == nil {
 		if !l.look() {
-			wait(l.ctx, lookPause)
+			wire.Sleep(l.ctx, lookPause)
 		}
 	}
 }
@@ -137,7 +138,7 @@
 // lookNow asks beside the look that waits for an end: an item whose start brought no answer was barred, and is
 // free once the VM is seen without it.
 func (l *vmLink) lookNow() {
-	wait(l.ctx, barPause)
+	wire.Sleep(l.ctx, barPause)
 	begun := clock.BootMs()
 	l.r.mu.Lock()
 	call, ok := l.r.engine.NextLook(l.id, begun)
@@ -198,7 +199,7 @@
 		timer.Stop()
 	}
 	if pause := l.r.spacing() - time.Duration(clock.BootMs()-begun)*time.Millisecond; pause > 0 {
-		wait(l.ctx, pause)
+		wire.Sleep(l.ctx, pause)
 	}
 	return look.Kind == pools.Done
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -15,6 +15,7 @@
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/io/tail"
+	"sassafrasvalve/io/wire"
 	"sassafrasvalve/platform"
 )
 
@@ -200,9 +201,9 @@
 
 // pause waits a random time, longer for a process that owns more. It returns false at the end of ctx.
 func (o *Owner) pause(ctx context.Context) bool {
-	wait(ctx, rand.N(claimSpread))
+	wire.Sleep(ctx, rand.N(claimSpread))
 	// Counted after the random wait, since claims of other shards may have succeeded meanwhile.
-	wait(ctx, time.Duration(o.cfg.Owned.Load())*claimPerShard+o.cfg.Handicap)
+	wire.Sleep(ctx, time.Duration(o.cfg.Owned.Load())*claimPerShard+o.cfg.Handicap)
 	return ctx.Err() == nil && o.cfg.Roster.Catch(ctx) == nil
 }
 
@@ -298,7 +299,7 @@
 	defer close(done)
 	var told *jobs.Post
 	for {
-		wait(ctx, beatEvery)
+		wire.Sleep(ctx, beatEvery)
 		if ctx.Err() != nil {
 			return
 		}
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -17,6 +17,7 @@
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/tail"
+	"sassafrasvalve/io/wire"
 	"sassafrasvalve/platform"
 )
 
@@ -172,7 +173,7 @@
 		return false
 	}
 	for r.ledger.Catch(ctx) != nil {
-		wait(ctx, loadPause)
+		wire.Sleep(ctx, loadPause)
 		if ctx.Err() != nil {
 			return false
 		}
@@ -202,7 +203,7 @@
 
 // suspect waits for the list of VMs, and has all of them asked before inherited items start.
 func (r *run) suspect(now int64) {
-	for until := time.Now().Add(listTimeout); time.Now().Before(until); wait(r.ctx, listPause) {
+	for until := time.Now().Add(listTimeout); time.Now().Before(until); wire.Sleep(r.ctx, listPause) {
 		if list, version := r.cfg.Pool.VMs(); version >= 0 {
 			r.engine.Suspect(list, now)
 			return
@@ -241,7 +242,7 @@
 		}
 		if r.idleUntil > 0 {
 			// A turn looks at all that waits. In a large pool the turns keep to a part of the processor.
-			wait(r.ctx, time.Duration(r.idleUntil-time.Now().UnixNano()))
+			wire.Sleep(r.ctx, time.Duration(r.idleUntil-time.Now().UnixNano()))
 		}
 		begun := time.Now()
 		lost := r.turn(batches)
@@ -318,7 +319,7 @@
 func (r *run) livesLoop() {
 	defer r.wg.Done()
 	for r.ctx.Err() == nil {
-		wait(r.ctx, livesEvery)
+		wire.Sleep(r.ctx, livesEvery)
 		r.mu.Lock()
 		doubt := r.engine.Doubtful()
 		r.mu.Unlock()
--- a/io/owner/writer.go
+++ b/io/owner/writer.go
@@ -12,6 +12,7 @@
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
+	"sassafrasvalve/io/wire"
 	"sassafrasvalve/platform"
 )
 
@@ -97,7 +98,7 @@
 			}
 			refused = nil
 		}
-		wait(ctx, appendPause)
+		wire.Sleep(ctx, appendPause)
 	}
 	return false
 }
@@ -123,12 +124,3 @@
 	}
 	return true
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -10,6 +10,7 @@
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/io/wire"
 	"sassafrasvalve/platform"
 )
 
@@ -79,16 +80,7 @@
 			pause = retryPause
 		}
 		t.after()
-		sleep(ctx, pause)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		wire.Sleep(ctx, pause)
 	}
 }
 
