--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -30,6 +30,19 @@
 	assert.Equal(t, got, "a#2:y")
 }
 
+// Guards against entries that an owner turns away because the deployment is large: each keeps a connection to it.
+func TestConnectionsFromALargeDeployment(t *testing.T) {
+	const entries = 300 // the largest size that the bench plays
+	s := startServer(t, ServerConfig{}, nil)
+	for i := range entries {
+		name := fmt.Sprint("e", i, "#1")
+		p := newTestPool(t, PoolConfig{From: func() string { return name }})
+		got, err := echo(p, s.Addr(), "x")
+		assert.NilError(t, err, "entry %d", i)
+		assert.Equal(t, got, name+":x")
+	}
+}
+
 // Guards against one hung peer delaying the calls of others, and against its connection being kept.
 func TestHungPeerBlocksNobody(t *testing.T) {
 	s := startServer(t, ServerConfig{}, nil)
