--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -33,9 +33,9 @@
 )
 
 const (
-	defaultMaxMessage  = 1 << 20 // bytes; several state chunks or a relay of 512 KiB in base64
-	defaultMaxCalls    = 32      // in progress on one connection
-	defaultMaxConns    = 1500 // one from each entry of the largest target, 1,072 entries, and those that replace them; 4,100 descriptors at the least
+	defaultMaxMessage  = 1 << 20          // bytes; several state chunks or a relay of 512 KiB in base64
+	defaultMaxCalls    = 32               // in progress on one connection
+	defaultMaxConns    = 1500             // one from each entry of the largest target, 1,072 entries, and those that replace them; 4,100 descriptors at the least
 	defaultIdleTimeout = 30 * time.Second // heartbeats come every 500 ms
 	messageTimeout     = 5 * time.Second
 	writeTimeout       = time.Second
