tail, feed, wire: Read less often when the store refuses reads

Cause: a follower whose read was refused for the number of reads (429) tried again after 150 ms, sooner than its usual 300 ms.

Ruled out: an outage (status 503 or silence), after which a read must soon be tried again; that pause stays.

Change: wire.Pace doubles the pause after refused reads, up to 1.2 s for the folds of the log and 0.8 s for topics, and takes an eighth back with each answered one. platform.TooMany names the status.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -20,6 +20,9 @@
 	readSlack = 800 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 150 * time.Millisecond
+	// slowest is the pause that refused reads lead to. The configuration must not get older than 1.9 s, and a read
+	// of it takes up to 0.9 s.
+	slowest = 800 * time.Millisecond
 	// loadTimeout bounds a reload of the topic.
 	loadTimeout = 4 * time.Second
 )
@@ -65,12 +68,10 @@
 func (f *Feed) Run(ctx context.Context) { f.loop(ctx) }
 
 func (f *Feed) loop(ctx context.Context) {
+	pace := wire.Pace{Every: f.cfg.Pause, Retry: retryPause, Most: slowest}
 	for ctx.Err() == nil {
-		pause := f.cfg.Pause
 		err := f.Step(f.cfg.Wait)
-		if err != nil {
-			pause = retryPause
-		}
+		pause := pace.Next(err != nil, platform.TooMany(err))
 		if was := f.failed.Swap(err != nil); was != (err != nil) {
 			if err != nil {
 				f.cfg.Log.Warn("topic cannot be read", zap.String("topic", f.cfg.Topic), zap.Error(err))
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -20,6 +20,8 @@
 	readSlack = 1500 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 150 * time.Millisecond
+	// slowest is the pause that refused reads lead to. With it owners are still found silent after two reads.
+	slowest = 1200 * time.Millisecond
 	// loadTimeout bounds a reload of the whole fold.
 	loadTimeout = 5 * time.Second
 )
@@ -74,13 +76,11 @@
 func (t *Tail) Run(ctx context.Context) { t.loop(ctx) }
 
 func (t *Tail) loop(ctx context.Context) {
+	pace := wire.Pace{Every: t.cfg.Every, Retry: retryPause, Most: slowest}
 	for ctx.Err() == nil {
-		pause := t.cfg.Every
-		if err := t.read(); err != nil {
-			pause = retryPause
-		}
+		err := t.read()
 		t.after()
-		wire.Sleep(ctx, pause)
+		wire.Sleep(ctx, pace.Next(err != nil, platform.TooMany(err)))
 	}
 }
 
