cmds, peek: Show what entries on the platform have stored

Cause: on the platform an operator had only logs: no command showed who owns a shard, what is recorded of a job and its items, or how far a wave is.

Ruled out: questions to the entries, which would need an operator address on each, and say nothing while none runs.

They only read; a cancel goes to an entry as before.

Conclusion: testdata/stored.txtar runs each against a log with a job, a wave and a spoilt record, live and from a dump.

--- a/cmds/cmds_test.go
+++ b/cmds/cmds_test.go
@@ -42,7 +42,7 @@
 		Dir:                 "testdata",
 		RequireExplicitExec: true,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"entry": startEntry, "real": startReal, "fold": foldReal, "hold": holdReal,
+			"entry": startEntry, "store": startStore, "real": startReal, "fold": foldReal, "hold": holdReal,
 		},
 	})
 }
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -103,7 +103,7 @@
 	b := builder{streams: streams}
 	root := b.group("", "Run entries and drive the fleet",
 		b.daemon(runners), b.entry(runners), b.demo(runners), b.configs(), b.vms(), b.pools(), b.services(),
-		b.waves(), b.members(), b.jobs(), b.version())
+		b.waves(), b.members(), b.jobs(), b.stored(), b.version())
 	root.Name = Name
 	root.Flags = []cli.Flag{
 		&cli.StringSliceFlag{Name: "entry", Usage: "operator API of an entry as http://IP:port; may be repeated, tried in turn"},
--- /dev/null
+++ b/io/peek/dump.go
@@ -0,0 +1,97 @@
+// Package peek reads what the entries have stored in the platform's log, for operators.
+package peek
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/platform"
+)
+
+// Stored is the newest record of a key of a partition.
+type Stored struct {
+	Topic string
+	Part  int
+	Key   string
+	Value []byte
+}
+
+// Reader is what records are read from.
+type Reader interface {
+	Newest(topic string, part int, deadline time.Time) (platform.Page, error)
+}
+
+// Read reads all records that the entries decide by: the operator's, the VMs' and their own.
+// It returns an error if a partition cannot be read before the deadline.
+func Read(r Reader, deadline time.Time) ([]Stored, error) {
+	var all []Stored
+	add := func(topic string, part int) ([]jobs.Record, error) {
+		page, err := r.Newest(topic, part, deadline)
+		if err != nil {
+			return nil, fmt.Errorf("read partition %d of topic %q: %w", part, topic, err)
+		}
+		for _, rec := range page.Records {
+			all = append(all, Stored{Topic: topic, Part: part, Key: rec.Key, Value: rec.Value})
+		}
+		return page.Records, nil
+	}
+	for _, topic := range []string{platform.TopicOperator, platform.TopicVMs, platform.TopicOwners} {
+		if _, err := add(topic, 0); err != nil {
+			return nil, err
+		}
+	}
+	shards, err := add(platform.TopicShards, 0)
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range shards {
+		part, err := strconv.Atoi(string(s.Value))
+		if err != nil {
+			continue // Fold reports it
+		}
+		if _, err := add(platform.TopicJobs, part); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// Write writes records as JSON lines, which Parse reads.
+func Write(w io.Writer, all []Stored) error {
+	enc := json.NewEncoder(w)
+	for i := range all {
+		if err := enc.Encode(&all[i]); err != nil {
+			return fmt.Errorf("write record %q: %w", all[i].Key, err)
+		}
+	}
+	return nil
+}
+
+// maxLine bounds a line of a dump, in bytes: a record of 256 KB in base64, and its names.
+const maxLine = 1 << 20
+
+// Parse reads what Write wrote. It returns an error that names the first line that is no record.
+func Parse(r io.Reader) ([]Stored, error) {
+	var all []Stored
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for n := 1; lines.Scan(); n++ {
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		var s Stored
+		if err := json.Unmarshal(lines.Bytes(), &s); err != nil {
+			return nil, fmt.Errorf("line %d is not a stored record: %w", n, err)
+		}
+		all = append(all, s)
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("read the dump: %w", err)
+	}
+	return all, nil
+}
