shard: Take back that later occurrences count as demand

Likely cause, not traced: schedules bring their work in bursts of a second, for which a pool asked for machines that came too late and that other pools lacked; before it used the room that its runs kept occupied anyway.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -206,10 +206,13 @@
 		return
 	}
 	j := newJob(entry.Job, now, wall)
+	if !j.Lasts() && now-j.arrivedAt < rateMs {
+		e.need.arrived(entry.Job, now)
+	}
 	j.rev, j.base = entry.Progress.Rev, entry.Progress.Base
 	j.state, j.saved = entry.Progress.State, entry.Progress.State
 	e.jobs[id] = j
-	e.open(j, now, wall)
+	j.open(wall, e.cfg.EarlyMs)
 	for _, s := range entry.Progress.Items {
 		e.adopt(j, s, now)
 	}
@@ -219,17 +222,6 @@
 	}
 }
 
-// open opens the occurrences of a job that are due. Their work counts as arriving.
-func (e *Engine) open(j *job, now, wall int64) {
-	first := max(j.opened, j.base)
-	j.open(wall, e.cfg.EarlyMs)
-	for k := first; k < j.opened && !j.Lasts(); k++ {
-		if now-j.begin(k) < rateMs {
-			e.need.arrived(j.Job, now)
-		}
-	}
-}
-
 // adopt restores one item of a job that an earlier owner started.
 func (e *Engine) adopt(j *job, s jobs.ItemState, now int64) {
 	key := jobs.Item{K: s.K, Step: s.Step, Index: s.Index}
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -77,14 +77,6 @@
 	wakeAt    int64   // when an item's pause ends, 0 if none pauses
 }
 
-// begin returns when the time of occurrence k began to count: when it was due, or when a job without times arrived.
-func (j *job) begin(k int) int64 {
-	if j.Times > 0 {
-		return j.DueMs(k) - j.clockDiff
-	}
-	return j.arrivedAt
-}
-
 // startable returns the items that may start now.
 func (j *job) startable(now int64) []*item {
 	if !j.stale && (j.wakeAt == 0 || now < j.wakeAt) {
--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -50,9 +50,9 @@
 	want     int
 }
 
-// arrived notes the work of an occurrence that came.
+// arrived notes the work of a job that came.
 func (n *need) arrived(j *jobs.Job, now int64) {
-	n.arrivals = append(n.arrivals, arrival{now, j.WorkMs()})
+	n.arrivals = append(n.arrivals, arrival{now, j.WorkMs() * int64(j.Occurrences())})
 }
 
 // rates returns the core-milliseconds that came in the newest window and in the one before.
@@ -197,9 +197,11 @@
 // openWork returns the core-milliseconds of a job whose turn has come and which may still earn something,
 // and the thousandths of a core that it can use at once.
 func (e *Engine) openWork(j *job, now int64) (work, cpu int64) {
-	last := now - lateFactor*e.objective(j)
+	if now > j.arrivedAt+lateFactor*e.objective(j) {
+		return 0, 0
+	}
 	for _, it := range j.order {
-		if it.done || !j.turn(it) || j.begin(it.K) < last {
+		if it.done || !j.turn(it) {
 			continue
 		}
 		left := it.step.EstimateMs
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -86,7 +86,10 @@
 		rest = max(rest, j.tail[it.Step])
 	}
 	slo := e.objective(j)
-	begin := j.begin(ready[0].K)
+	begin := j.arrivedAt
+	if j.Times > 0 {
+		begin = j.DueMs(ready[0].K) - j.clockDiff
+	}
 	c.slack = begin + slo - rest - now
 	if c.slack >= 0 {
 		c.tier = tierInTime
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -54,7 +54,7 @@
 	}
 	for _, j := range e.jobs {
 		if j.Times > 0 && !j.state.Final() {
-			e.open(j, now, wall)
+			j.open(wall, e.cfg.EarlyMs)
 		}
 	}
 	if now >= e.nextPace {
