--- a/fake/cloud/server.go
+++ b/fake/cloud/server.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	"sassafrasvalve/core/clock"
+	"sassafrasvalve/io/wire"
 )
 
 const (
@@ -178,7 +179,7 @@
 		}
 		late := &lateWriter{header: http.Header{}, status: http.StatusOK}
 		next(late, r)
-		sleep(r.Context(), delay)
+		wire.Sleep(r.Context(), delay)
 		late.flush(w)
 	}
 }
--- a/fake/cloud/state.go
+++ b/fake/cloud/state.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"context"
 	"net/http"
-	"time"
 )
 
 // State is what GET /state shows to tests.
@@ -73,12 +71,3 @@
 	w.WriteHeader(l.status)
 	_, _ = w.Write(l.body.Bytes()) // the client may be gone
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/claims/link.go
+++ b/io/claims/link.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasvalve/core/dedup"
+	"sassafrasvalve/io/wire"
 )
 
 // link sends what is due to one member until it is acknowledged or the member goes.
@@ -34,7 +35,7 @@
 		sent, ok := l.send()
 		switch {
 		case !ok:
-			_ = sleep(l.ctx, retryPause)
+			wire.Sleep(l.ctx, retryPause)
 		case !sent:
 			select {
 			case <-l.wake:
--- a/io/claims/node.go
+++ b/io/claims/node.go
@@ -16,6 +16,7 @@
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/dedup"
+	"sassafrasvalve/io/wire"
 )
 
 // Methods that members call at each other.
@@ -164,7 +165,9 @@
 	case dedup.StepHold:
 		err = n.call(ctx, s.To, MethodHold, s.Hold, &copied)
 	case dedup.StepWait:
-		err = sleep(ctx, s.Pause)
+		if !wire.Sleep(ctx, s.Pause) {
+			err = ctx.Err()
+		}
 	case dedup.StepDecided:
 	}
 	n.mu.Lock()
@@ -271,14 +274,3 @@
 	defer cancel()
 	return n.cfg.Peers.Call(ctx, to, method, params, result)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
