shard, owner, tail: Ask less in deployments of a thousand entries

Ruled out: the limit of peer connections (no entry was turned away).

Change: an owner that has renewed its claim since it was heard last is not asked for 0.9 s. Reads of the owners' partition slow down to one in 4 s while reads are refused, those of the directory to one in 4 s as well. In pools of more than 400 VMs those that run nothing are asked every 1.8 s.

Before: TestOwnerThatRenewsIsNotAsked counts 4 questions where 1 is due.

--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -11,6 +11,15 @@
 // calls, a longer one delays the detection of silence.
 const LookWaitMs = 700
 
+// Looks at VMs without runs in a large pool.
+const (
+	// idleLookWaitMs is below the platform's longest wait of 2,000 ms.
+	idleLookWaitMs = 1800
+	// largePool is the number of VMs above which one owner cannot ask all of them as often as in a small pool: with
+	// 0.4 core it answers for about 1,000 looks a second.
+	largePool = 400
+)
+
 // NextLook returns the look to send to a VM. It returns false for a VM that is no longer listed.
 func (e *Engine) NextLook(id string, now int64) (pools.LookCall, bool) {
 	v := e.vms[id]
@@ -27,6 +36,10 @@
 	}
 	if v.acked >= v.seen {
 		c.WaitMs = LookWaitMs
+		if len(v.runs) == 0 && len(e.vms) > largePool {
+			c.WaitMs = idleLookWaitMs
+		}
+		v.wait = c.WaitMs
 	}
 	return c, true
 }
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -24,7 +24,8 @@
 
 	seen, acked int64 // numbers of its ends: processed, recorded
 	lastLook    int64
-	failing     bool // the last look brought no answer
+	wait        int64 // that the newest look asked for
+	failing     bool  // the last look brought no answer
 	badUntil    int64
 	fullUntil   int64
 	results     [8]bool // newest ends, true for a failure
@@ -100,7 +101,7 @@
 // usable reports whether new work may go to the VM.
 func (v *vm) usable(now int64) bool {
 	return v.listed && v.missing == 0 && !v.Draining && !v.vacate && !v.offered && v.met && !v.failing &&
-		now-v.lastLook < silentMs && now >= v.badUntil && now >= v.fullUntil
+		now-v.lastLook < silentMs+max(v.wait-LookWaitMs, 0) && now >= v.badUntil && now >= v.fullUntil
 }
 
 // fits reports whether an item's room is free.
--- a/io/node/shards.go
+++ b/io/node/shards.go
@@ -93,15 +93,19 @@
 
 // loop keeps the directory complete: each service gets the lowest free partition.
 func (s *shards) loop(ctx context.Context, catalog func() *jobs.Catalog) {
+	pace := wire.Pace{Every: directoryPause, Retry: directoryRetry * 10, Most: 2 * directoryPause}
 	for ctx.Err() == nil {
-		pause := directoryPause
-		if err := s.feed.Step(0); err != nil {
-			pause = directoryRetry * 10
-		} else if service := s.missing(catalog()); service != "" {
+		err := s.feed.Step(0)
+		pause := pace.Next(err != nil, platform.TooMany(err))
+		if err != nil {
+			wire.Sleep(ctx, pause)
+			continue
+		}
+		if service := s.missing(catalog()); service != "" {
 			s.add(service)
 			pause = directoryRetry
 		} else if catalog() == nil {
-			pause = directoryRetry
+			pause = directoryRetry * 10
 		}
 		wire.Sleep(ctx, pause)
 	}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -171,8 +171,8 @@
 		return ""
 	}
 	if s.Claims != o.seen || o.beatAt == 0 {
-		if o.beatAt != 0 {
-			o.probeAt = now + probeAfter
+		if s.Claims != o.seen && o.seen != 0 {
+			o.probeAt = now + probeAfter // it has renewed its claim since it was heard last
 		}
 		o.seen, o.beatAt = s.Claims, now
 	}
--- a/io/tail/ledger.go
+++ b/io/tail/ledger.go
@@ -13,6 +13,10 @@
 // directly; the log brings only what an entry appended while it did not reach the owner.
 const ledgerEvery = 120 * time.Millisecond
 
+// ledgerMost is the pause that refused reads of it lead to. An owner answers for its shard for 0.9 s after the store
+// has confirmed it, so longer pauses gain nothing.
+const ledgerMost = 900 * time.Millisecond
+
 // Ledger follows the jobs of one shard, for its owner.
 type Ledger struct {
 	*Tail
@@ -25,7 +29,7 @@
 // NewLedger returns a ledger that has read nothing yet.
 func NewLedger(store Reader, part int, log *zap.Logger) *Ledger {
 	l := &Ledger{book: jobs.NewBook(), log: log}
-	l.Tail = newTail(Config{Store: store, Topic: platform.TopicJobs, Part: part, Every: ledgerEvery, Log: log}, l.take, func() {})
+	l.Tail = newTail(Config{Store: store, Topic: platform.TopicJobs, Part: part, Every: ledgerEvery, Most: ledgerMost, Log: log}, l.take, func() {})
 	return l
 }
 
--- a/io/tail/roster.go
+++ b/io/tail/roster.go
@@ -16,6 +16,9 @@
 	rosterEvery = 300 * time.Millisecond
 	// weakEvery replaces it on a weak machine, which leaves the watch to others.
 	weakEvery = 900 * time.Millisecond
+	// rosterMost is the pause that refused reads lead to. Owners renew each 0.5 s, so a slow reader still finds a
+	// renewal in each read; that the owner is lost, it notices late, and others of a large deployment before it.
+	rosterMost = 4 * time.Second
 )
 
 // Roster follows the owners' partition: who owns which shard, and what the owners and the keeper tell.
@@ -36,7 +39,7 @@
 	if weak {
 		every = weakEvery
 	}
-	r.Tail = newTail(Config{Store: store, Topic: platform.TopicOwners, Every: every, Log: log}, r.take, r.moved)
+	r.Tail = newTail(Config{Store: store, Topic: platform.TopicOwners, Every: every, Most: rosterMost, Log: log}, r.take, r.moved)
 	return r
 }
 
--- a/io/tail/tail.go
+++ b/io/tail/tail.go
@@ -20,8 +20,6 @@
 	readSlack = 1500 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 150 * time.Millisecond
-	// slowest is the pause that refused reads lead to. With it owners are still found silent after two reads.
-	slowest = 1200 * time.Millisecond
 	// loadTimeout bounds a reload of the whole fold.
 	loadTimeout = 5 * time.Second
 )
@@ -38,6 +36,7 @@
 	Topic string
 	Part  int
 	Every time.Duration // pause between two reads
+	Most  time.Duration // pause that refused reads lead to
 	Log   *zap.Logger
 }
 
@@ -76,7 +75,7 @@
 func (t *Tail) Run(ctx context.Context) { t.loop(ctx) }
 
 func (t *Tail) loop(ctx context.Context) {
-	pace := wire.Pace{Every: t.cfg.Every, Retry: retryPause, Most: slowest}
+	pace := wire.Pace{Every: t.cfg.Every, Retry: retryPause, Most: t.cfg.Most}
 	for ctx.Err() == nil {
 		err := t.read()
 		t.after()
