tail: Keep the slowest pace of the owners' partition at 1.2 s

With 4 s a machine whose reads the log alone had refused would notice a lost owner up to 4 s late for some 20 s afterwards, since the pace recovers by an eighth with each answered read.

--- a/io/tail/roster.go
+++ b/io/tail/roster.go
@@ -16,9 +16,9 @@
 	rosterEvery = 300 * time.Millisecond
 	// weakEvery replaces it on a weak machine, which leaves the watch to others.
 	weakEvery = 900 * time.Millisecond
-	// rosterMost is the pause that refused reads lead to. Owners renew each 0.5 s, so a slow reader still finds a
-	// renewal in each read; that the owner is lost, it notices late, and others of a large deployment before it.
-	rosterMost = 4 * time.Second
+	// rosterMost is the pause that refused reads lead to. It is short of the 2 s after which an owner counts as silent,
+	// since the log may also refuse the reads of single machines only, and a pause takes ten reads to recover.
+	rosterMost = 1200 * time.Millisecond
 )
 
 // Roster follows the owners' partition: who owns which shard, and what the owners and the keeper tell.
