daemon: Do not count closed attempts of jobs against their workers

A deferrable job whose attempt this entry closed for want of a view lease counted as a failure of the worker, as requests of callers already did not.

--- a/io/daemon/jobs.go
+++ b/io/daemon/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -287,9 +288,10 @@
 		res.Consume()
 	}
 	broken := res.Verdict == retry.Ran && res.Status >= http.StatusInternalServerError
+	failed := broken || res.Verdict == retry.MayHaveRun || res.Err != nil && !res.Refused
 	grant.Done(sched.Outcome{
 		Verdict: res.Verdict, Status: res.Status, Ended: r.j.d.cfg.Clock.Now(),
-		Failed: broken || res.Verdict == retry.MayHaveRun || res.Err != nil && !res.Refused,
+		Failed: failed && !errors.Is(res.Err, proxy.ErrClosed), // closed here, which says nothing of the worker
 	})
 	return fleet.JobDone{
 		Job: r.job.ID, Member: r.member, Run: run, Verdict: res.Verdict, Status: res.Status,
