shard: Count a job as begun once an item of it has surely started

Cause: a job's state went from queued to running when a start of it was planned. A start that is refused, not sent or never answered left the job running for good, so the number of waiting jobs was told too low while many VMs did not answer.

Change: the state follows the first confirmed start, the first look that shows a run, or its end.

Before: TestJobRunsOnceAnItemHasStarted fails in all 5 cases, of which 2 are the fault (refused or not sent, and no answer). After: it passes.

--- a/core/shard/kinds_test.go
+++ b/core/shard/kinds_test.go
@@ -272,3 +272,41 @@
 		assert.Equal(t, len(y.e.TakeOrders()), 1)
 	})
 }
+
+// TestJobRunsOnceAnItemHasStarted guards against jobs that count as begun although no item of theirs ever started: the
+// number of waiting jobs is then told too low (MIXED is how the rules call it), most of all while VMs do not answer.
+func TestJobRunsOnceAnItemHasStarted(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply pools.ReplyKind
+		shown bool
+		state jobs.State
+	}{
+		{"confirmed", pools.Done, false, jobs.Running},
+		{"refused", pools.NoRoom, false, jobs.Queued},
+		{"not sent", pools.Unsent, false, jobs.Queued},
+		{"no answer", pools.NoReply, false, jobs.Queued},
+		{"no answer, but seen", pools.NoReply, true, jobs.Running},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := poolOf(1, 2000, 100_000)
+			e.Submit(&jobs.Entry{Job: &jobs.Job{ID: "j", Queue: "q", Steps: []jobs.Step{{Count: 1, CPU: 1000, MemMB: 10, EstimateMs: 500}}}}, 0, 0)
+			e.Step(10, 10)
+			orders := e.TakeOrders()
+			assert.Equal(t, len(orders), 1)
+			assert.Equal(t, e.jobs["j"].state, jobs.Queued, "the start is only under way")
+			e.Replied(orders[0], pools.Reply{Kind: c.reply}, 20)
+			if c.shown {
+				row := pools.RunRow{Item: orders[0].Item, Run: orders[0].Run, Percent: 1}
+				e.Looked("a", pools.Look{Kind: pools.Done, ClockMs: 30, Born: 1, Running: []pools.RunRow{row}}, 25, 30)
+			}
+			assert.Equal(t, e.jobs["j"].state, c.state)
+			b, err := e.Batch()
+			assert.NilError(t, err)
+			var p jobs.Progress
+			_, err = p.UnmarshalMsg(b.Records[0].Value)
+			assert.NilError(t, err)
+			assert.Equal(t, p.State, c.state, "the record says the same")
+		})
+	}
+}
--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -165,14 +165,23 @@
 	}
 	it.run, it.phase, it.since, j.stale = r.Run, adopted, now, true
 	v.attach(it)
-	if j.state == jobs.Queued {
-		j.state = jobs.Running
-	}
+	e.begun(j, v, now)
 	e.touch(j)
 	e.note(Note{JobID: id, VM: v.ID, What: "run taken over", N: r.Run})
 	return it
 }
 
+// begun notes that an item of a job has surely started. A start that is only under way may never be carried out, and
+// its job still counts as waiting.
+func (e *Engine) begun(j *job, v *vm, now int64) {
+	if j.state != jobs.Queued {
+		return
+	}
+	j.state = jobs.Running
+	e.touch(j)
+	e.note(Note{JobID: j.ID, VM: v.ID, What: "job starts", Reason: "ms since it was handed in", N: int(now - j.arrivedAt)})
+}
+
 // phaseNames are the words of the phases in logs.
 var phaseNames = map[phase]string{
 	idle: "idle", planned: "planned", sent: "sent", running: "running", adopted: "adopted", stopping: "stopping",
@@ -195,6 +204,7 @@
 
 // observe takes over what a VM says of one run.
 func (e *Engine) observe(it *item, r *pools.RunRow, now int64) {
+	e.begun(it.job, it.vm, now)
 	switch it.phase {
 	case sent, adopted:
 		it.phase, it.startedAt, it.since, it.movedAt = running, now, now, now
@@ -243,6 +253,7 @@
 		}
 		it.run, current = end.Run, true
 	}
+	e.begun(j, v, now)
 	if end.Ref != "" && !it.done {
 		it.ref = end.Ref
 	}
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -170,10 +170,6 @@
 	for _, s := range starts {
 		s.it.run, s.it.paced, s.it.stopAcked, s.it.paceSent, s.it.shown = run+1, 100, 0, 0, false
 	}
-	if j.state == jobs.Queued {
-		j.state = jobs.Running
-		e.note(Note{JobID: j.ID, VM: starts[0].vm.ID, What: "job starts", Reason: "ms since it was handed in", N: int(now - j.arrivedAt)})
-	}
 	e.touch(j)
 	return starts
 }
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -172,6 +172,7 @@
 	case pools.Done:
 		it.phase, it.since, it.startedAt, it.movedAt = running, now, now, now
 		it.percent = 0
+		e.begun(it.job, v, now)
 		if it.job.state.Final() || it.done {
 			e.stop(it, "no longer wanted", now)
 		}
