--- a/core/dedup/owner.go
+++ b/core/dedup/owner.go
@@ -163,8 +163,8 @@
 	return refused
 }
 
-// note records the end of an own request in a claim that this member granted as owner, even if
-// it owns the key no longer: the next owner takes this member's word for its own requests.
+// note records the end of a request in a claim that this member granted as owner, even if it owns the key no
+// longer: the next owner takes this member's word for its own requests.
 func (o *Owner) note(h Held) {
 	if old, known := o.held[h.Key]; known && old.Request == h.Request {
 		o.finish(h)
