keep, owner, platform: Pace orders about machines, and end no work by a repeated one

Cause: (1) The platform takes a number of orders about machines a second (duty_per_s, 64 here) from all processes. A move without an answer was repeated in the same way after its offer was withdrawn. (3) The VM of an upkeep that waited for its answer was taken off the list of VMs to keep empty, so its owner could put lasting work there meanwhile.

Ruled out: the owner's own evidence (atWork judges by looks of the last 1.4 s, and a silent or restarted VM counts as away).

Change: keep.Config.PerS and a quota of 95% of it; a 429 is a reply of its own (pools.TooMany) that empties the quota; pools that lack machines go first, waves get half of the orders or what they need to be in time, parking gets the rest. Orders are repeated only for machines that are off, offered or emptied, and the VM of an ordered upkeep stays on the list of VMs to be kept empty.

--- a/core/keep/keep.go
+++ b/core/keep/keep.go
@@ -27,6 +27,18 @@
 	settleMs = 300
 	// joinMs bounds how long a machine that was moved counts for its new pool before its VM is listed.
 	joinMs = 5000
+	// burstMs is the time for which orders that were not used may be made up for.
+	burstMs = 250
+	// crowdedMs is the pause before an order is given again that the platform refused for the number of orders.
+	crowdedMs = 200
+)
+
+// Shares of the orders that the platform takes in a second, in percent.
+const (
+	// orderShare is left to this keeper; the rest is for an earlier one whose orders are still under way.
+	orderShare = 95
+	// waveShare is the least that waves get while pools lack machines.
+	waveShare = 50
 )
 
 // Pace of a wave.
@@ -45,7 +57,8 @@
 // Config is what a keeper needs.
 type Config struct {
 	Epoch   int64
-	StartAt int64 // local ms before which no machine is ordered: an earlier keeper may just have ordered it
+	StartAt int64   // local ms before which no machine is ordered: an earlier keeper may just have ordered it
+	PerS    float64 // orders a second that the platform takes from all processes together, 0 for any number
 }
 
 // PoolPost is what the owner of a pool tells.
@@ -77,6 +90,8 @@
 	orders   []pools.Order
 	notes    []Note
 	lost     bool
+	quota    quota
+	short    []*shortage // pools that lack machines, as of this turn
 }
 
 // Note is a decision for the log of the process.
@@ -107,6 +122,7 @@
 func New(cfg Config) *Keeper {
 	return &Keeper{
 		cfg: cfg, machines: map[string]*machine{}, over: map[jobs.Upkeep]bool{}, refused: map[[2]string]bool{},
+		quota: quota{perS: cfg.PerS * orderShare / 100},
 	}
 }
 
@@ -152,6 +168,8 @@
 	k.list(now)
 	k.offers(now)
 	k.orders = nil
+	k.quota.refill(now)
+	k.short = k.shortages()
 	vacate := k.planWaves(now)
 	if !slices.Equal(vacate, k.vacate) {
 		k.vacate, k.dirty = vacate, true
@@ -246,6 +264,7 @@
 
 func (k *Keeper) planWave(w *pools.Wave, now int64) []string {
 	var due []*machine
+	var vacate []string
 	down := 0
 	for _, id := range w.Machines {
 		key := jobs.Upkeep{Wave: w.N, Machine: id}
@@ -254,8 +273,8 @@
 		}
 		m := k.machines[id]
 		if _, ordered := k.view.Over[key]; ordered && m != nil && m.order == nil && m.wave == 0 {
-			// An earlier keeper ordered it, and the order may still be under way. Given again under this
-			// keeper's fence number, it is carried out now or was already.
+			// An earlier keeper ordered it, and the order may still be under way or was refused. Given again under
+			// this keeper's fence number, it is carried out now or was already. The VM may have been put to use since.
 			m.order = &pools.Order{Kind: pools.Upkeep, VM: m.VM, Item: id, Run: w.N, Fence: k.cfg.Epoch}
 			m.unsure = now + unsureMs
 		}
@@ -264,9 +283,10 @@
 			k.missing(key, m, now)
 		case m.wave == w.N || m.order != nil && m.order.Kind == pools.Upkeep && (m.pending || now < m.unsure):
 			down++
-			if !m.pending && m.wave == 0 && now >= m.retryAt && now >= k.cfg.StartAt {
+			if !m.pending && m.wave == 0 && now >= m.retryAt && now >= k.cfg.StartAt && k.idle(m) && k.quota.take() {
 				k.send(m, *m.order, now) // the answer was lost; the order is given again
 			}
+			vacate = k.keepEmpty(vacate, m)
 		case m.State == pools.MachineBusy && m.target == "":
 			down++ // perhaps for its upkeep
 		default:
@@ -274,7 +294,16 @@
 		}
 	}
 	sort.Slice(due, func(a, b int) bool { return k.before(due[a], due[b]) })
-	return k.takeDown(w, due, down, now)
+	return append(vacate, k.takeDown(w, due, down, now)...)
+}
+
+// keepEmpty adds the VM of a machine that is about to be taken down to those that get no new work. Its owner could
+// otherwise start something that lasts there while the order waits or is under way.
+func (k *Keeper) keepEmpty(vacate []string, m *machine) []string {
+	if m.State != pools.MachineUp || m.VM == "" || k.isSpare(m.Pool) {
+		return vacate
+	}
+	return append(vacate, m.VM)
 }
 
 // before orders machines for upkeep: those that cost nothing first.
@@ -306,7 +335,8 @@
 // takeDown orders upkeeps while the wave allows more, and returns the VMs to empty next.
 func (k *Keeper) takeDown(w *pools.Wave, due []*machine, down int, now int64) []string {
 	limit := k.paceOf(w, len(due)+down, now)
-	var vacate []string
+	orders := k.waveOrders(w, len(due)+down, now)
+	var vacate, empty []string
 	out := map[string]int{}
 	for _, m := range k.machines {
 		if m.wave > 0 {
@@ -319,10 +349,12 @@
 		}
 		switch {
 		case m.State != pools.MachineUp || m.target != "":
-		case k.isSpare(m.Pool) || m.offeredAt > 0 || k.isClear(m):
-			if now < k.cfg.StartAt || !k.ready(m, now) {
+		case k.idle(m):
+			empty = k.keepEmpty(empty, m)
+			if now < k.cfg.StartAt || !k.ready(m, now) || orders == 0 || !k.quota.take() {
 				continue
 			}
+			orders--
 			down++
 			out[m.Pool]++
 			k.send(m, pools.Order{Kind: pools.Upkeep, VM: m.VM, Item: m.ID, Run: w.N, Fence: k.cfg.Epoch}, now)
@@ -331,14 +363,28 @@
 			vacate = append(vacate, m.VM)
 		}
 	}
-	return vacate
+	return append(vacate, empty...)
+}
+
+// waveOrders returns how many upkeeps of a wave may be ordered in this turn: any number while no pool lacks machines,
+// otherwise the waves' share of the orders, or what the wave needs to be in time.
+func (k *Keeper) waveOrders(w *pools.Wave, left int, now int64) int {
+	if len(k.short) == 0 {
+		return left
+	}
+	share := float64(waveShare) / 100
+	if w.DueMs != 0 && k.quota.perS > 0 {
+		seconds := float64(max(w.DueMs-now-waveReserveMs, upkeepRoundMs)) / 1000
+		share = max(share, float64(left)*waveMargin/100/seconds/k.quota.perS)
+	}
+	return k.quota.part(share)
 }
 
 // paceOf returns how many machines of a wave may be down now. While pools lack machines, no more are taken
 // down than the wave needs to be in time.
 func (k *Keeper) paceOf(w *pools.Wave, left int, now int64) int {
 	limit := max(w.MaxDown, 1)
-	if w.DueMs == 0 || len(k.shortages()) == 0 {
+	if w.DueMs == 0 || len(k.short) == 0 {
 		return limit
 	}
 	time := max(w.DueMs-now-waveReserveMs, upkeepRoundMs)
@@ -396,12 +442,20 @@
 		}
 		m.retryAt = now + retryMs
 		k.note(m.ID, "order refused", "malformed or not allowed", o.Run)
+	case pools.TooMany:
+		k.quota.empty()
+		m.retryAt = now + crowdedMs
+		k.note(m.ID, "order refused", "too many orders", o.Run)
 	default:
 		m.retryAt = now + retryMs
 		k.note(m.ID, "order refused", "busy", o.Run)
 	}
 }
 
+// idle reports whether nothing runs on a machine that an order could end: it is switched off, or its owner has no use for
+// it or has emptied it.
+func (k *Keeper) idle(m *machine) bool { return k.isSpare(m.Pool) || m.offeredAt > 0 || k.isClear(m) }
+
 func (k *Keeper) isSpare(pool string) bool {
 	p := k.pool(pool)
 	return p != nil && p.Spare
--- a/core/keep/move.go
+++ b/core/keep/move.go
@@ -17,20 +17,40 @@
 // off those that no pool wants.
 func (k *Keeper) planMoves(now int64) {
 	k.repeat(now)
-	short := k.shortages()
+	var unwanted []*machine
 	for _, m := range k.movable(now) {
-		if s := k.neediest(short, m); s != nil {
-			s.lacks--
-			k.move(m, s.pool.Service, now)
+		s := k.neediest(k.short, m)
+		if s == nil {
+			unwanted = append(unwanted, m)
 			continue
 		}
-		if spare := k.spare(); spare != "" && m.offeredAt > 0 && now-m.offeredAt > parkAfterMs && !k.refused[[2]string{m.ID, spare}] {
-			k.move(m, spare, now)
+		if !k.quota.take() {
+			return
 		}
+		s.lacks--
+		k.move(m, s.pool.Service, now)
 	}
+	k.park(unwanted, now)
 }
 
-// repeat gives moves again whose answer was lost, until the list shows them carried out.
+// park switches off machines that no pool wants, with the orders that nothing else needs.
+func (k *Keeper) park(unwanted []*machine, now int64) {
+	spare := k.spare()
+	if spare == "" {
+		return
+	}
+	for _, m := range unwanted {
+		if m.offeredAt == 0 || now-m.offeredAt <= parkAfterMs || k.refused[[2]string{m.ID, spare}] {
+			continue
+		}
+		if !k.quota.take() {
+			return
+		}
+		k.move(m, spare, now)
+	}
+}
+
+// repeat gives moves again whose answer was lost, until the list shows them carried out or the machine is in use again.
 func (k *Keeper) repeat(now int64) {
 	for _, m := range k.machines {
 		o := m.order
@@ -40,7 +60,7 @@
 		if m.Pool == o.Spec {
 			continue // carried out; a late repeat changes nothing
 		}
-		if m.listed && m.State == pools.MachineUp {
+		if m.listed && m.State == pools.MachineUp && k.idle(m) && k.quota.take() {
 			k.send(m, *o, now)
 		}
 	}
--- /dev/null
+++ b/core/keep/quota_test.go
@@ -0,0 +1,101 @@
+package keep
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/pools"
+)
+
+// crowdedFleet is a large fleet in which pool "lacks" wants machines while "gives" offers all of its own.
+func crowdedFleet(offered, off int) View {
+	v := View{ListedAt: 10_000, Pools: []PoolPost{
+		{Service: "gives"}, {Service: "lacks", Post: jobs.Post{Want: 60}}, {Service: "off", Spare: true},
+	}}
+	for i := range offered + off {
+		m := pools.Machine{ID: fmt.Sprintf("m%04d", i), VM: fmt.Sprintf("vm%04d", i), Pool: "gives", State: pools.MachineUp}
+		if i >= offered {
+			m.Pool = "off"
+		} else {
+			v.Pools[0].Post.Offers = append(v.Pools[0].Post.Offers, m.VM)
+		}
+		v.Machines = append(v.Machines, m)
+	}
+	return v
+}
+
+// TestOrdersKeepToThePlatformsRate guards against orders that the platform refuses for their number (3,296 of 4,764 on
+// the large site), and against machines that are switched off while the orders are needed for a pool that lacks some.
+func TestOrdersKeepToThePlatformsRate(t *testing.T) {
+	const perS = 64
+	v := crowdedFleet(300, 0)
+	k := New(Config{Epoch: 1, PerS: perS})
+	sent := map[string]int{}
+	total, firstPark := 0, 0
+	begun := int64(10_000)
+	for now := begun; now < begun+4000; now += testTurnMs {
+		v.ListedAt = now
+		inSpan := float64(now-begun+burstMs+testTurnMs) / 1000
+		for _, o := range k.Plan(v, now) {
+			total++
+			sent[o.Spec]++
+			if o.Spec == "off" && firstPark == 0 {
+				firstPark = total
+			}
+			k.Replied(o, pools.Reply{Kind: pools.Done}, now)
+			m := &v.Machines[indexOf(t, o.Item)]
+			m.Pool, m.VM = o.Spec, m.VM+"-"+o.Spec
+		}
+		assert.Assert(t, float64(total) <= perS*inSpan, "%d orders in %.2f s", total, inSpan)
+	}
+	assert.Equal(t, sent["lacks"], 60)
+	assert.Assert(t, firstPark > 60, "a machine was switched off as order %d while a pool lacked some", firstPark)
+	assert.Assert(t, total > 2*perS, "only %d orders in 4 s", total)
+}
+
+// indexOf returns the place of a machine of crowdedFleet in its list.
+func indexOf(t *testing.T, id string) int {
+	var i int
+	_, err := fmt.Sscanf(id, "m%d", &i)
+	assert.NilError(t, err)
+	return i
+}
+
+// TestRefusalForTheNumberOfOrdersPausesAll guards against a keeper that goes on ordering while the platform refuses all.
+func TestRefusalForTheNumberOfOrdersPausesAll(t *testing.T) {
+	k := New(Config{Epoch: 1, PerS: 64})
+	v := crowdedFleet(0, 100)
+	orders := k.Plan(v, 10_000)
+	assert.Assert(t, len(orders) > 0)
+	for _, o := range orders {
+		k.Replied(o, pools.Reply{Kind: pools.TooMany}, 10_000)
+	}
+	assert.Equal(t, len(k.Plan(v, 10_001)), 0)
+	assert.Assert(t, len(k.Plan(v, 10_300)) > 0)
+}
+
+// TestVMOfAnOrderedUpkeepStaysEmpty guards against an owner that puts lasting work on a VM which it has emptied, while
+// the upkeep of its machine waits for its turn or is under way: the upkeep then ends that work beside its budget.
+func TestVMOfAnOrderedUpkeepStaysEmpty(t *testing.T) {
+	k := New(Config{Epoch: 1, PerS: 1})
+	v := View{
+		ListedAt: 10_000, Pools: []PoolPost{{Service: "a"}},
+		Waves: []pools.Wave{{N: 1, MaxDown: 8}},
+	}
+	for i := range 8 {
+		m := pools.Machine{ID: fmt.Sprint("m", i), VM: fmt.Sprint("vm", i), Pool: "a", State: pools.MachineUp}
+		v.Machines = append(v.Machines, m)
+		v.Waves[0].Machines = append(v.Waves[0].Machines, m.ID)
+		v.Pools[0].Post.Clear = append(v.Pools[0].Post.Clear, m.VM)
+	}
+	k.vacate = append([]string(nil), v.Pools[0].Post.Clear...)
+	orders := k.Plan(v, 10_000)
+	assert.Equal(t, len(orders), 1, "the platform takes one order a second")
+	assert.DeepEqual(t, k.vacate, v.Pools[0].Post.Clear)
+	k.Replied(orders[0], pools.Reply{Kind: pools.NoReply}, 10_000)
+	k.Plan(v, 10_060)
+	assert.DeepEqual(t, k.vacate, v.Pools[0].Post.Clear)
+}
--- a/core/pools/pools.go
+++ b/core/pools/pools.go
@@ -68,6 +68,7 @@
 	NoTicket                   // the policy's ticket is missing or over
 	OtherLife                  // the VM is in another lifetime
 	Unwell                     // the VM refuses work and has done nothing
+	TooMany                    // refused for the number of orders of all processes
 	Rejected                   // malformed for the VM
 )
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -269,7 +269,7 @@
 	if service == keeperShard {
 		return owner.NewKeeperRunner(owner.KeeperConfig{
 			Cloud: n.cloud, Waves: n.waves.list, Pools: n.posts, Over: n.roster.Upkeeps,
-			Tell: n.waves.tell, LeaseMs: n.cfg.Times.LeaseMs, Stats: n.stats,
+			Tell: n.waves.tell, LeaseMs: n.cfg.Times.LeaseMs, PerS: n.cfg.Cloud.CallsPerS, Stats: n.stats,
 		})
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
--- a/io/owner/keeper.go
+++ b/io/owner/keeper.go
@@ -47,7 +47,8 @@
 	Pools   func() []keep.PoolPost
 	Over    func() map[jobs.Upkeep]bool
 	Tell    func(wave int, complete bool)
-	LeaseMs int64 // for so long after another keeper's order a machine is left alone
+	LeaseMs int64   // for so long after another keeper's order a machine is left alone
+	PerS    float64 // orders a second that the platform takes, 0 for any number
 	Stats   *stats.Stats
 }
 
@@ -74,7 +75,7 @@
 	if o.reason == reasonSilent {
 		start += k.cfg.LeaseMs
 	}
-	r.keeper = keep.New(keep.Config{Epoch: o.Epoch(), StartAt: start})
+	r.keeper = keep.New(keep.Config{Epoch: o.Epoch(), StartAt: start, PerS: k.cfg.PerS})
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.wg.Wait()
 	defer r.cancel()
