shard: Bound the starts under way by the pace of their answers

Cause: an owner sent every start that fits at once. When its processor or its link could not follow, looks came late with the rest: leases of lasting items lapsed, starts were answered after 0.3 s, and each of these was then stopped, whether it ran or not.

Ruled out: the processor of the entries there (0.07 of 0.12 core at most).

A start without an answer is asked for: a look that shows it makes it a run; one that does not has it barred, or, for an item that lasts, waits until the VM would refuse the start. A VM that failed to answer is not told of recorded ends before its lifetime is known again, since a new one under the same ID would forget ends that nobody has seen. Turns no longer sort all VMs, and a look no longer walks over all of them.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -4,6 +4,10 @@
 package shard
 
 import (
+	"maps"
+	"slices"
+	"strings"
+
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
 )
@@ -80,6 +84,10 @@
 	asking    int   // questions under way
 	mark      int64 // number of looks taken over
 	nextNeed  int64
+	vmsRev    int64    // changes with the listed VMs and their addresses
+	byID      []*vm    // all VMs in the order of their IDs, nil when it has to be made anew
+	vacated   []string // as the keeper asked last
+	flow      flow
 
 	need need
 }
@@ -103,7 +111,7 @@
 func New(cfg Config, catalog *jobs.Catalog, now int64) *Engine {
 	return &Engine{
 		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
-		dirty: map[string]*job{}, contact: now, advice: map[stepKey]*advice{},
+		dirty: map[string]*job{}, contact: now, advice: map[stepKey]*advice{}, flow: flow{window: windowFirst},
 	}
 }
 
@@ -331,6 +339,10 @@
 			v.born = l.Born
 		}
 		wasDraining := v.Draining
+		if !v.listed || v.Addr != l.Addr {
+			e.vmsRev++
+			e.vacated = nil // what the keeper asks is to be applied to this VM as well
+		}
 		v.VM, v.listed, v.missing = *l, true, 0
 		v.rack = rackOf(l.Labels)
 		if l.Draining && !wasDraining {
@@ -343,11 +355,13 @@
 				v.missing = now
 			} else if now-v.missing > missingMs {
 				v.listed = false
+				e.vmsRev++
 				e.note(Note{VM: id, What: "vm gone", Reason: "its entry is missing"})
 			}
 		}
 		if !v.listed && len(v.runs) == 0 && v.foreign == 0 {
 			delete(e.vms, id)
+			e.byID = nil
 		}
 	}
 }
@@ -377,10 +391,19 @@
 	if v == nil {
 		v = &vm{VM: pools.VM{ID: id}, runs: map[string]*item{}, knownAt: now}
 		e.vms[id] = v
+		e.byID = nil
 	}
 	return v
 }
 
+// sorted returns all VMs in the order of their IDs.
+func (e *Engine) sorted() []*vm {
+	if e.byID == nil {
+		e.byID = slices.SortedFunc(maps.Values(e.vms), func(a, b *vm) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return e.byID
+}
+
 // free takes an item off its VM, so that it may run elsewhere.
 func (e *Engine) free(it *item, now int64) {
 	if it.vm != nil {
@@ -394,6 +417,9 @@
 	}
 }
 
+// VMsRev returns a number that changes with what VMs returns.
+func (e *Engine) VMsRev() int64 { return e.vmsRev }
+
 // VMs returns the listed VMs, for the loops that talk to them.
 func (e *Engine) VMs() []pools.VM {
 	list := make([]pools.VM, 0, len(e.vms))
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -32,6 +32,8 @@
 	vm        *vm
 	since     int64 // of the phase
 	startedAt int64 // the start was confirmed
+	startBy   int64 // by the VM's clock: a start that is carried out later is refused
+	unsureAt  int64 // the start turned out to have no answer, 0 otherwise
 	stopSent  int64
 	stopAcked int64
 	notBefore int64
--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -28,7 +28,10 @@
 	}
 	c := pools.LookCall{VM: id, Fence: e.cfg.Epoch, Acked: v.acked}
 	if !v.met || v.failing {
-		return c, true // its clock is not known, or it may have changed
+		// Its clock is not known or may have changed, and it may have begun another lifetime under the same ID, whose
+		// ends have numbers of their own and must not be forgotten.
+		c.Acked = 0
+		return c, true
 	}
 	if now-e.contact < contactMs {
 		c.LeaseMs = v.clockNow(now) + leaseMs
@@ -97,18 +100,21 @@
 		}
 	}
 	e.compare(v, look.Running, begun, now)
-	e.ackIfClean()
+	e.ackIfClean(v)
 	return news || len(v.runs) != before || len(e.orders) > 0
 }
 
-// Barred reports whether a VM has confirmed a stop of an item whose start it never confirmed. The next look
-// that does not show the item frees it.
+// Barred reports whether a look would settle an item at once: one whose start brought no answer, or one whose stop the VM
+// has confirmed although it never confirmed its start.
 func (e *Engine) Barred(id string) bool {
 	v := e.vms[id]
 	if v == nil {
 		return false
 	}
 	for _, it := range v.runs {
+		if it.phase == sent && it.unsureAt > 0 && !it.step.Persistent {
+			return true
+		}
 		if it.phase == stopping && it.stopAcked > 0 && it.startedAt < it.stopSent && !it.shown {
 			return true
 		}
@@ -141,13 +147,32 @@
 		e.observe(it, r, now)
 	}
 	for _, it := range v.runs {
-		if it.seenIn != e.mark && it.overWithout(begun) {
+		if it.seenIn == e.mark {
+			continue
+		}
+		if it.phase == sent && it.unsureAt > 0 && it.unsureAt <= begun {
+			e.startUnseen(it, now)
+		}
+		if it.overWithout(begun) {
 			e.note(Note{JobID: it.job.ID, VM: v.ID, What: "run missing", Reason: phaseNames[it.phase], N: it.run})
 			e.free(it, now)
 		}
 	}
 }
 
+// startUnseen deals with a start that was not answered and that a later look does not show. What lasts waits until the VM
+// would refuse the start: to stop it could end a run that has begun meanwhile, beside the budget of its step. Any other item is
+// barred, so that it can go elsewhere soon.
+func (e *Engine) startUnseen(it *item, now int64) {
+	switch {
+	case !it.step.Persistent:
+		e.stop(it, "start unanswered", now)
+	case it.vm.clock > it.startBy:
+		e.note(Note{JobID: it.job.ID, VM: it.vm.ID, What: "start refused", Reason: "unanswered and not seen", N: it.run})
+		e.free(it, now)
+	}
+}
+
 // inherit takes over a run that an earlier owner started and did not record. It returns nil for a run that
 // is not wanted.
 func (e *Engine) inherit(v *vm, r *pools.RunRow, now int64) *item {
@@ -357,12 +382,9 @@
 // touch has the progress of a job recorded.
 func (e *Engine) touch(j *job) { e.dirty[j.ID] = j }
 
-// ackIfClean lets the VMs forget ends of which nothing needs to be recorded.
-func (e *Engine) ackIfClean() {
-	if len(e.dirty) > 0 || e.recording {
-		return
-	}
-	for _, v := range e.vms {
+// ackIfClean lets a VM forget ends of which nothing needs to be recorded.
+func (e *Engine) ackIfClean(v *vm) {
+	if len(e.dirty) == 0 && !e.recording {
 		v.acked = max(v.acked, v.seen)
 	}
 }
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -35,15 +35,17 @@
 		return nil
 	}
 	usable := make([]*vm, 0, len(e.vms))
-	for _, v := range e.vms {
+	for _, v := range e.sorted() {
 		if v.usable(now) {
 			usable = append(usable, v)
 		}
 	}
 	e.room.measure(usable)
-	sort.Slice(usable, func(a, b int) bool { return usable[a].ID < usable[b].ID })
 	var starts []start
 	for _, c := range list {
+		if len(starts) >= e.flow.room() {
+			break
+		}
 		starts = append(starts, e.placeJob(c, usable, now)...)
 	}
 	return starts
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -48,9 +48,10 @@
 // begin returns the order of a planned start.
 func (e *Engine) begin(s start, now int64) pools.Order {
 	it := s.it
-	it.phase, it.since = sent, now
+	it.phase, it.since, it.unsureAt = sent, now, 0
+	e.flow.open++
 	lease := s.vm.clockNow(now) + startLeaseMs
-	s.vm.lease = max(s.vm.lease, lease)
+	s.vm.lease, it.startBy = max(s.vm.lease, lease), lease
 	return pools.Order{
 		Kind: pools.Start, VM: s.vm.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Spec: it.job.Spec,
 		Ref: it.ref, LeaseMs: lease, Fence: e.cfg.Epoch, Ticket: it.ticket,
@@ -93,7 +94,9 @@
 	e.drops, e.stale = nil, nil
 	if len(e.dirty) == 0 {
 		for id, v := range e.vms {
-			b.acks[id] = v.seen
+			if v.seen > v.acked {
+				b.acks[id] = v.seen
+			}
 		}
 	}
 	e.recording = true
@@ -167,6 +170,7 @@
 	if it.phase != sent {
 		return
 	}
+	e.flow.answered(it.since, now)
 	it.job.stale = true
 	switch r.Kind {
 	case pools.Done:
@@ -178,7 +182,7 @@
 		}
 		return
 	case pools.NoReply:
-		e.stop(it, "start unanswered", now)
+		it.unsureAt = now // the next look tells whether it runs
 		return
 	case pools.NoRoom:
 		v.fullUntil = now + roomRetryMs
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -44,9 +44,11 @@
 		return
 	}
 	e.nextTick = now + tickEveryMs
+	e.flow.open = 0
 	for _, v := range e.vms {
 		e.tickVM(v, now)
 	}
+	e.flow.judge(now)
 	e.tickVacate(now)
 	if now >= e.nextNeed {
 		e.nextNeed = now + needEveryMs
@@ -78,6 +80,11 @@
 	if len(v.runs) == 0 {
 		return
 	}
+	for _, it := range v.runs {
+		if it.phase == sent && it.unsureAt == 0 {
+			e.flow.open++
+		}
+	}
 	if (v.failing || !v.listed) && v.lapsed(now) {
 		e.note(Note{VM: v.ID, What: "lease over on silent vm", N: len(v.runs)})
 		for _, it := range v.runs {
--- a/core/shard/wave.go
+++ b/core/shard/wave.go
@@ -1,5 +1,7 @@
 package shard
 
+import "slices"
+
 // Upkeep and moves of machines, in milliseconds where not said otherwise.
 const (
 	// finishMs is how long runs on a VM that is to be vacated may go on before they are moved.
@@ -11,6 +13,10 @@
 
 // SetVacate takes over which VMs the keeper asks to be emptied.
 func (e *Engine) SetVacate(vms []string) {
+	if slices.Equal(vms, e.vacated) {
+		return
+	}
+	e.vacated = vms
 	asked := make(map[string]bool, len(vms))
 	for _, id := range vms {
 		asked[id] = true
