relay, owner, node: Have other entries call the VMs of a large pool

Cause: the owner of a service sends each start and each look itself, about 0.4 ms of a core for a look (docs/CAPACITY.md). At the height of a turn on the large site that is more than 0.8 core has: items of 0.64 s hold their room for over a second, since their ends are seen late.

Ruled out: several shards a service. Lasting items need whole sets of VMs (up to 38 for one job, one item on each), so four shards would keep about four times as many VMs in the calm hours.

Change: io/relay. Entries offer themselves to owners. An owner calls the first VMs itself (160 for each core that it has) and the others by way of at most 24 entries, over one connection each that carries MessagePack frames and shares the port of the JSON-RPC calls. The owner decides and records as before; an entry that relays keeps nothing, drops orders whose time is over, and keeps the sequence of the orders to a VM. A lost relay leaves its orders open, as a lost VM does; a look that fails there is asked from the owner before the VM counts as silent. A look whose time this process let pass by more than 50 ms is asked again instead.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -138,7 +138,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
-	calls := peer.NewServer(peer.ServerConfig{Listen: n.cfg.Peer, Log: n.log})
+	n.newRelays(base)
+	calls := peer.NewServer(peer.ServerConfig{Listen: n.cfg.Peer, Raw: n.peers.relays.Serve, Log: n.log})
 	n.peers.serve(calls)
 	if err := calls.Listen(base); err != nil {
 		return err
@@ -146,6 +147,8 @@
 	go n.catalog.feed.Run(base)
 	go n.roster.Run(base)
 	go n.shards.loop(base, n.catalog.Current)
+	go n.peers.relays.Run(base)
+	go (&offers{n: n, next: map[string]time.Time{}}).Run(base)
 	d := desk.New(desk.Config{Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards, Log: n.log, Stats: n.stats})
 	server := &http.Server{
 		Handler: &platform.Front{Desk: d, Log: n.log}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -219,6 +222,7 @@
 func (n *Node) stop(server *http.Server) {
 	n.log.Info("stop requested", zap.Int64("owned", n.owned.Load()))
 	n.leaving.Store(true)
+	n.peers.relays.Leave()
 	n.cancelOwners()
 	until := time.Now().Add(leaveWait)
 	n.owners.Wait()
@@ -273,7 +277,9 @@
 		})
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
-		Service: service, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.roster.Vacate, Tell: n.tell, Machines: n.cloud.Machines, Advise: n.policy.Advise, Stats: n.stats,
+		Service: service, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.roster.Vacate, Tell: n.tell,
+		Relay: n.relayed, DirectVMs: n.peers.crew.DirectVMs(),
+		Machines: n.cloud.Machines, Advise: n.policy.Advise, Stats: n.stats,
 		Engine: shard.Config{
 			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
 			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs,
--- a/io/owner/link.go
+++ b/io/owner/link.go
@@ -15,6 +15,9 @@
 const (
 	// orderTimeout bounds an order. An unanswered start is stopped, so that its item can go elsewhere.
 	orderTimeout = 300 * time.Millisecond
+	// ownLagMost is how late this process may notice the end of a look's time. The steady clock stands still while the
+	// machine is suspended, so a longer delay means an overloaded processor.
+	ownLagMost = 50 * time.Millisecond
 	// lookSlack is how long the answer to a look may take beyond the wait asked for.
 	lookSlack = 450 * time.Millisecond
 	// lookSpacingVM is what each VM of the pool adds up to: the looks of a large pool keep to a part of the processor.
@@ -39,14 +42,16 @@
 	client VMClient
 	orders chan pools.Order
 	acked  chan struct{}
+	lagged bool          // the last look failed because this process was late; of looks
+	doubt  chan struct{} // a look would settle an item at once; of size 1
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-func newVMLink(r *run, v pools.VM) *vmLink {
+func newVMLink(r *run, v pools.VM, client VMClient) *vmLink {
 	l := &vmLink{
-		r: r, id: v.ID, addr: v.Addr, client: r.cfg.Pool.Client(v),
-		orders: make(chan pools.Order, ordersWaiting), acked: make(chan struct{}, 1),
+		r: r, id: v.ID, addr: v.Addr, client: client,
+		orders: make(chan pools.Order, ordersWaiting), acked: make(chan struct{}, 1), doubt: make(chan struct{}, 1),
 	}
 	l.ctx, l.cancel = context.WithCancel(r.ctx)
 	r.wg.Add(2)
@@ -75,28 +80,57 @@
 	}
 }
 
-// loop sends the orders, one at a time.
+// loop sends the orders, one at a time but for a client that keeps their sequence itself.
 func (l *vmLink) loop() {
 	defer l.r.wg.Done()
 	defer l.client.Close()
+	relayed, _ := l.client.(pipelined)
 	for {
 		select {
 		case <-l.ctx.Done():
 			return
+		case <-l.doubt:
+			l.lookNow()
 		case o := <-l.orders:
-			reply := l.order(o)
-			l.r.mu.Lock()
-			l.r.engine.Replied(o, reply, clock.BootMs())
-			doubt := l.r.engine.Barred(l.id)
-			l.r.mu.Unlock()
-			if doubt {
+			if relayed != nil && l.relay(relayed, o) {
+				continue
+			}
+			if l.replied(o, l.order(o)) {
 				l.lookNow()
 			}
-			if reply.Kind != pools.Done {
-				l.r.signal()
+		}
+	}
+}
+
+// relay hands an order to a client that answers later. It returns false if the client does not take it.
+func (l *vmLink) relay(c pipelined, o pools.Order) bool {
+	begun := time.Now()
+	return c.Go(o, orderTimeout, func(reply pools.Reply, err error) {
+		if o.Kind == pools.Start {
+			l.r.timeStart(time.Since(begun))
+		}
+		if err != nil {
+			reply = l.failed(err)
+		}
+		if l.replied(o, reply) {
+			select {
+			case l.doubt <- struct{}{}:
+			default:
 			}
 		}
+	})
+}
+
+// replied hands the answer to an order to the engine. It returns whether a look would free an item at once.
+func (l *vmLink) replied(o pools.Order, reply pools.Reply) bool {
+	l.r.mu.Lock()
+	l.r.engine.Replied(o, reply, clock.BootMs())
+	doubt := l.r.engine.Barred(l.id)
+	l.r.mu.Unlock()
+	if reply.Kind != pools.Done {
+		l.r.signal()
 	}
+	return doubt
 }
 
 func (l *vmLink) order(o pools.Order) pools.Reply {
@@ -118,6 +152,11 @@
 	if err == nil {
 		return reply
 	}
+	return l.failed(err)
+}
+
+// failed returns the reply that stands for an order without an answer.
+func (l *vmLink) failed(err error) pools.Reply {
 	l.r.cfg.Stats.Count("sassafrasvalve_orders_failed_total", nil, 1)
 	if platform.VerdictOf(err) == retry.NotRun {
 		return pools.Reply{Kind: pools.Unsent}
@@ -162,6 +201,15 @@
 	return max(lookSpacing, time.Duration(r.linkCount.Load())*lookSpacingVM)
 }
 
+// ownLag reports whether a look failed because this process was late: its answer may have been there. The second such
+// look in a row counts against the VM.
+func (l *vmLink) ownLag(deadline time.Time) bool {
+	if l.lagged = !l.lagged && time.Since(deadline) > ownLagMost; l.lagged {
+		l.r.cfg.Stats.Count("sassafrasvalve_looks_late_total", nil, 1)
+	}
+	return l.lagged
+}
+
 // look asks once. It returns false if no answer came.
 func (l *vmLink) look() bool {
 	begun := clock.BootMs()
@@ -171,8 +219,12 @@
 	if !ok {
 		return false
 	}
-	look, err := l.client.Look(call, time.Now().Add(time.Duration(call.WaitMs)*time.Millisecond+lookSlack))
+	deadline := time.Now().Add(time.Duration(call.WaitMs)*time.Millisecond + lookSlack)
+	look, err := l.client.Look(call, deadline)
 	now := clock.BootMs()
+	if err != nil && l.ownLag(deadline) {
+		return true // asked again at once
+	}
 	l.r.mu.Lock()
 	news := err != nil
 	if err != nil {
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -39,6 +39,12 @@
 	Close()
 }
 
+// pipelined is a client that takes orders before the earlier ones are answered, and keeps their sequence.
+type pipelined interface {
+	// Go sends an order and returns at once. It returns false if the order has to be sent by a method of VMClient.
+	Go(o pools.Order, within time.Duration, done func(pools.Reply, error)) bool
+}
+
 // relistEvery is how often an unchanged list is handed over again, so that a missing VM is noticed, in milliseconds.
 const relistEvery = 500
 
@@ -47,6 +53,9 @@
 	Service string
 	Pool    Pool
 	Catalog func() *jobs.Catalog
+	// Relay makes a client that calls a VM by way of another entry, for the VMs beyond DirectVMs; nil without one.
+	Relay     func(vm pools.VM) VMClient
+	DirectVMs int
 	// Advise asks the policy which VMs may run a step.
 	Advise func(q shard.Question, deadline time.Time) (*shard.Verdicts, error)
 	// Machines reads the platform's list of machines.
@@ -98,6 +107,8 @@
 	// The following belong to the loop.
 	links            map[string]*vmLink
 	linkCount        atomic.Int64
+	linkRev          int64        // of the VMs that have links
+	direct           int          // links that call their VM from this process
 	batch            *shard.Batch // being appended
 	waiting          []*intake    // whose records the next batch takes
 	listed, listedAt int64        // version of the VM list that the engine has, local ms at which it got it
@@ -434,6 +445,11 @@
 
 // syncLinks opens a link for each listed VM, and closes those of VMs that are gone or have moved.
 func (r *run) syncLinks() {
+	if rev := r.engine.VMsRev(); rev != r.linkRev {
+		r.linkRev = rev
+	} else {
+		return
+	}
 	listed := map[string]bool{}
 	for _, v := range r.engine.VMs() {
 		listed[v.ID] = true
@@ -441,19 +457,37 @@
 			if l.addr == v.Addr {
 				continue
 			}
-			l.close()
+			r.drop(l)
 		}
-		r.links[v.ID] = newVMLink(r, v)
+		r.links[v.ID] = newVMLink(r, v, r.client(v))
 	}
 	for id, l := range r.links {
 		if !listed[id] {
-			l.close()
+			r.drop(l)
 			delete(r.links, id)
 		}
 	}
 	r.linkCount.Store(int64(len(r.links)))
 }
 
+// client returns a client of a VM: one that calls it from here while these are few, so that the processor time of the
+// calls does not grow with the pool.
+func (r *run) client(v pools.VM) VMClient {
+	if r.cfg.Relay != nil && r.direct >= r.cfg.DirectVMs {
+		return r.cfg.Relay(v)
+	}
+	r.direct++
+	return r.cfg.Pool.Client(v)
+}
+
+// drop closes a link.
+func (r *run) drop(l *vmLink) {
+	if _, relayed := l.client.(pipelined); !relayed {
+		r.direct--
+	}
+	l.close()
+}
+
 // stateEvery is the pause between two summaries of a pool in the log, in milliseconds.
 const stateEvery = 1000
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -59,8 +59,10 @@
 	MaxConns    int
 	IdleTimeout time.Duration
 	Cut         Cut // nil without fault injection
-	Stats       *Stats
-	Log         *zap.Logger
+	// Raw serves connections whose first byte is 0, which begins no call; nil refuses them. The byte is taken off.
+	Raw   func(ctx context.Context, conn net.Conn)
+	Stats *Stats
+	Log   *zap.Logger
 }
 
 // Server answers the calls of other entries.
@@ -161,6 +163,59 @@
 	l.meter = newMeter(s.cfg.Stats, func(method string) bool {
 		return method == MethodHello || s.handlers[method] != nil
 	})
+	if s.cfg.Raw != nil {
+		s.conns[l] = struct{}{}
+		s.wg.Go(func() { s.sort(ctx, conn, l) })
+		return
+	}
+	s.open(ctx, conn, l)
+}
+
+// sort serves a connection by its first byte.
+func (s *Server) sort(ctx context.Context, conn net.Conn, l *link) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	first := make([]byte, 1)
+	err := conn.SetReadDeadline(time.Now().Add(s.cfg.IdleTimeout))
+	if err == nil {
+		_, err = conn.Read(first)
+	}
+	if err == nil {
+		err = conn.SetReadDeadline(time.Time{})
+	}
+	if err == nil && first[0] != 0 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.open(ctx, &startedConn{Conn: conn, first: first}, l)
+		return
+	}
+	if err == nil {
+		s.cfg.Raw(ctx, conn)
+	}
+	_ = conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, l)
+}
+
+// startedConn is a connection of which the first byte was read already.
+type startedConn struct {
+	net.Conn
+	first []byte
+}
+
+// Read returns the first byte, then the rest.
+func (c *startedConn) Read(b []byte) (int, error) {
+	if len(c.first) == 0 || len(b) == 0 {
+		return c.Conn.Read(b)
+	}
+	n := copy(b, c.first)
+	c.first = c.first[n:]
+	return n, nil
+}
+
+// open serves calls over a connection. It is called with mu held.
+func (s *Server) open(ctx context.Context, conn net.Conn, l *link) {
 	st := newStream(conn, limits{s.cfg.MaxMessage, s.cfg.IdleTimeout, messageTimeout, writeTimeout}, l.meter)
 	s.conns[l] = struct{}{}
 	rpc := jsonrpc2.NewConn(ctx, st, l, jsonrpc2.SetLogger(stdLog(s.cfg.Log)),
--- /dev/null
+++ b/io/relay/codec.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"sassafrasvalve/core/pools"
+	"sassafrasvalve/core/retry"
+	"sassafrasvalve/platform"
+)
+
+// order returns the order of a call.
+func (c *Call) order(spec string) pools.Order {
+	o := pools.Order{
+		VM: c.VM, Item: c.Item, Run: c.Run, Spec: spec, Ref: c.Ref, LeaseMs: c.LeaseMs, Fence: c.Fence,
+		Percent: c.Percent, Ticket: c.Ticket,
+	}
+	switch c.Kind {
+	case callStop:
+		o.Kind = pools.Stop
+	case callPace:
+		o.Kind = pools.Pace
+	default:
+		o.Kind = pools.Start
+	}
+	return o
+}
+
+// callOf returns the call of an order, and false for an order that is not for a VM.
+func callOf(o *pools.Order) (Call, bool) {
+	c := Call{
+		VM: o.VM, Item: o.Item, Run: o.Run, Ref: o.Ref, LeaseMs: o.LeaseMs, Fence: o.Fence, Percent: o.Percent, Ticket: o.Ticket,
+	}
+	switch o.Kind {
+	case pools.Start:
+		c.Kind = callStart
+	case pools.Stop:
+		c.Kind = callStop
+	case pools.Pace:
+		c.Kind = callPace
+	case pools.Upkeep, pools.Move:
+		return c, false
+	}
+	return c, true
+}
+
+// fateOf returns what an error says of a call.
+func fateOf(err error) uint8 {
+	switch {
+	case err == nil:
+		return fateAnswered
+	case platform.VerdictOf(err) == retry.NotRun:
+		return fateUnsent
+	default:
+		return fateUnknown
+	}
+}
+
+// answerLook returns the answer that carries a look.
+func answerLook(n int64, l *pools.Look, err error) Answer {
+	a := Answer{N: n, Fate: fateOf(err), Kind: int(l.Kind), ClockMs: l.ClockMs, Born: l.Born}
+	for _, r := range l.Running {
+		a.Running = append(a.Running, Row{Item: r.Item, Run: r.Run, Ref: r.Ref, Percent: r.Percent, Load: r.Load})
+	}
+	for _, e := range l.Ended {
+		a.Ended = append(a.Ended, End{Seq: e.Seq, Item: e.Item, Run: e.Run, How: int(e.How), Ref: e.Ref})
+	}
+	return a
+}
+
+// look returns the look that an answer carries.
+func (a *Answer) look() pools.Look {
+	l := pools.Look{Kind: pools.ReplyKind(a.Kind), ClockMs: a.ClockMs, Born: a.Born}
+	for _, r := range a.Running {
+		l.Running = append(l.Running, pools.RunRow{Item: r.Item, Run: r.Run, Ref: r.Ref, Percent: r.Percent, Load: r.Load})
+	}
+	for _, e := range a.Ended {
+		l.Ended = append(l.Ended, pools.EndRow{Seq: e.Seq, Item: e.Item, Run: e.Run, How: pools.EndKind(e.How), Ref: e.Ref})
+	}
+	return l
+}
+
+// err returns the failure that an answer tells, nil for a call that was answered.
+func (a *Answer) err() error {
+	switch a.Fate {
+	case fateAnswered:
+		return nil
+	case fateUnsent:
+		return &platform.Failure{Call: "relayed call", Verdict: retry.NotRun, Err: errRelay}
+	default:
+		return &platform.Failure{Call: "relayed call", Verdict: retry.MayHaveRun, Err: errRelay}
+	}
+}
--- /dev/null
+++ b/io/relay/crew.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sassafrasvalve/core/pools"
+)
+
+// The entries that relay for an owner.
+const (
+	// MethodOffer carries an Offer to an owner, and Accepted back.
+	MethodOffer = "Offer"
+	// crewMost is the number of entries that relay for one process. With 40 VMs each they carry the largest pool of today.
+	crewMost = 24
+	// vmsPerCore is the number of VMs whose orders and looks one core can carry at the height of a turn: 0.4 core answers
+	// for about 1,000 looks a second, and a busy VM takes six looks and six starts.
+	vmsPerCore = 160
+	// offerAgain is when an entry that relays offers itself again, which shows that it lives.
+	offerAgain = 4 * time.Second
+	// declinedAgain is when an entry that is not needed offers itself again.
+	declinedAgain = 15 * time.Second
+	// remotePenalty is the load that a channel through another data centre counts for beside its own, in percent of its share.
+	remotePenalty = 25
+)
+
+// Offer is an entry that is ready to relay.
+type Offer struct {
+	Addr  string // at which other entries reach it
+	DC    string
+	Share float64 // of a core
+}
+
+// Accepted tells an entry that offered itself when to do so again.
+type Accepted struct {
+	Relays  bool
+	AgainMs int64
+}
+
+// CrewConfig is what a Crew needs.
+type CrewConfig struct {
+	Share float64 // of a core that this process has
+	// Direct makes a client that calls a VM from this process.
+	Direct func(vm pools.VM) VMClient
+	// Owning reports whether this process owns a pool.
+	Owning func() bool
+	Log    *zap.Logger
+}
+
+// Crew is the entries that relay for this process.
+type Crew struct {
+	cfg CrewConfig
+	ctx context.Context
+
+	mu       sync.Mutex
+	channels map[string]*Channel // by address
+}
+
+// NewCrew returns a crew of nobody, whose channels end with ctx.
+func NewCrew(ctx context.Context, cfg CrewConfig) *Crew {
+	return &Crew{cfg: cfg, ctx: ctx, channels: map[string]*Channel{}}
+}
+
+// Offer takes an entry into the crew if it is needed.
+func (c *Crew) Offer(o Offer) Accepted {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.prune()
+	known := c.channels[o.Addr] != nil
+	if !known && (!c.cfg.Owning() || len(c.channels) >= crewMost || o.Addr == "") {
+		return Accepted{AgainMs: declinedAgain.Milliseconds()}
+	}
+	if !known {
+		c.channels[o.Addr] = newChannel(c.ctx, o, c.cfg.Log)
+		c.cfg.Log.Info("relay joined", zap.String("addr", o.Addr), zap.String("dc", o.DC), zap.Float64("share", o.Share))
+	}
+	return Accepted{Relays: true, AgainMs: offerAgain.Milliseconds()}
+}
+
+// prune forgets channels that are closed or leaving. It is called with mu held.
+func (c *Crew) prune() {
+	for addr, ch := range c.channels {
+		if !ch.usable() {
+			delete(c.channels, addr)
+		}
+	}
+}
+
+// DirectVMs returns the number of VMs that this process calls itself.
+func (c *Crew) DirectVMs() int { return directVMs(c.cfg.Share) }
+
+// directVMs returns the number of VMs that a machine with a share of a core can call; 0 stands for an unknown share.
+func directVMs(share float64) int {
+	if share <= 0 {
+		return vmsPerCore
+	}
+	return max(int(share*vmsPerCore), 1)
+}
+
+// pick returns the channel for one more VM, the one with the least load for its processor, nil if all are full.
+func (c *Crew) pick(dc string) *Channel {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.prune()
+	var best *Channel
+	var bestLoad float64
+	for _, ch := range c.channels {
+		vms := ch.load()
+		if vms >= directVMs(ch.Share) {
+			continue
+		}
+		load := float64(vms) / max(ch.Share, 0.01)
+		if ch.DC != dc {
+			load += vmsPerCore * remotePenalty / 100
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad = ch, load
+		}
+	}
+	return best
+}
+
+// Client returns a client that calls a VM by way of another entry, and from here while none is there to relay.
+func (c *Crew) Client(vm pools.VM) *Client {
+	return &Client{vm: vm, crew: c, direct: c.cfg.Direct(vm)}
+}
+
+// Close ends all channels.
+func (c *Crew) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, ch := range c.channels {
+		ch.cancel()
+	}
+}
