oplog: Have the outage script decide when its record is given up

Cause: TestWriterScripts/outage (KNOWN-RED.txt) gave a record up after 300 ms. When that ended while a try was on its way, the writer said "unknown", which is true: it cannot know that the log will refuse the try. The script wanted "not-appended" and left to chance which case it met.

Ruled out: a fault of the writer; "unknown" beside a try on its way is right and is what unknown.txt and lost.txt check.

Change: the verb give-up ends the record after a refused try while none is on its way.

--- a/io/oplog/writer_test.go
+++ b/io/oplog/writer_test.go
@@ -65,6 +65,8 @@
 		s.folder.mu.Unlock()
 	case "append":
 		s.append(t, args[:len(args)-1], Verdict(args[len(args)-1]), "")
+	case "give-up":
+		s.giveUp(t, args[0], Verdict(args[1]))
 	case "large":
 		s.writer.cfg.MaxRecord = 1 << 20
 		s.append(t, args[:1], Verdict(args[1]), strings.Repeat("x", 300<<10))
@@ -91,6 +93,30 @@
 	wg.Wait()
 }
 
+// giveUp appends a record and gives it up after a refused try, while none is on its way: at that moment the writer knows that
+// the record is not in the log. By a time limit alone, chance would decide whether a try is on its way.
+func (s *script) giveUp(t *testing.T, id string, want Verdict) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		out, err := s.writer.Append(ctx, fleet.Record{ID: id})
+		assert.Check(t, out.Verdict == want, "%s: %s (%v), want %s", id, out.Verdict, err, want)
+		assert.Check(t, errors.Is(err, ErrNotAppended) == (want == NotAppended), "%s: %v", id, err)
+	})
+	for given := false; !given && ctx.Err() == nil; time.Sleep(time.Millisecond) {
+		s.writer.mu.Lock()
+		if it := s.writer.items[id]; it != nil && it.tries > 0 && !it.sending {
+			s.writer.finishUndecided(it, context.DeadlineExceeded)
+			given = true
+		}
+		s.writer.mu.Unlock()
+	}
+	wg.Wait()
+	assert.NilError(t, ctx.Err(), "no try of %s was refused", id)
+}
+
 func (s *script) count(t *testing.T, verb string, args []string) {
 	t.Helper()
 	low, err := strconv.Atoi(args[1])
