--- a/io/owner/keeper_test.go
+++ b/io/owner/keeper_test.go
@@ -17,7 +17,9 @@
 
 func (c *countedCloud) Machines(time.Time) ([]pools.Machine, error) { return nil, nil }
 
-func (c *countedCloud) Upkeep(pools.Order, time.Time) (pools.Reply, error) { return c.Move(pools.Order{}, time.Time{}) }
+func (c *countedCloud) Upkeep(pools.Order, time.Time) (pools.Reply, error) {
+	return c.Move(pools.Order{}, time.Time{})
+}
 
 func (c *countedCloud) Move(pools.Order, time.Time) (pools.Reply, error) {
 	c.n.Add(1)
