relay: Count the time that a frame lay in buffers

Cause: an entry that relays took the time of a call from the moment it read the frame. One that was suspended reads frames when it wakes that were sent before, and would have sent their orders seconds late as if they were new. The lease of a start and the number of a run bar most of that; a late order to pace would hold.

Change: a batch carries the owner's steady clock; the relay compares the difference of the clocks with the least of the last 5 to 10 s and takes what is above it off the time of the calls.

--- a/io/relay/channel.go
+++ b/io/relay/channel.go
@@ -169,7 +169,7 @@
 func (c *Channel) next(now int64) Batch {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var b Batch
+	b := Batch{SentMs: now}
 	specs := map[string]int{}
 	n, size := 0, 0
 	for n < len(c.queue) && n < batchCalls && size < batchBytes {
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -17,8 +17,9 @@
 
 // Batch is what an owner has an entry send to VMs.
 type Batch struct {
-	Specs []string // of the jobs whose items are started
-	Calls []Call
+	SentMs int64    // by the owner's steady clock
+	Specs  []string // of the jobs whose items are started
+	Calls  []Call
 }
 
 // Call is one order to a VM, or one look at it.
@@ -27,7 +28,7 @@
 	Kind     uint8
 	VM       string
 	Addr     string
-	WithinMs int64 // for which the call may take; it is not sent later
+	WithinMs int64 // that the call may take, from Batch.SentMs on; it is not sent later
 	Fence    int64
 	LeaseMs  int64 // by the VM's clock
 	Item     string
--- a/io/relay/message_gen.go
+++ b/io/relay/message_gen.go
@@ -194,8 +194,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Batch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt64(o, z.SentMs)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Specs)))
 	for za0001 := range z.Specs {
 		o = msgp.AppendString(o, z.Specs[za0001])
@@ -219,8 +220,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.SentMs, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "SentMs")
 		return
 	}
 	var zb0002 uint32
@@ -265,7 +271,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Batch) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize
+	s = 1 + msgp.Int64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Specs {
 		s += msgp.StringPrefixSize + len(z.Specs[za0001])
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -239,3 +239,18 @@
 		})
 	}
 }
+
+// TestFramesOfASuspendedRelayAreLate guards against orders that lay in the buffers of an entry while it was suspended, and are
+// taken for new ones when it wakes; and against clocks that run apart, by which all frames would become late.
+func TestFramesOfASuspendedRelayAreLate(t *testing.T) {
+	var d delay
+	for now := int64(0); now < 10_000; now += 10 {
+		assert.Assert(t, d.of(now, now+500_000+now%7) < 7)
+	}
+	assert.Equal(t, d.of(10_000, 515_000), int64(5000), "sent just before a suspension of 5 s")
+	assert.Equal(t, d.of(15_000, 515_000), int64(0))
+	for now := int64(20_000); now < 200_000; now += 50 {
+		late := d.of(now, now+500_000+now/50) // one clock is 2% slow
+		assert.Assert(t, late <= 2*delaySpan/50, "%d ms late", late)
+	}
+}
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -122,9 +122,10 @@
 func (s *Server) begin(se *session, b *Batch, now int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	late := se.delay.of(b.SentMs, now)
 	for i := range b.Calls {
 		c := &b.Calls[i]
-		w := work{call: c, session: se, until: now + c.WithinMs}
+		w := work{call: c, session: se, until: now - late + c.WithinMs}
 		if c.Spec >= 0 && c.Spec < len(b.Specs) {
 			w.spec = b.Specs[c.Spec]
 		}
@@ -160,6 +161,7 @@
 	conn   net.Conn
 	frames *bufio.Reader
 	wake   chan struct{} // of size 1
+	delay  delay         // of the frames; of Serve
 
 	mu    sync.Mutex
 	ready []Answer
