soak: Relay calls in odd seeds

Cause: the soak's entries have no CPUShare and 4 VMs, so they call all VMs themselves and no fault met a relay.

Change: in odd seeds an entry has so small a share that it calls one VM itself; the others go by way of the entries that the soak pauses, kills and cuts off.

--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -68,7 +68,13 @@
 	return l.Addr().String()
 }
 
-func newProcess(t *testing.T, bin, dir, name string, p *plat.Platform) *process {
+// relayShare is a processor so small that an entry calls one VM itself and the others by way of other entries. Odd seeds use it.
+const relayShare = 0.008
+
+// shareOf returns the share of a core that the entries of a seed have; 0 leaves it unknown.
+func shareOf(seed uint64) float64 { return relayShare * float64(seed%2) }
+
+func newProcess(t *testing.T, bin, dir, name string, share float64, p *plat.Platform) *process {
 	store, err := newProxy(p.Store())
 	assert.NilError(t, err)
 	e := &process{t: t, bin: bin, dir: dir, name: name, front: freeAddr(t), store: store, settings: filepath.Join(dir, name+".toml")}
@@ -77,6 +83,7 @@
 Ready = %q
 Peer = %q
 LogLevel = "info"
+CPUShare = %g
 [Store]
 Addr = %q
 Parts = 12
@@ -86,7 +93,7 @@
 StatusMs = 120000
 GraceMs = 6000
 LeaseMs = 300
-`, name, e.front, freeAddr(t), freeAddr(t), store.addr(), p.Cloud())
+`, name, e.front, freeAddr(t), freeAddr(t), share, store.addr(), p.Cloud())
 	assert.NilError(t, os.WriteFile(e.settings, []byte(text), 0o600))
 	return e
 }
@@ -290,7 +297,7 @@
 	s.plat = p
 	dir := logDir(t, seed)
 	for i := range entryCount {
-		s.entries = append(s.entries, newProcess(t, bin, dir, "e"+strconv.Itoa(i), p))
+		s.entries = append(s.entries, newProcess(t, bin, dir, "e"+strconv.Itoa(i), shareOf(seed), p))
 		s.entries[i].start()
 	}
 	defer func() {
