relay: Name the parts by what they are

Cause: read as a newcomer: "crew", "port" and "looker" need explaining, and Close of the crew had no caller. A process that owns no pool any more kept the connections to its relays for ever.

Change: Set, sender and lookCall; Close is gone; an offer to a process that owns no pool closes a channel without VMs. No other behaviour changes.

Checks: tests of io/relay and io/node, linter.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -278,7 +278,7 @@
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
 		Service: service, Pool: n.regis, Catalog: n.catalog.Current, Vacate: n.roster.Vacate, Tell: n.tell,
-		Relay: n.relayed, DirectVMs: n.peers.crew.DirectVMs(),
+		Relay: n.relayed, DirectVMs: n.peers.helpers.DirectVMs(),
 		Machines: n.cloud.Machines, Advise: n.policy.Advise, Stats: n.stats,
 		Engine: shard.Config{
 			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -99,8 +99,8 @@
 	pool   *peer.Pool
 	roster *tail.Roster
 
-	relays *relay.Server // of this process, for owners in others
-	crew   *relay.Crew   // entries that relay for owners in this process
+	relays  *relay.Server // of this process, for owners in others
+	helpers *relay.Set    // entries that relay for owners in this process
 
 	mu    sync.Mutex
 	local map[int]*owner.Owner
@@ -136,7 +136,7 @@
 	})
 	handle(s, methodState, func(ctx context.Context, req stateRequest) any { return o.stateHere(ctx, req.Part, req.ID) })
 	handle(s, methodWaiting, func(_ context.Context, req waitingRequest) any { return o.waitingHere(req.Part, req.Queue) })
-	handle(s, relay.MethodOffer, func(_ context.Context, req relay.Offer) any { return o.crew.Offer(req) })
+	handle(s, relay.MethodOffer, func(_ context.Context, req relay.Offer) any { return o.helpers.Offer(req) })
 	handle(s, methodOwns, func(_ context.Context, req ownsRequest) any {
 		own := o.find(req.Part)
 		return ownsAnswer{Member: o.member, Owns: own != nil && own.Owns()}
--- a/io/node/relays.go
+++ b/io/node/relays.go
@@ -39,7 +39,7 @@
 	n.peers.relays = relay.NewServer(relay.ServerConfig{
 		Client: func(id, addr string) relay.VMClient { return platform.NewVMClient(id, addr) }, Log: n.log,
 	})
-	n.peers.crew = relay.NewCrew(ctx, relay.CrewConfig{
+	n.peers.helpers = relay.NewSet(ctx, relay.SetConfig{
 		Share: n.cfg.CPUShare, Log: n.log,
 		Direct: func(vm pools.VM) relay.VMClient { return platform.NewVMClient(vm.ID, vm.Addr) },
 		Owning: func() bool { return n.owned.Load() > 0 },
@@ -47,7 +47,7 @@
 }
 
 // relayed returns a client that calls a VM by way of another entry.
-func (n *Node) relayed(vm pools.VM) owner.VMClient { return n.peers.crew.Client(vm) }
+func (n *Node) relayed(vm pools.VM) owner.VMClient { return n.peers.helpers.Client(vm) }
 
 // Run offers until ctx ends or the entry leaves.
 func (o *offers) Run(ctx context.Context) { o.loop(ctx) }
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -18,7 +18,7 @@
 // Client calls one VM by way of another entry. It calls the VM from this process while no entry relays.
 type Client struct {
 	vm     pools.VM
-	crew   *Crew
+	relays *Set
 	direct VMClient
 
 	mu      sync.Mutex
@@ -33,7 +33,7 @@
 		return c.channel
 	}
 	c.drop()
-	if ch := c.crew.pick(c.vm.DC); ch != nil {
+	if ch := c.relays.pick(c.vm.DC); ch != nil {
 		ch.count(1)
 		c.channel = ch
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -75,7 +75,7 @@
 type site struct {
 	far, near *vmStub // the VM as the entry and as the owner reach it
 	server    *Server
-	crew      *Crew
+	relays    *Set
 	client    *Client
 	stop      context.CancelFunc // ends the entry that relays
 }
@@ -100,12 +100,12 @@
 			}
 		}
 	}()
-	s.crew = NewCrew(t.Context(), CrewConfig{
+	s.relays = NewSet(t.Context(), SetConfig{
 		Share: 0.4, Log: zap.NewNop(), Owning: func() bool { return true },
 		Direct: func(pools.VM) VMClient { return s.near },
 	})
-	assert.Assert(t, s.crew.Offer(Offer{Addr: l.Addr().String(), DC: "a", Share: 0.4}).Relays)
-	s.client = s.crew.Client(pools.VM{ID: "vm", Addr: "x", DC: "a"})
+	assert.Assert(t, s.relays.Offer(Offer{Addr: l.Addr().String(), DC: "a", Share: 0.4}).Relays)
+	s.client = s.relays.Client(pools.VM{ID: "vm", Addr: "x", DC: "a"})
 	return s
 }
 
@@ -163,7 +163,7 @@
 // TestLateOrderIsNotSent guards against an entry that was suspended, and sends an order whose time is over when it wakes.
 func TestLateOrderIsNotSent(t *testing.T) {
 	v := &vmStub{}
-	p := &port{client: v, log: zap.NewNop()}
+	p := &sender{client: v, log: zap.NewNop()}
 	a := p.order(&work{call: &Call{N: 1, Kind: callStart, Item: "j.0.0.0"}, until: clock.BootMs() - 1})
 	assert.Equal(t, a.Fate, fateUnsent)
 	assert.Equal(t, len(v.given()), 0)
@@ -196,7 +196,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, look.Kind, pools.Done)
 	assert.DeepEqual(t, s.near.looks, []pools.LookCall{{VM: "vm"}})
-	assert.Equal(t, s.crew.pick("a").load(), 0)
+	assert.Equal(t, s.relays.pick("a").load(), 0)
 }
 
 // TestLeavingRelayEndsItsCalls guards against starts that are given up because the entry that relays is stopped by plan.
--- a/io/relay/port.go
+++ b/io/relay/sender.go
@@ -23,8 +23,8 @@
 	return time.Now().Add(time.Duration(left) * time.Millisecond), left > 0
 }
 
-// port sends calls to one VM: orders one after the other, as the owner gave them, and looks beside them.
-type port struct {
+// sender sends calls to one VM: orders one after the other, as the owner gave them, and looks beside them.
+type sender struct {
 	client VMClient
 	work   chan work
 	usedAt int64 // guarded by the server
@@ -32,9 +32,9 @@
 }
 
 // push queues a call. It returns false if too many wait.
-func (p *port) push(w work) bool {
+func (p *sender) push(w work) bool {
 	if w.call.Kind == callLook {
-		l := &looker{port: p, work: w}
+		l := &lookCall{sender: p, work: w}
 		go l.run()
 		return true
 	}
@@ -46,7 +46,7 @@
 	}
 }
 
-func (p *port) loop() {
+func (p *sender) loop() {
 	defer p.client.Close()
 	for w := range p.work {
 		w.session.put(p.order(&w))
@@ -54,7 +54,7 @@
 }
 
 // order sends one order. One whose time is over is not sent: this process may have been suspended since it came.
-func (p *port) order(w *work) Answer {
+func (p *sender) order(w *work) Answer {
 	deadline, ok := w.deadline()
 	if !ok {
 		p.log.Info("relayed order dropped", zap.String("vm", w.call.VM), zap.String("item", w.call.Item), zap.String("reason", "its time is over"))
@@ -74,20 +74,20 @@
 	return Answer{N: w.call.N, Fate: fateOf(err), Kind: int(r.Kind), ClockMs: r.ClockMs}
 }
 
-// looker asks a VM once.
-type looker struct {
-	port *port
-	work work
+// lookCall asks a VM once.
+type lookCall struct {
+	sender *sender
+	work   work
 }
 
-func (l *looker) run() {
+func (l *lookCall) run() {
 	c := l.work.call
 	deadline, ok := l.work.deadline()
 	if !ok {
 		l.work.session.put(Answer{N: c.N, Fate: fateUnsent})
 		return
 	}
-	look, err := l.port.client.Look(pools.LookCall{
+	look, err := l.sender.client.Look(pools.LookCall{
 		VM: c.VM, Fence: c.Fence, Acked: c.Acked, LeaseMs: c.LeaseMs, WaitMs: c.WaitMs,
 	}, deadline)
 	l.work.session.put(answerLook(c.N, &look, err))
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -24,8 +24,8 @@
 	gatherFor = 10 * time.Millisecond
 	// ordersWaiting bounds the orders that wait for one VM.
 	ordersWaiting = 256
-	// portIdle is how long the channels to a VM stay open without a call. New channels are priced.
-	portIdle = 90 * time.Second
+	// senderIdle is how long the channels to a VM stay open without a call. New channels are priced.
+	senderIdle = 90 * time.Second
 	// sweepEvery is the pause between two looks for what is idle.
 	sweepEvery = 5 * time.Second
 )
@@ -54,13 +54,13 @@
 	cfg ServerConfig
 
 	mu      sync.Mutex
-	ports   map[string]*port // by VM and address
+	senders map[string]*sender // by VM and address
 	leaving bool
 }
 
 // NewServer returns a server that has relayed nothing yet.
 func NewServer(cfg ServerConfig) *Server {
-	return &Server{cfg: cfg, ports: map[string]*port{}}
+	return &Server{cfg: cfg, senders: map[string]*sender{}}
 }
 
 // Run closes what is idle until ctx ends.
@@ -89,10 +89,10 @@
 func (s *Server) sweep(now int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, p := range s.ports {
-		if now-p.usedAt > portIdle.Milliseconds() {
+	for key, p := range s.senders {
+		if now-p.usedAt > senderIdle.Milliseconds() {
 			close(p.work)
-			delete(s.ports, key)
+			delete(s.senders, key)
 		}
 	}
 }
@@ -118,7 +118,7 @@
 	}
 }
 
-// begin hands the calls of a batch to the ports of their VMs.
+// begin hands the calls of a batch to the senders of their VMs.
 func (s *Server) begin(se *session, b *Batch, now int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,7 +129,7 @@
 		if c.Spec >= 0 && c.Spec < len(b.Specs) {
 			w.spec = b.Specs[c.Spec]
 		}
-		if s.leaving || !s.port(c, now).push(w) {
+		if s.leaving || !s.sender(c, now).push(w) {
 			se.put(Answer{N: c.N, Fate: fateUnsent})
 		}
 	}
@@ -142,13 +142,13 @@
 	return s.leaving
 }
 
-// port returns the port to the VM of a call. It is called with mu held.
-func (s *Server) port(c *Call, now int64) *port {
+// sender returns the sender to the VM of a call. It is called with mu held.
+func (s *Server) sender(c *Call, now int64) *sender {
 	key := c.VM + " " + c.Addr
-	p := s.ports[key]
+	p := s.senders[key]
 	if p == nil {
-		p = &port{client: s.cfg.Client(c.VM, c.Addr), work: make(chan work, ordersWaiting), log: s.cfg.Log}
-		s.ports[key] = p
+		p = &sender{client: s.cfg.Client(c.VM, c.Addr), work: make(chan work, ordersWaiting), log: s.cfg.Log}
+		s.senders[key] = p
 		go p.loop()
 	}
 	p.usedAt = now
--- a/io/relay/crew.go
+++ b/io/relay/set.go
@@ -14,8 +14,8 @@
 const (
 	// MethodOffer carries an Offer to an owner, and Accepted back.
 	MethodOffer = "Offer"
-	// crewMost is the number of entries that relay for one process. With 40 VMs each they carry the largest pool of today.
-	crewMost = 24
+	// maxRelays is the number of entries that relay for one process. With 40 VMs each they carry the largest pool of today.
+	maxRelays = 24
 	// vmsPerCore is the number of VMs whose orders and looks one core can carry at the height of a turn: 0.4 core answers
 	// for about 1,000 looks a second, and a busy VM takes six looks and six starts.
 	vmsPerCore = 160
@@ -40,8 +40,8 @@
 	AgainMs int64
 }
 
-// CrewConfig is what a Crew needs.
-type CrewConfig struct {
+// SetConfig is what a Set needs.
+type SetConfig struct {
 	Share float64 // of a core that this process has
 	// Direct makes a client that calls a VM from this process.
 	Direct func(vm pools.VM) VMClient
@@ -50,47 +50,51 @@
 	Log    *zap.Logger
 }
 
-// Crew is the entries that relay for this process.
-type Crew struct {
-	cfg CrewConfig
+// Set is the entries that relay for this process.
+type Set struct {
+	cfg SetConfig
 	ctx context.Context
 
 	mu       sync.Mutex
 	channels map[string]*Channel // by address
 }
 
-// NewCrew returns a crew of nobody, whose channels end with ctx.
-func NewCrew(ctx context.Context, cfg CrewConfig) *Crew {
-	return &Crew{cfg: cfg, ctx: ctx, channels: map[string]*Channel{}}
+// NewSet returns an empty set, whose channels end with ctx.
+func NewSet(ctx context.Context, cfg SetConfig) *Set {
+	return &Set{cfg: cfg, ctx: ctx, channels: map[string]*Channel{}}
 }
 
-// Offer takes an entry into the crew if it is needed.
-func (c *Crew) Offer(o Offer) Accepted {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.prune()
-	known := c.channels[o.Addr] != nil
-	if !known && (!c.cfg.Owning() || len(c.channels) >= crewMost || o.Addr == "") {
+// Offer takes an entry into the set if it is needed.
+func (s *Set) Offer(o Offer) Accepted {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prune()
+	ch := s.channels[o.Addr]
+	switch {
+	case ch != nil && !s.cfg.Owning() && ch.load() == 0:
+		ch.cancel()
 		return Accepted{AgainMs: declinedAgain.Milliseconds()}
-	}
-	if !known {
-		c.channels[o.Addr] = newChannel(c.ctx, o, c.cfg.Log)
-		c.cfg.Log.Info("relay joined", zap.String("addr", o.Addr), zap.String("dc", o.DC), zap.Float64("share", o.Share))
+	case ch == nil && (!s.cfg.Owning() || len(s.channels) >= maxRelays || o.Addr == ""):
+		return Accepted{AgainMs: declinedAgain.Milliseconds()}
+	case ch == nil:
+		s.channels[o.Addr] = newChannel(s.ctx, o, s.cfg.Log)
+		s.cfg.Log.Info("relay joined", zap.String("addr", o.Addr), zap.String("dc", o.DC), zap.Float64("share", o.Share))
+	default:
 	}
 	return Accepted{Relays: true, AgainMs: offerAgain.Milliseconds()}
 }
 
 // prune forgets channels that are closed or leaving. It is called with mu held.
-func (c *Crew) prune() {
-	for addr, ch := range c.channels {
+func (s *Set) prune() {
+	for addr, ch := range s.channels {
 		if !ch.usable() {
-			delete(c.channels, addr)
+			delete(s.channels, addr)
 		}
 	}
 }
 
 // DirectVMs returns the number of VMs that this process calls itself.
-func (c *Crew) DirectVMs() int { return directVMs(c.cfg.Share) }
+func (s *Set) DirectVMs() int { return directVMs(s.cfg.Share) }
 
 // directVMs returns the number of VMs that a machine with a share of a core can call; 0 stands for an unknown share.
 func directVMs(share float64) int {
@@ -101,13 +105,13 @@
 }
 
 // pick returns the channel for one more VM, the one with the least load for its processor, nil if all are full.
-func (c *Crew) pick(dc string) *Channel {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.prune()
+func (s *Set) pick(dc string) *Channel {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prune()
 	var best *Channel
 	var bestLoad float64
-	for _, ch := range c.channels {
+	for _, ch := range s.channels {
 		vms := ch.load()
 		if vms >= directVMs(ch.Share) {
 			continue
@@ -124,15 +128,6 @@
 }
 
 // Client returns a client that calls a VM by way of another entry, and from here while none is there to relay.
-func (c *Crew) Client(vm pools.VM) *Client {
-	return &Client{vm: vm, crew: c, direct: c.cfg.Direct(vm)}
-}
-
-// Close ends all channels.
-func (c *Crew) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, ch := range c.channels {
-		ch.cancel()
-	}
+func (s *Set) Client(vm pools.VM) *Client {
+	return &Client{vm: vm, relays: s, direct: s.cfg.Direct(vm)}
 }
