jobs, relay: Refuse lengths that a message only claims

Cause: the generated codecs reserve memory for as many entries as a message claims. Eleven bytes to the port of an entry, or one damaged record of the log that every new owner reads, took the whole process down: "fatal error: out of memory".

Ruled out: JSON-RPC between entries (frames of at most 1 MB, a panic ends the call only) and the pages of the log (lengths are checked against the page).

Change: msgp's limit for arrays and maps, 65,536 for relayed calls and 262,144 for records; a message above it is an error, which ends the connection or skips the record with a log line.

--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -2,6 +2,10 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file . -o codec_gen.go -tests=false -io=false -unexported=false
 
+// A length that a record claims is not allocated beyond this: a malformed one must not take the memory of the process. An
+// occurrence of a job has at most 10,000 items, and few are open at once; fleets have some thousand VMs.
+//msgp:limit arrays:262144 maps:262144
+
 import (
 	"fmt"
 	"strconv"
--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zf88ce922limitArrays = 262144
+	zf88ce922limitMaps   = 262144
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Book) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -38,6 +44,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -53,6 +63,10 @@
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
+			if zb0002 > zf88ce922limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Entries == nil {
 				z.Entries = make(map[string]*Entry, zb0002)
 			} else if len(z.Entries) > 0 {
@@ -166,6 +180,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -187,6 +205,10 @@
 				err = msgp.WrapError(err, "Queues")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Queues) >= int(zb0002) {
 				z.Queues = (z.Queues)[:zb0002]
 			} else {
@@ -206,6 +228,10 @@
 				err = msgp.WrapError(err, "Pools")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Pools) >= int(zb0003) {
 				z.Pools = (z.Pools)[:zb0003]
 			} else {
@@ -297,6 +323,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -376,6 +406,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -464,6 +498,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -551,6 +589,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -658,6 +700,10 @@
 		err = msgp.WrapError(err, "Failed")
 		return
 	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Failed) >= int(zb0002) {
 		z.Failed = (z.Failed)[:zb0002]
 	} else {
@@ -746,6 +792,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -785,6 +835,10 @@
 				err = msgp.WrapError(err, "Steps")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Steps) >= int(zb0002) {
 				z.Steps = (z.Steps)[:zb0002]
 			} else {
@@ -872,6 +926,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -966,6 +1024,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1011,6 +1073,10 @@
 				err = msgp.WrapError(err, "Offers")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Offers) >= int(zb0002) {
 				z.Offers = (z.Offers)[:zb0002]
 			} else {
@@ -1030,6 +1096,10 @@
 				err = msgp.WrapError(err, "Clear")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Clear) >= int(zb0003) {
 				z.Clear = (z.Clear)[:zb0003]
 			} else {
@@ -1103,6 +1173,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1140,6 +1214,10 @@
 				err = msgp.WrapError(err, "Items")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Items) >= int(zb0003) {
 				z.Items = (z.Items)[:zb0003]
 			} else {
@@ -1220,6 +1298,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1329,6 +1411,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1344,11 +1430,27 @@
 				return
 			}
 		case "Value":
-			z.Value, bts, err = msgp.ReadBytesBytes(bts, z.Value)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Value")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
+				z.Value = make([]byte, zb0002)
+			} else {
+				z.Value = z.Value[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Value, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1393,6 +1495,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1408,6 +1514,10 @@
 				err = msgp.WrapError(err, "Vacate")
 				return
 			}
+			if zb0002 > zf88ce922limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1423,6 +1533,10 @@
 						err = msgp.WrapError(err, "Vacate", "VMs")
 						return
 					}
+					if zb0003 > zf88ce922limitArrays {
+						err = msgp.ErrLimitExceeded
+						return
+					}
 					if cap(z.Vacate.VMs) >= int(zb0003) {
 						z.Vacate.VMs = (z.Vacate.VMs)[:zb0003]
 					} else {
@@ -1498,6 +1612,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1644,6 +1762,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1689,6 +1811,10 @@
 				err = msgp.WrapError(err, "After")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.After) >= int(zb0002) {
 				z.After = (z.After)[:zb0002]
 			} else {
@@ -1814,6 +1940,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1875,6 +2005,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1890,6 +2024,10 @@
 				err = msgp.WrapError(err, "VMs")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.VMs) >= int(zb0002) {
 				z.VMs = (z.VMs)[:zb0002]
 			} else {
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -4,6 +4,9 @@
 
 //msgp:tuple Batch Call Answers Answer Row End
 
+// A length that a message claims is not allocated beyond this: a malformed one must not take the memory of the process.
+//msgp:limit arrays:65536
+
 // The kinds of call. The first are those of pools.OrderKind.
 const (
 	callStart uint8 = iota
--- a/io/relay/message_gen.go
+++ b/io/relay/message_gen.go
@@ -6,6 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zdc5d9100limitArrays = 65536
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Answer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -78,6 +83,10 @@
 		err = msgp.WrapError(err, "Running")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Running) >= int(zb0002) {
 		z.Running = (z.Running)[:zb0002]
 	} else {
@@ -96,6 +105,10 @@
 		err = msgp.WrapError(err, "Ended")
 		return
 	}
+	if zb0003 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Ended) >= int(zb0003) {
 		z.Ended = (z.Ended)[:zb0003]
 	} else {
@@ -160,6 +173,10 @@
 		err = msgp.WrapError(err, "List")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.List) >= int(zb0002) {
 		z.List = (z.List)[:zb0002]
 	} else {
@@ -235,6 +252,10 @@
 		err = msgp.WrapError(err, "Specs")
 		return
 	}
+	if zb0002 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Specs) >= int(zb0002) {
 		z.Specs = (z.Specs)[:zb0002]
 	} else {
@@ -253,6 +274,10 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	if zb0003 > zdc5d9100limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Calls) >= int(zb0003) {
 		z.Calls = (z.Calls)[:zb0003]
 	} else {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -217,7 +217,8 @@
 func TestMalformedFrameEndsItsConnectionOnly(t *testing.T) {
 	for name, frame := range map[string][]byte{
 		"too long": {0xff, 0xff, 0xff, 0xff, 1}, "no batch": {0, 0, 0, 2, 0xc0, 0xc1}, "cut": {0, 0, 1, 0, 0x92},
-		"wrong types": {0, 0, 0, 3, 0x92, 0xa0, 0xa0},
+		"wrong types":            {0, 0, 0, 3, 0x92, 0xa0, 0xa0},
+		"claims 4 billion specs": {0, 0, 0, 7, 0x93, 0, 0xdd, 0xff, 0xff, 0xff, 0xff},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
