jobs: Skip records of jobs that no entry would accept

Cause: owners trusted the records of jobs. One whose step comes after a step that does not exist ends the owner with an index out of range while it loads the shard, and every later owner as well; one with 2^40 items takes its memory.

Change: the fold checks a job as the entry that accepted it did, and that its ID is that of the key.

Figures: TestDamagedJobIsSkipped fails without it.

Conclusion: damage is not expected of the log, but one record would have stopped a service.

--- a/core/jobs/book.go
+++ b/core/jobs/book.go
@@ -83,6 +83,13 @@
 	if _, err := j.UnmarshalMsg(value); err != nil {
 		return Change{}, fmt.Errorf("decode job %s: %w", id, err)
 	}
+	// Entries check what callers hand in; a damaged record must not end every owner that reads it.
+	if j.ID != id {
+		return Change{}, fmt.Errorf("record of job %s holds job %q", id, j.ID)
+	}
+	if err := j.Check(); err != nil {
+		return Change{}, fmt.Errorf("record of job %s: %w", id, err)
+	}
 	e.Job = j
 	return Change{ID: id, Submitted: true}, nil
 }
--- a/core/jobs/codec_test.go
+++ b/core/jobs/codec_test.go
@@ -23,3 +23,48 @@
 		assert.ErrorIs(t, err, msgp.ErrLimitExceeded, "%s", name)
 	}
 }
+
+// TestDamagedJobIsSkipped guards against a damaged record of a job that ends every owner which reads it: one whose step comes
+// after a step that does not exist, one with more items than fit the memory, and one under the key of another job.
+func TestDamagedJobIsSkipped(t *testing.T) {
+	for name, j := range map[string]Job{
+		"after a missing step": {ID: "0000000000000001", Steps: []Step{{Count: 1, After: []int{7}}}},
+		"after itself":         {ID: "0000000000000001", Steps: []Step{{Count: 1, After: []int{0}}}},
+		"too many items":       {ID: "0000000000000001", Steps: []Step{{Count: 1 << 40}}},
+		"no steps":             {ID: "0000000000000001"},
+		"another job":          {ID: "0000000000000002", Steps: []Step{{Count: 1}}},
+	} {
+		value, err := j.MarshalMsg(nil)
+		assert.NilError(t, err)
+		b := NewBook()
+		_, err = b.Apply(Record{Key: JobKey("0000000000000001"), Value: value})
+		assert.Assert(t, err != nil, "%s", name)
+		_, known := b.Find("0000000000000001")
+		assert.Assert(t, !known, "%s", name)
+	}
+}
+
+// FuzzRecords guards against a record of any bytes that ends the process which folds it.
+func FuzzRecords(f *testing.F) {
+	job := Job{ID: "0000000000000001", Queue: "q", Steps: []Step{{Count: 2, CPU: 1}, {Count: 1, After: []int{0}}}}
+	progress := Progress{Rev: 2, Items: []ItemState{{Run: 1, VM: "vm"}}}
+	for key, m := range map[string]msgp.Marshaler{
+		JobKey(job.ID): &job, ProgressKey(job.ID): &progress, ClaimKey(3): &Claim{Epoch: 1, Owner: "e"},
+		PostKey(3): &Post{Want: 2, Offers: []string{"vm"}}, VacateKey: &Vacate{VMs: []string{"vm"}},
+	} {
+		b, err := m.MarshalMsg(nil)
+		assert.NilError(f, err)
+		f.Add(key, b)
+	}
+	f.Add("", []byte{})
+	f.Add("u1/m", []byte{1})
+	f.Fuzz(func(_ *testing.T, key string, value []byte) {
+		b, r := NewBook(), NewRoster()
+		rec := Record{Key: key, Value: value}
+		for range 2 {
+			_, _ = b.Apply(rec) // errors are right; panics are not
+			_ = r.Apply(rec)
+		}
+		b.Waiting("q")
+	})
+}
