--- a/core/keep/keep.go
+++ b/core/keep/keep.go
@@ -29,8 +29,8 @@
 	joinMs = 5000
 	// burstMs is the time for which orders that were not used may be made up for.
 	burstMs = 250
-	// crowdedMs is the pause before an order is given again that the platform refused for the number of orders.
-	crowdedMs = 200
+	// tooManyMs is the pause before an order is given again that the platform refused for the number of orders.
+	tooManyMs = 200
 )
 
 // Shares of the orders that the platform takes in a second, in percent.
@@ -455,10 +455,10 @@
 		k.note(m.ID, "order refused", "malformed or not allowed", o.Run)
 	case pools.TooMany:
 		k.quota.empty()
-		m.retryAt = now + crowdedMs
+		m.retryAt = now + tooManyMs
 		k.note(m.ID, "order refused", "too many orders", o.Run)
 	case pools.Unsent:
-		m.retryAt = now + crowdedMs
+		m.retryAt = now + tooManyMs
 		k.note(m.ID, "order not sent", "too many wait, or the keeper may have been replaced", o.Run)
 	default:
 		m.retryAt = now + retryMs
--- a/core/keep/quota_test.go
+++ b/core/keep/quota_test.go
@@ -10,8 +10,8 @@
 	"sassafrasvalve/core/pools"
 )
 
-// crowdedFleet is a large fleet in which pool "lacks" wants machines while "gives" offers all of its own.
-func crowdedFleet(offered, off int) View {
+// largeFleet is a large fleet in which pool "lacks" wants machines while "gives" offers all of its own.
+func largeFleet(offered, off int) View {
 	v := View{ListedAt: 10_000, Pools: []PoolPost{
 		{Service: "gives"}, {Service: "lacks", Post: jobs.Post{Want: 60}}, {Service: "off", Spare: true},
 	}}
@@ -31,7 +31,7 @@
 // the large site), and against machines that are switched off while the orders are needed for a pool that lacks some.
 func TestOrdersKeepToThePlatformsRate(t *testing.T) {
 	const perS = 64
-	v := crowdedFleet(300, 0)
+	v := largeFleet(300, 0)
 	k := New(Config{Epoch: 1, PerS: perS})
 	sent := map[string]int{}
 	total, firstPark := 0, 0
@@ -56,7 +56,7 @@
 	assert.Assert(t, total > 2*perS, "only %d orders in 4 s", total)
 }
 
-// indexOf returns the place of a machine of crowdedFleet in its list.
+// indexOf returns the place of a machine of largeFleet in its list.
 func indexOf(t *testing.T, id string) int {
 	var i int
 	_, err := fmt.Sscanf(id, "m%d", &i)
@@ -67,7 +67,7 @@
 // TestRefusalForTheNumberOfOrdersPausesAll guards against a keeper that goes on ordering while the platform refuses all.
 func TestRefusalForTheNumberOfOrdersPausesAll(t *testing.T) {
 	k := New(Config{Epoch: 1, PerS: 64})
-	v := crowdedFleet(0, 100)
+	v := largeFleet(0, 100)
 	orders := k.Plan(v, 10_000)
 	assert.Assert(t, len(orders) > 0)
 	for _, o := range orders {
@@ -104,7 +104,7 @@
 // nothing fill its pace, and the VMs of one pool that empty one after the other come last (inc-e920, and 3 to 20 of 561
 // machines on the large site).
 func TestPoolsWithLastingWorkAreEmptiedFromTheStart(t *testing.T) {
-	v := crowdedFleet(0, 60)
+	v := largeFleet(0, 60)
 	v.Pools[1].Post.Want = 40 // pools lack machines, so the wave keeps to its pace
 	v.Waves = []pools.Wave{{N: 1, MaxDown: 30, DueMs: 40_000}}
 	for i := range 60 {
--- a/core/shard/cost_test.go
+++ b/core/shard/cost_test.go
@@ -18,8 +18,8 @@
 	costItemMB  = 33_000
 )
 
-// crowd is an engine with a pool of VMs that carry its orders out.
-type crowd struct {
+// loadedPool is an engine with a pool of VMs that carry its orders out.
+type loadedPool struct {
 	e      *Engine
 	now    int64
 	ids    []string
@@ -30,9 +30,9 @@
 	ended  int
 }
 
-func newCrowd(vms int) *crowd {
+func newLoadedPool(vms int) *loadedPool {
 	catalog := &jobs.Catalog{Queues: []jobs.Queue{{Name: "q", Service: "s", Stretch: 1.6, SLOMs: 600, Attempts: 4}}}
-	c := &crowd{
+	c := &loadedPool{
 		e:   New(Config{Service: "s", Epoch: 1, StatusMs: 1000}, catalog, 1),
 		now: 1, vms: map[string]*pool.VM{}, nextAt: map[string]int64{},
 	}
@@ -55,7 +55,7 @@
 }
 
 // turn has jobs come at a rate a second, and lets the engine and the VMs do what is due.
-func (c *crowd) turn(rate int) {
+func (c *loadedPool) turn(rate int) {
 	c.now += costTurnMs
 	for c.owed += rate * costTurnMs; c.owed >= 1000; c.owed -= 1000 {
 		c.n++
@@ -88,7 +88,7 @@
 	c.e.TakeNotes()
 }
 
-func (c *crowd) send(orders []pools.Order) {
+func (c *loadedPool) send(orders []pools.Order) {
 	for _, o := range orders {
 		c.e.Replied(o, c.vms[o.VM].Do(o, c.now), c.now)
 	}
@@ -99,7 +99,7 @@
 func BenchmarkItems(b *testing.B) {
 	for _, s := range []struct{ vms, rate int }{{100, 80}, {400, 80}, {400, 320}, {1100, 80}, {1100, 800}} {
 		b.Run(fmt.Sprintf("vms=%d/jobs=%d", s.vms, s.rate), func(b *testing.B) {
-			c := newCrowd(s.vms)
+			c := newLoadedPool(s.vms)
 			for range 200 {
 				c.turn(s.rate)
 			}
