shard: Ask for VMs in place of those being vacated while a lasting item waits

VMs that are being vacated count as VMs of the pool and give no room. An item without room keeps the budget of its step, so no other VM of the step is emptied, and none of them comes back.

Ruled out: too few machines (1,100, most of them switched off at that time).

Change: while a lasting item waits for over a second, the pool asks for as many more VMs as are being vacated.

Figures: TestPoolGetsVMsForThoseBeingVacated fails without it.

--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -31,6 +31,8 @@
 	memMargin = 115
 	// spareVMs are kept beyond those that what lasts needs, so that it can restart elsewhere.
 	spareVMs = 1 // while one of them is to be vacated
+	// withoutRoomMs is how long a lasting item may wait for a VM before those that are being vacated are asked for once more.
+	withoutRoomMs = 1000
 	// minVMs are always kept.
 	minVMs = 2
 )
@@ -102,6 +104,9 @@
 	if e.displaced() {
 		floor += spareVMs
 	}
+	if e.withoutRoom(now) {
+		floor += e.vacatedVMs()
+	}
 	want := max(floor, int((d.cores*100/fillShare+d.lastingCPU+size-1)/size))
 	e.need.want = e.steady(want, now)
 	e.offer(floor, now)
@@ -194,6 +199,33 @@
 	return false
 }
 
+// withoutRoom reports whether a lasting item has waited for a VM for some time.
+func (e *Engine) withoutRoom(now int64) bool {
+	for _, j := range e.jobs {
+		if j.state.Final() || !j.Lasts() {
+			continue
+		}
+		for _, it := range j.order {
+			if it.phase == idle && it.step.Persistent && now-max(it.since, j.arrivedAt) > withoutRoomMs {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// vacatedVMs returns the number of VMs that the keeper asks to be emptied. They give no room, and those whose items may not be
+// interrupted stay so while an item of the same step waits for room.
+func (e *Engine) vacatedVMs() int {
+	n := 0
+	for _, v := range e.vms {
+		if v.listed && v.vacate {
+			n++
+		}
+	}
+	return n
+}
+
 // openWork returns the core-milliseconds of a job whose turn has come and which may still earn something,
 // and the thousandths of a core that it can use at once.
 func (e *Engine) openWork(j *job, now int64) (work, cpu int64) {
--- a/core/shard/need_test.go
+++ b/core/shard/need_test.go
@@ -40,3 +40,23 @@
 	e.tickNeed(5000)
 	assert.Equal(t, e.need.want, 3, "a VM that is vacated needs another in its place")
 }
+
+// TestPoolGetsVMsForThoseBeingVacated guards against a wave that stands still: VMs that are being emptied give no room, an item
+// that lasts waits for some, and while it is away the budget of its step lets no other VM be emptied (LOST 5 on
+// kegel-live-large, quiet-1 seed 354968618660, where an item waited from 7.3 s to the end of the wave at 26.5 s).
+func TestPoolGetsVMsForThoseBeingVacated(t *testing.T) {
+	e := poolOf(4, 32_000, 128_000)
+	e.Confirm(100)
+	e.Load("j", &jobs.Entry{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{
+		{Count: 5, CPU: 1000, MemMB: 100_000, Persistent: true, Budget: 1},
+	}}}, 0, 0)
+	e.SetVacate([]string{"b", "c"})
+	e.Step(100, 100) // two items find room
+	assert.Equal(t, len(e.TakeOrders()), 2)
+	e.need.peaks = nil
+	e.tickNeed(500)
+	before := e.need.want
+	e.need.peaks = nil
+	e.tickNeed(500 + withoutRoomMs)
+	assert.Equal(t, e.need.want, before+2, "the VMs that are being vacated give no room")
+}
