owner: Count a relayed look without an answer at once

A relayed look takes up to 0.55 s beyond its time by itself, for the relay and for the look that follows from here, and was taken for a delay of this process. A VM called by way of another entry counted as silent one look, 1.7 s, late.

Ruled out: starts on such a VM meanwhile: none is given 2 s after the last answer.

Change: the delay counts for VMs that this process calls itself only.

--- a/io/owner/link.go
+++ b/io/owner/link.go
@@ -222,8 +222,8 @@
 	deadline := time.Now().Add(time.Duration(call.WaitMs)*time.Millisecond + lookSlack)
 	look, err := l.client.Look(call, deadline)
 	now := clock.BootMs()
-	if err != nil && l.ownLag(deadline) {
-		return true // asked again at once
+	if _, relayed := l.client.(pipelined); err != nil && !relayed && l.ownLag(deadline) {
+		return true // asked again at once; a client that relays has done so by itself
 	}
 	l.r.mu.Lock()
 	news := err != nil
