shard: Walk over the lasting items once for the demand

Change: lastingWait returns the longest wait of a lasting item; both questions are answered from it. Behaviour and tests stay.

Conclusion: one walk in place of two.

--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -101,10 +101,11 @@
 	}
 	d := e.demand(now)
 	floor := max(minVMs, d.widest, int((d.lastingCPU+size-1)/size), int((d.lastingMem*memMargin/100+mem-1)/mem))
-	if e.displaced() {
+	wait := e.lastingWait(now)
+	if e.displaced(wait) {
 		floor += spareVMs
 	}
-	if e.withoutRoom(now) {
+	if wait > withoutRoomMs {
 		floor += e.vacatedVMs()
 	}
 	want := max(floor, int((d.cores*100/fillShare+d.lastingCPU+size-1)/size))
@@ -179,39 +180,33 @@
 	}
 }
 
-// displaced reports whether lasting items need another VM than those they have.
-func (e *Engine) displaced() bool {
+// displaced reports whether lasting items need another VM than those they have, given their longest wait.
+func (e *Engine) displaced(wait int64) bool {
+	if wait >= 0 {
+		return true
+	}
 	for _, v := range e.vms {
 		if v.vacate && len(v.runs) > 0 {
 			return true
 		}
 	}
-	for _, j := range e.jobs {
-		if j.state.Final() || !j.Lasts() {
-			continue
-		}
-		for _, it := range j.order {
-			if it.phase == idle && it.step.Persistent {
-				return true
-			}
-		}
-	}
 	return false
 }
 
-// withoutRoom reports whether a lasting item has waited for a VM for some time.
-func (e *Engine) withoutRoom(now int64) bool {
+// lastingWait returns for how long a lasting item has waited for a VM at most, in milliseconds; -1 if none waits.
+func (e *Engine) lastingWait(now int64) int64 {
+	wait := int64(-1)
 	for _, j := range e.jobs {
 		if j.state.Final() || !j.Lasts() {
 			continue
 		}
 		for _, it := range j.order {
-			if it.phase == idle && it.step.Persistent && now-max(it.since, j.arrivedAt) > withoutRoomMs {
-				return true
+			if it.phase == idle && it.step.Persistent {
+				wait = max(wait, now-max(it.since, j.arrivedAt), 0)
 			}
 		}
 	}
-	return false
+	return wait
 }
 
 // vacatedVMs returns the number of VMs that the keeper asks to be emptied. They give no room, and those whose items may not be
