--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -187,12 +187,22 @@
 	Jobs, Waiting, Items, Runs, VMs, Usable int
 	Want                                    int   // VMs that the pool can use
 	FreeCPU                                 int64 // thousandths of a core, on usable VMs
+	Starting, MostStarting                  int   // starts without an answer, and how many there may be
+	Held                                    int   // jobs that wait until all VMs of an earlier owner were asked
+	Unasked                                 int   // VMs that were not asked yet
+	Unrecorded                              int   // starts that wait for their record
 }
 
 // Counts returns what the engine holds.
 func (e *Engine) Counts(now int64) Counts {
-	c := Counts{Jobs: len(e.jobs), VMs: len(e.vms), Want: e.need.want}
+	c := Counts{
+		Jobs: len(e.jobs), VMs: len(e.vms), Want: e.need.want, Starting: e.flow.open, MostStarting: e.flow.window,
+		Unasked: len(e.unmet), Unrecorded: len(e.waiting),
+	}
 	for _, j := range e.jobs {
+		if j.inherited && c.Unasked > 0 && !j.state.Final() {
+			c.Held++
+		}
 		if j.state == jobs.Queued {
 			c.Waiting++
 		}
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -107,14 +107,15 @@
 	// The following belong to the loop.
 	links            map[string]*vmLink
 	linkCount        atomic.Int64
-	linkRev          int64        // of the VMs that have links
-	direct           int          // links that call their VM from this process
-	batch            *shard.Batch // being appended
-	waiting          []*intake    // whose records the next batch takes
-	listed, listedAt int64        // version of the VM list that the engine has, local ms at which it got it
-	idleUntil        int64        // unix nanoseconds until which no turn is taken, 0 for none
-	told             int64        // number of the last post that the keeper was told
-	stateAt          int64        // local ms of the last summary in the log
+	linkRev          int64         // of the VMs that have links
+	direct           int           // links that call their VM from this process
+	batch            *shard.Batch  // being appended
+	waiting          []*intake     // whose records the next batch takes
+	listed, listedAt int64         // version of the VM list that the engine has, local ms at which it got it
+	idleUntil        int64         // unix nanoseconds until which no turn is taken, 0 for none
+	told             int64         // number of the last post that the keeper was told
+	stateAt          int64         // local ms of the last summary in the log
+	turns            time.Duration // that turns took since then
 }
 
 func newRun(cfg PoolConfig, o *Owner) *run {
@@ -258,7 +259,9 @@
 		begun := time.Now()
 		lost := r.turn(batches)
 		r.idleUntil = 0
-		if took := time.Since(begun); took > longTurn {
+		took := time.Since(begun)
+		r.turns += took
+		if took > longTurn {
 			r.idleUntil = time.Now().Add(turnShare * took).UnixNano()
 		}
 		if lost {
@@ -497,7 +500,11 @@
 		r.stateAt = now
 		c := r.engine.Counts(now)
 		r.log.Info("pool state", zap.Int("jobs", c.Jobs), zap.Int("waiting", c.Waiting), zap.Int("runs", c.Runs),
-			zap.Int("vms", c.VMs), zap.Int("usable", c.Usable), zap.Int("want", c.Want), zap.Int64("freeCPU", c.FreeCPU))
+			zap.Int("vms", c.VMs), zap.Int("usable", c.Usable), zap.Int("want", c.Want), zap.Int64("freeCPU", c.FreeCPU),
+			zap.Int("starting", c.Starting), zap.Int("mostStarting", c.MostStarting), zap.Int("held", c.Held),
+			zap.Int("unasked", c.Unasked), zap.Int("unrecorded", c.Unrecorded), zap.Duration("turns", r.turns),
+			zap.Int64("confirmedAgo", now-r.o.health.confirmed.Load()), zap.Int64("readAgo", now-r.ledger.View().FreshAt))
+		r.turns = 0
 	}
 	for _, n := range r.engine.TakeNotes() {
 		r.log.Info(n.What, zap.String("job", n.JobID), zap.String("vm", n.VM), zap.String("reason", n.Reason), zap.Int("n", n.N))
