owner, desk: Send copies of an append that brings no answer

Cause: a shard has one append under way. A lost answer held it for 0.7 s, and two in a row for 2.8 s (append slow, 119 records, 2.86 s). Accepting, recording, starts older than 1.2 s and the renewal of the claim wait behind it, so the owner was also taken for silent and replaced.

Ruled out: a slow store (the same appends take 10 to 30 ms before and between) and an overloaded owner (unanswered is set in these lines only).

Change: after 120 ms, or three times the last append, a copy goes out, then others at growing pauses; the first answer counts. The producer's sequence number has the store recognise copies; what an entry appends alone may be stored twice without harm. A claim is sent the same way.

--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -179,9 +179,9 @@
 		if deadline.After(limit) {
 			deadline = limit
 		}
-		res, err := d.cfg.Store.Append(platform.Append{
+		res, _, err := owner.Hedge(d.cfg.Store, platform.Append{
 			Topic: platform.TopicJobs, Part: part, Records: []jobs.Record{rec}, At: -1, Deadline: deadline,
-		})
+		}, 0)
 		if err == nil && res.Outcome == platform.Appended {
 			return retry.Ran
 		}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -58,7 +58,7 @@
 // Store is what an owner writes to and reads from.
 type Store interface {
 	tail.Reader
-	Append(a platform.Append) (platform.AppendResult, error)
+	Appender
 }
 
 // Runner does the work of a shard while this process owns it.
@@ -227,10 +227,10 @@
 			return false
 		}
 		sent := clock.BootMs()
-		res, err := o.cfg.Store.Append(platform.Append{
+		res, _, err := Hedge(o.cfg.Store, platform.Append{
 			Topic: w.topic, Records: []jobs.Record{rec}, At: v.Cursor,
 			Producer: w.producer, Epoch: w.epoch, Seq: w.seq, Deadline: time.Now().Add(appendTimeout),
-		})
+		}, 0)
 		switch {
 		case err != nil:
 			o.log.Warn("claim not confirmed", zap.Int64("epoch", w.epoch), zap.Error(err))
--- a/io/owner/writer.go
+++ b/io/owner/writer.go
@@ -62,6 +62,7 @@
 	epoch    int64
 	seq      int64 // of the last append
 	patience time.Duration
+	pace     time.Duration // of the last answer, times patienceTimes
 	health   *health
 	log      *zap.Logger
 	stats    *stats.Stats
@@ -78,12 +79,15 @@
 	unknown := false
 	for ctx.Err() == nil {
 		sent := time.Now()
-		res, err := w.store.Append(platform.Append{
+		res, took, err := Hedge(w.store, platform.Append{
 			Topic: w.topic, Part: w.part, Records: records, At: -1,
 			Producer: w.producer, Epoch: w.epoch, Seq: w.seq, Deadline: sent.Add(timeout),
-		})
+		}, w.pace)
 		if err == nil {
-			return w.answered(res, begun, sent, begunAt, len(records), unknown)
+			// The next append waits as long as this one suggests, so that a slow store is not asked twice.
+			w.pace = patienceTimes * took
+			w.patience = min(max(appendTimeout, w.pace), slowAppendTimeout)
+			return w.answered(res, begun, begunAt, len(records), unknown || time.Since(sent) > took+hedgeAfter)
 		}
 		w.health.failing.CompareAndSwap(0, begunAt)
 		w.health.refused.Store(platform.VerdictOf(err) == retry.NotRun)
@@ -104,7 +108,7 @@
 }
 
 // answered takes over the answer to an append.
-func (w *writer) answered(res platform.AppendResult, begun, sent time.Time, begunAt int64, n int, unknown bool) bool {
+func (w *writer) answered(res platform.AppendResult, begun time.Time, begunAt int64, n int, unknown bool) bool {
 	w.health.failing.Store(0)
 	if res.Outcome != platform.Appended {
 		w.log.Info("shard lost to another owner", zap.String("topic", w.topic), zap.Int64("epoch", w.epoch),
@@ -114,8 +118,6 @@
 	if n > 0 {
 		w.health.confirmed.Store(max(begunAt, w.health.confirmed.Load()))
 	}
-	// The next append waits as long as this one suggests, so that a slow store is not asked twice.
-	w.patience = min(max(appendTimeout, patienceTimes*time.Since(sent)), slowAppendTimeout)
 	took := time.Since(begun)
 	w.timed(took)
 	if took > slowAppend {
