feed, desk, node: Keep the configuration young after refused reads

Cause: the age counts from the start of the newest answered read, so it reaches two waits of 0.9 s and the pause between them. The pause recovers from 0.8 s over 13 reads, and from 0.1 s on the bound of 1.9 s was passed before each answer.

Change: while the pause is long, a read asks for a shorter wait. The bound comes from the setting Times.ConfigMs (the platform's config_propagation_ms, 2 to 4 s) and was that of the smallest sites everywhere; waits leave 0.3 s of it.

--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -27,8 +27,10 @@
 	answerReserve = 150 * time.Millisecond
 	// maxAppending bounds how long a caller waits for the log in all.
 	maxAppending = 2500 * time.Millisecond
-	// maxConfigAge is the age of the configuration, in ms, above which nothing is decided by it.
-	maxConfigAge = 1900
+	// configReserve is left of the time in which a new configuration must be in force, in ms.
+	configReserve = 100
+	// defaultConfigMs is that time without a setting, the shortest of the platform's deployments, in ms.
+	defaultConfigMs = 2000
 	// comeBack is when a caller may try again after a refusal for want of the platform.
 	comeBack = time.Second
 	// defaultMaxBody is the greatest size of a job before a configuration was read, in bytes.
@@ -65,6 +67,8 @@
 	Store   owner.Store
 	Catalog Catalog
 	Shards  Shards
+	// ConfigMs is the time within which a new configuration must be in force, in ms; 0 if it is not known.
+	ConfigMs int64
 	Log     *zap.Logger
 	Stats   *stats.Stats
 }
@@ -77,6 +81,15 @@
 // New returns a desk.
 func New(cfg Config) *Desk { return &Desk{cfg: cfg} }
 
+// MaxConfigAge returns the age of the configuration above which nothing is decided by it, given the time within which a new one
+// must be in force, both in ms.
+func MaxConfigAge(configMs int64) int64 {
+	if configMs <= 0 {
+		configMs = defaultConfigMs
+	}
+	return max(configMs-configReserve, 0)
+}
+
 // MaxBody returns the greatest size of a job in bytes.
 func (d *Desk) MaxBody() int64 {
 	if c, _ := d.cfg.Catalog.Catalog(); c != nil && c.BodyBytes > 0 {
@@ -91,7 +104,7 @@
 	if c == nil {
 		return nil, unavailable("no configuration has been read yet")
 	}
-	if age > maxConfigAge {
+	if age > MaxConfigAge(d.cfg.ConfigMs) {
 		return nil, unavailable("the configuration cannot be read at present")
 	}
 	q, ok := c.Find(host, path)
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -20,8 +20,7 @@
 	readSlack = 800 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 150 * time.Millisecond
-	// slowest is the pause that refused reads lead to. The configuration must not get older than 1.9 s, and a read
-	// of it takes up to 0.9 s.
+	// slowest is the pause that refused reads lead to. Shorter waits make up for it.
 	slowest = 800 * time.Millisecond
 	// loadTimeout bounds a reload of the topic.
 	loadTimeout = 4 * time.Second
@@ -69,9 +68,12 @@
 
 func (f *Feed) loop(ctx context.Context) {
 	pace := wire.Pace{Every: f.cfg.Pause, Retry: retryPause, Most: slowest}
+	wait := f.cfg.Wait
 	for ctx.Err() == nil {
-		err := f.Step(f.cfg.Wait)
+		err := f.Step(wait)
 		pause := pace.Next(err != nil, platform.TooMany(err))
+		// What was read gets as old as two waits and the pause between them.
+		wait = max(f.cfg.Wait-max(pause-f.cfg.Pause, 0)/2, 0)
 		if was := f.failed.Swap(err != nil); was != (err != nil) {
 			if err != nil {
 				f.cfg.Log.Warn("topic cannot be read", zap.String("topic", f.cfg.Topic), zap.Error(err))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -36,16 +36,18 @@
 
 // Life cycle of an entry.
 const (
-	// configWait is how long the store holds a read of the configuration back. Its age decides whether
-	// requests are served, so it stays well under the bound on the age.
+	// configWait is how long the store holds a read of the configuration back at most.
 	configWait = 900 * time.Millisecond
+	// configSlack is left of the bound on the configuration's age for late answers and a busy processor, in ms.
+	configSlack = 300
 	// leaveWait is how long an entry that is no longer ready goes on accepting, until the balancer has
 	// missed two checks.
 	leaveWait = 2300 * time.Millisecond
 	// finishWait bounds the wait for open requests at a stop.
 	finishWait = 2500 * time.Millisecond
-	// readyAge is the age of the configuration, in ms, up to which an entry reports itself ready.
-	readyAge = 2500
+	// readyGrace is how long an entry that refuses callers for the age of its configuration still reports itself ready, in ms: new
+	// channels go elsewhere after two checks, and come back as late.
+	readyGrace = 600
 	// memoryShare is the part of the memory limit that the runtime keeps to, in percent.
 	memoryShare = 70
 	// gcPercent trades memory, which is priced at its peak, against processor time.
@@ -114,13 +116,19 @@
 	n.waves = &waves{log: log, store: n.store, waves: map[int]pools.Wave{}, told: map[int]string{}}
 	n.catalog = &catalog{log: log, waves: n.waves}
 	n.catalog.feed = feed.New(feed.Config{
-		Store: n.store, Topic: platform.TopicOperator, Wait: configWait, Log: log, Take: n.catalog.take,
+		Store: n.store, Topic: platform.TopicOperator, Wait: configWaitFor(s.Times.ConfigMs), Log: log, Take: n.catalog.take,
 	})
 	n.addGauges()
 	n.shards = newShards(shardsConfig{Store: n.store, Parts: s.Store.Parts, Log: log, Open: n.open})
 	return n, nil
 }
 
+// configWaitFor returns how long the store may hold a read of the configuration back. What was read gets as old as two waits.
+func configWaitFor(configMs int64) time.Duration {
+	most := (desk.MaxConfigAge(configMs) - configSlack) / 2
+	return min(configWait, time.Duration(max(most, 0))*time.Millisecond)
+}
+
 // Run serves until ctx ends, then hands the shards over, finishes open requests and returns.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("entry starts", zap.String("member", n.member), zap.String("dc", n.cfg.DC))
@@ -149,7 +157,7 @@
 	go n.shards.loop(base, n.catalog.Current)
 	go n.peers.relays.Run(base)
 	go (&offers{n: n, next: map[string]time.Time{}}).Run(base)
-	d := desk.New(desk.Config{Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards, Log: n.log, Stats: n.stats})
+	d := desk.New(desk.Config{Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards, ConfigMs: n.cfg.Times.ConfigMs, Log: n.log, Stats: n.stats})
 	server := &http.Server{
 		Handler: &platform.Front{Desk: d, Log: n.log}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
@@ -330,7 +338,7 @@
 		return "the entry is stopping"
 	case c == nil:
 		return "no configuration has been read yet"
-	case age > readyAge:
+	case age > desk.MaxConfigAge(n.cfg.Times.ConfigMs)+readyGrace:
 		return "the configuration cannot be read at present"
 	}
 	if n.roster.View().Cursor < 0 {
