--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -69,8 +69,8 @@
 	Shards  Shards
 	// ConfigMs is the time within which a new configuration must be in force, in ms; 0 if it is not known.
 	ConfigMs int64
-	Log     *zap.Logger
-	Stats   *stats.Stats
+	Log      *zap.Logger
+	Stats    *stats.Stats
 }
 
 // Desk serves callers.
