owner, node: Claim one shard at a time

Cause: a process that owns shards claims others later, but claims that wait at the same time do not see each other.

Change: a process claims one shard at a time. The wait counts from the time at which the shard was free, so a lone process is not slower.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -59,23 +59,24 @@
 
 // Node is one entry on the platform.
 type Node struct {
-	cfg     *Settings
-	log     *zap.Logger
-	level   zap.AtomicLevel
-	sink    *logs.Sink
-	member  string
-	store   *platform.Store
-	cloud   *platform.Cloud
-	policy  *platform.Policy
-	catalog *catalog
-	shards  *shards
-	waves   *waves
-	regis   *regis.Registry
-	peers   *owners
-	roster  *tail.Roster
-	stats   *stats.Stats
-	owned   atomic.Int64
-	leaving atomic.Bool
+	cfg      *Settings
+	log      *zap.Logger
+	level    zap.AtomicLevel
+	sink     *logs.Sink
+	member   string
+	store    *platform.Store
+	cloud    *platform.Cloud
+	policy   *platform.Policy
+	catalog  *catalog
+	shards   *shards
+	waves    *waves
+	regis    *regis.Registry
+	peers    *owners
+	roster   *tail.Roster
+	stats    *stats.Stats
+	owned    atomic.Int64
+	claiming sync.Mutex // of the owners
+	leaving  atomic.Bool
 
 	ctx          context.Context // of the followers and of owners
 	owners       sync.WaitGroup
@@ -246,7 +247,7 @@
 func (n *Node) open(service string, part int) {
 	o := owner.New(owner.Config{
 		Member: n.member, Addr: n.cfg.Peer, Peers: n.peers, Service: service, Part: part, Store: n.store, Roster: n.roster,
-		Runner: n.runner(service), Owned: &n.owned, Handicap: handicap(n.cfg.CPUShare), Log: n.log, Stats: n.stats,
+		Runner: n.runner(service), Owned: &n.owned, Claiming: &n.claiming, Handicap: handicap(n.cfg.CPUShare), Log: n.log, Stats: n.stats,
 	})
 	n.peers.add(part, o)
 	n.owners.Add(1)
--- /dev/null
+++ b/io/owner/claim_test.go
@@ -0,0 +1,108 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/io/stats"
+	"sassafrasvalve/io/tail"
+	"sassafrasvalve/platform"
+)
+
+// appendTakes is the time of an append on a busy entry.
+const appendTakes = 60 * time.Millisecond
+
+// sharedLog is an owners' partition that several processes write to and read from.
+type sharedLog struct {
+	mu sync.Mutex
+	claimLog
+}
+
+func (l *sharedLog) Read(r platform.Read) (platform.Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.claimLog.Read(r)
+}
+
+func (l *sharedLog) Append(a platform.Append) (platform.AppendResult, error) {
+	time.Sleep(appendTakes)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.At >= 0 && a.At != int64(len(l.records)) {
+		return platform.AppendResult{Outcome: platform.Moved}, nil
+	}
+	l.records = append(l.records, a.Records...)
+	return platform.AppendResult{Outcome: platform.Appended}, nil
+}
+
+// idleRunner has no work.
+type idleRunner struct{}
+
+func (idleRunner) Serve(ctx context.Context, _ *Owner) bool {
+	<-ctx.Done()
+	return true
+}
+
+// process is the owners of all shards in one entry.
+type process struct {
+	owned  atomic.Int64
+	owners []*Owner
+}
+
+func startProcess(t *testing.T, l *sharedLog, name string, shards int) *process {
+	t.Helper()
+	p := &process{}
+	claiming := &sync.Mutex{}
+	roster := tail.NewRoster(l, false, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for part := range shards {
+		o := New(Config{
+			Member: name, Service: fmt.Sprint(part), Part: part, Store: l, Roster: roster, Peers: &askedPeers{}, Runner: idleRunner{},
+			Owned: &p.owned, Claiming: claiming, Log: zap.NewNop(), Stats: stats.New(),
+		})
+		p.owners = append(p.owners, o)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			o.Run(ctx)
+		}()
+	}
+	go roster.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return p
+}
+
+// TestFreeShardsSpread guards against a process that claims several shards at once since none of its claims sees the others: an
+// entry with a fifth of a core owned three shards in a turn, though others owned none (kegel-live-grown, refused-reads seed
+// 772178764796).
+func TestFreeShardsSpread(t *testing.T) {
+	const processes, shards = 3, 3
+	l := &sharedLog{}
+	var list []*process
+	for i := range processes {
+		list = append(list, startProcess(t, l, fmt.Sprintf("e%d#1", i), shards))
+	}
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		var all int64
+		for _, p := range list {
+			all += p.owned.Load()
+		}
+		if all == shards {
+			break
+		}
+	}
+	for i, p := range list {
+		assert.Equal(t, p.owned.Load(), int64(1), "process %d", i)
+	}
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -85,6 +86,8 @@
 	Roster  *tail.Roster
 	Runner  Runner
 	Owned   *atomic.Int64 // shards owned by this process
+	// Claiming is held while this process claims a shard, so that each claim waits for what it owns already.
+	Claiming *sync.Mutex
 	// Handicap delays the claims of a process on a weak machine, so that strong ones own the shards.
 	Handicap time.Duration
 	Log      *zap.Logger
@@ -129,7 +132,7 @@
 			return
 		case <-o.moved:
 		}
-		if reason := o.free(); reason != "" && o.pause(ctx) && o.free() != "" && o.claim(ctx, reason) {
+		if reason := o.free(); reason != "" && o.compete(ctx, reason) {
 			o.own(ctx)
 			o.beatAt = 0
 		}
@@ -199,11 +202,23 @@
 	return ""
 }
 
-// pause waits a random time, longer for a process that owns more. It returns false at the end of ctx.
-func (o *Owner) pause(ctx context.Context) bool {
-	wire.Sleep(ctx, rand.N(claimSpread))
-	// Counted after the random wait, since claims of other shards may have succeeded meanwhile.
-	wire.Sleep(ctx, time.Duration(o.cfg.Owned.Load())*claimPerShard+o.cfg.Handicap)
+// compete claims the shard, which is free, unless another process is faster. It returns whether this process owns it.
+func (o *Owner) compete(ctx context.Context, reason string) bool {
+	free := time.Now()
+	o.cfg.Claiming.Lock()
+	defer o.cfg.Claiming.Unlock()
+	if !o.pause(ctx, free) || o.free() == "" || !o.claim(ctx, reason) {
+		return false
+	}
+	o.cfg.Owned.Add(1)
+	return true
+}
+
+// pause waits from the time at which the shard was free for a random time, longer in a process that owns more. It returns false at
+// the end of ctx.
+func (o *Owner) pause(ctx context.Context, free time.Time) bool {
+	wait := rand.N(claimSpread) + time.Duration(o.cfg.Owned.Load())*claimPerShard + o.cfg.Handicap
+	wire.Sleep(ctx, time.Until(free.Add(wait)))
 	return ctx.Err() == nil && o.cfg.Roster.Catch(ctx) == nil
 }
 
@@ -258,7 +273,6 @@
 
 // own runs the shard until it is lost or ctx ends.
 func (o *Owner) own(ctx context.Context) {
-	o.cfg.Owned.Add(1)
 	defer o.cfg.Owned.Add(-1)
 	o.lost.Store(false)
 	o.owning.Store(true)
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,7 +60,7 @@
 	l := &claimLog{}
 	peers := &askedPeers{}
 	r := tail.NewRoster(l, false, zap.NewNop())
-	o := New(Config{Member: "e2#1", Peers: peers, Store: l, Roster: r, Owned: &atomic.Int64{}, Log: zap.NewNop()})
+	o := New(Config{Member: "e2#1", Peers: peers, Store: l, Roster: r, Owned: &atomic.Int64{}, Claiming: &sync.Mutex{}, Log: zap.NewNop()})
 	l.renew(t)
 	assert.NilError(t, r.Catch(t.Context()))
 	assert.Equal(t, o.free(), "")
