owner: Release a shard without waiting for looks

A planned stop left a shard without an owner for up to a second: looks under way (0.7 s wait, 0.45 s slack), the list of machines (1.5 s) and questions to the policy (4 s) had to end before the release was written.

Cause: one wait group for all loops of a run. Only those that send orders and append must end first; answers that come later reach an engine that no longer decides, and the records before the release hold all that was started.

--- a/io/owner/advice.go
+++ b/io/owner/advice.go
@@ -29,7 +29,6 @@
 
 // adviceLoop asks the policy, one question at a time as it answers them.
 func (r *run) adviceLoop() {
-	defer r.wg.Done()
 	for {
 		select {
 		case <-r.ctx.Done():
--- a/io/owner/keeper.go
+++ b/io/owner/keeper.go
@@ -79,7 +79,6 @@
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.wg.Wait()
 	defer r.cancel()
-	r.wg.Add(1)
 	go r.listLoop()
 	for range orderLoops {
 		r.wg.Add(1)
@@ -103,8 +102,8 @@
 	orders chan pools.Order
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     sync.WaitGroup
-	writer writer // of the owners' partition, beside that of the claim
+	wg     sync.WaitGroup // of the loops that send orders
+	writer writer         // of the owners' partition, beside that of the claim
 
 	mu       sync.Mutex // guards the following
 	keeper   *keep.Keeper
@@ -274,7 +273,6 @@
 
 // listLoop reads the list of machines again and again.
 func (r *keeperRun) listLoop() {
-	defer r.wg.Done()
 	failed := false
 	for r.ctx.Err() == nil {
 		begun := clock.BootMs()
--- a/io/owner/link.go
+++ b/io/owner/link.go
@@ -54,7 +54,7 @@
 		orders: make(chan pools.Order, ordersWaiting), acked: make(chan struct{}, 1), doubt: make(chan struct{}, 1),
 	}
 	l.ctx, l.cancel = context.WithCancel(r.ctx)
-	r.wg.Add(2)
+	r.wg.Add(1)
 	go l.looks()
 	go l.loop()
 	return l
@@ -166,7 +166,6 @@
 
 // looks asks the VM again and again what it runs, which also keeps its lease.
 func (l *vmLink) looks() {
-	defer l.r.wg.Done()
 	for l.ctx.Err() == nil {
 		if !l.look() {
 			wire.Sleep(l.ctx, lookPause)
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -99,7 +99,7 @@
 	timeStart func(time.Duration) // takes the duration of each order to start
 	ctx       context.Context     // of the loops and the links
 	cancel    context.CancelFunc
-	wg        sync.WaitGroup
+	wg        sync.WaitGroup // of the loops that send orders and append; those that only ask end by their deadlines
 
 	mu     sync.Mutex // guards engine
 	engine *shard.Engine
@@ -162,11 +162,7 @@
 	if !r.takeOver(ctx) {
 		return true // nothing was done
 	}
-	r.wg.Add(1)
-	go func() {
-		defer r.wg.Done()
-		r.ledger.Run(r.ctx)
-	}()
+	go r.ledger.Run(r.ctx)
 	r.o.run.Store(r)
 	defer r.o.run.Store(nil)
 	return r.loop(ctx)
@@ -235,7 +231,6 @@
 	defer close(batches)
 	r.wg.Add(1)
 	go r.appendLoop(batches, appended)
-	r.wg.Add(2)
 	go r.livesLoop()
 	go r.adviceLoop()
 	for {
@@ -332,7 +327,6 @@
 
 // livesLoop asks the platform which lifetimes are over while a VM is in doubt.
 func (r *run) livesLoop() {
-	defer r.wg.Done()
 	for r.ctx.Err() == nil {
 		wire.Sleep(r.ctx, livesEvery)
 		r.mu.Lock()
