owner: Claim a shard for the reason that holds at the claim

If the shard was released, then claimed and released in haste by another process meanwhile, the new owner takes it for cleanly released and does not ask the VMs what was started without a record; such items would start a second time.

Change: the reason is read beside the cursor on which the claim is conditional.

TestClaimHasItsOwnReason failed before: reason "released" for "released in haste".

--- a/io/owner/claim_test.go
+++ b/io/owner/claim_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/io/stats"
 	"sassafrasvalve/io/tail"
 	"sassafrasvalve/platform"
@@ -106,3 +107,31 @@
 		assert.Equal(t, p.owned.Load(), int64(1), "process %d", i)
 	}
 }
+
+// TestClaimHasItsOwnReason guards against a new owner that takes the shard for released since it was when it began to wait: another
+// process that owned it in between and released it in haste may have started items without a record, which would then run twice.
+func TestClaimHasItsOwnReason(t *testing.T) {
+	l := &sharedLog{}
+	add := func(epoch int64, member, reason string) {
+		value, err := (&jobs.Claim{Epoch: epoch, Owner: member, Addr: "10.0.0.1:7000", Reason: reason}).MarshalMsg(nil)
+		assert.NilError(t, err)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.records = append(l.records, jobs.Record{Key: jobs.ClaimKey(0), Value: value})
+	}
+	add(1, "", reasonReleased)
+	roster := tail.NewRoster(l, false, zap.NewNop())
+	o := New(Config{
+		Member: "e1#1", Store: l, Roster: roster, Peers: &askedPeers{}, Owned: &atomic.Int64{}, Claiming: &sync.Mutex{}, Log: zap.NewNop(),
+		Stats: stats.New(), Handicap: 2 * claimSpread,
+	})
+	assert.NilError(t, roster.Catch(t.Context()))
+	assert.Equal(t, o.free(), reasonReleased)
+	time.AfterFunc(claimSpread, func() {
+		add(2, "e2#1", reasonReleased)
+		add(2, "", reasonHaste)
+	})
+	assert.Assert(t, o.compete(t.Context()))
+	assert.Equal(t, o.reason, reasonHaste)
+	assert.Assert(t, !o.clean())
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -132,7 +132,7 @@
 			return
 		case <-o.moved:
 		}
-		if reason := o.free(); reason != "" && o.compete(ctx, reason) {
+		if o.free() != "" && o.compete(ctx) {
 			o.own(ctx)
 			o.beatAt = 0
 		}
@@ -161,7 +161,8 @@
 const (
 	reasonFirst    = "no owner yet"
 	reasonReleased = "released"
-	reasonSilent   = "owner silent" // it may still be at work
+	reasonHaste    = "released in haste" // not all that was done is recorded
+	reasonSilent   = "owner silent"      // it may still be at work
 	reasonGone     = "owner gone"
 )
 
@@ -203,11 +204,11 @@
 }
 
 // compete claims the shard, which is free, unless another process is faster. It returns whether this process owns it.
-func (o *Owner) compete(ctx context.Context, reason string) bool {
+func (o *Owner) compete(ctx context.Context) bool {
 	free := time.Now()
 	o.cfg.Claiming.Lock()
 	defer o.cfg.Claiming.Unlock()
-	if !o.pause(ctx, free) || o.free() == "" || !o.claim(ctx, reason) {
+	if !o.pause(ctx, free) || !o.claim(ctx) {
 		return false
 	}
 	o.cfg.Owned.Add(1)
@@ -222,13 +223,18 @@
 	return ctx.Err() == nil && o.cfg.Roster.Catch(ctx) == nil
 }
 
-// claim writes the next claim behind all records that this process has seen.
-func (o *Owner) claim(ctx context.Context, reason string) bool {
+// claim writes the next claim behind all records that this process has seen, if the shard is free by them.
+func (o *Owner) claim(ctx context.Context) bool {
 	for range claimTries {
-		if ctx.Err() != nil || o.cfg.Roster.Catch(ctx) != nil || o.free() == "" {
+		if ctx.Err() != nil || o.cfg.Roster.Catch(ctx) != nil {
+			return false
+		}
+		// Records that come after the view has its cursor make the append fail, so the reason holds for the claim.
+		v := o.cfg.Roster.View()
+		reason, s := o.free(), o.cfg.Roster.Shard(o.cfg.Part)
+		if reason == "" {
 			return false
 		}
-		v, s := o.cfg.Roster.View(), o.cfg.Roster.Shard(o.cfg.Part)
 		// The store answers a repeat of an epoch and a sequence number as it answered the first call, whoever
 		// sends it. A random first number keeps the claims of two processes apart.
 		w := writer{
@@ -296,7 +302,7 @@
 func (o *Owner) release(ctx context.Context, recorded bool) {
 	reason := reasonReleased
 	if !recorded {
-		reason = "released in haste"
+		reason = reasonHaste
 	}
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
