node, owner: Hand shards over to entries with much more processor

Cause: a claim prefers strong entries only while they can claim. Nothing moves a shard afterwards.

Change: claims tell the share of a core of their owner. An entry that could give a shard 2.5 times the processor that it has now asks its owner for one, which releases the busiest, not sooner than 2 s after its claim and one in 1.5 s. Who asked claims it at once, the former owner not for 1.5 s. Only an entry whose view of the owners is fresh asks. Records, epochs and fence numbers are those of any planned release.

--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -380,9 +380,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "e"
-	o = append(o, 0x84, 0xa1, 0x65)
+	o = append(o, 0x85, 0xa1, 0x65)
 	o = msgp.AppendInt64(o, z.Epoch)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -393,6 +393,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendString(o, z.Reason)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendFloat64(o, z.Share)
 	return
 }
 
@@ -442,6 +445,12 @@
 				err = msgp.WrapError(err, "Reason")
 				return
 			}
+		case "c":
+			z.Share, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Share")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -456,7 +465,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Claim) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Reason)
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Float64Size
 	return
 }
 
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -79,8 +79,9 @@
 
 // Claim is the ownership record of a shard.
 type Claim struct {
-	Epoch  int64  `msg:"e"` // rises with each owner
-	Owner  string `msg:"o"` // empty after a release
-	Addr   string `msg:"a"` // IP:port at which other entries reach the owner
-	Reason string `msg:"r"`
+	Epoch  int64   `msg:"e"` // rises with each owner
+	Owner  string  `msg:"o"` // empty after a release
+	Addr   string  `msg:"a"` // IP:port at which other entries reach the owner
+	Reason string  `msg:"r"`
+	Share  float64 `msg:"c"` // of a core that the owner's machine has, 0 if it is not known
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -150,6 +150,8 @@
 	n.newRelays(base)
 	calls := peer.NewServer(peer.ServerConfig{Listen: n.cfg.Peer, Raw: n.peers.relays.Serve, Log: n.log})
 	n.peers.serve(calls)
+	passing := &relief{n: n}
+	handle(calls, methodRelieve, func(ctx context.Context, req relieveRequest) any { return passing.relieve(ctx, req) })
 	if err := calls.Listen(base); err != nil {
 		return err
 	}
@@ -157,6 +159,7 @@
 	go n.roster.Run(base)
 	go n.shards.loop(base, n.catalog.Current)
 	go n.peers.relays.Run(base)
+	go passing.Run(base)
 	go (&offers{n: n, next: map[string]time.Time{}}).Run(base)
 	d := desk.New(desk.Config{Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards, ConfigMs: n.cfg.Times.ConfigMs, Log: n.log, Stats: n.stats})
 	server := &http.Server{
@@ -247,7 +250,7 @@
 func (n *Node) open(service string, part int) {
 	o := owner.New(owner.Config{
 		Member: n.member, Addr: n.cfg.Peer, Peers: n.peers, Service: service, Part: part, Store: n.store, Roster: n.roster,
-		Runner: n.runner(service), Owned: &n.owned, Claiming: &n.claiming, Handicap: handicap(n.cfg.CPUShare), Log: n.log, Stats: n.stats,
+		Runner: n.runner(service), Owned: &n.owned, Claiming: &n.claiming, Share: n.cfg.CPUShare, Handicap: handicap(n.cfg.CPUShare), Log: n.log, Stats: n.stats,
 	})
 	n.peers.add(part, o)
 	n.owners.Add(1)
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -19,6 +19,7 @@
 
 // entry is one entry under test.
 type entry struct {
+	node  *Node
 	front string
 	stop  context.CancelFunc
 	ended chan error
@@ -33,9 +34,13 @@
 }
 
 // startEntry runs an entry on a stand-in of the platform.
-func startEntry(t *testing.T, p *plat.Platform, name string) *entry {
+func startEntry(t *testing.T, p *plat.Platform, name string) *entry { return startSized(t, p, name, 0) }
+
+// startSized runs an entry on a machine with a share of a core; 0 stands for an unknown one.
+func startSized(t *testing.T, p *plat.Platform, name string, share float64) *entry {
 	s := &Settings{
-		Node: name, Front: freeAddr(t), Ready: freeAddr(t), Peer: freeAddr(t), LogLevel: "error",
+		CPUShare: share,
+		Node:     name, Front: freeAddr(t), Ready: freeAddr(t), Peer: freeAddr(t), LogLevel: "error",
 		Store: StoreSettings{Addr: p.Store(), Parts: 12},
 		Cloud: CloudSettings{Addr: p.Cloud(), FenceChecks: true},
 		Times: TimeSettings{StatusMs: 120_000, GraceMs: 6000, LeaseMs: 300},
@@ -44,7 +49,7 @@
 	n, err := New(s)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &entry{front: s.Front, stop: cancel, ended: make(chan error, 1)}
+	e := &entry{node: n, front: s.Front, stop: cancel, ended: make(chan error, 1)}
 	go func() { e.ended <- n.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
--- a/io/owner/claim_test.go
+++ b/io/owner/claim_test.go
@@ -108,6 +108,35 @@
 	}
 }
 
+// TestHandedOverShardGoesToWhoAsked guards against a shard that is released for a process with more processor and goes to another
+// one, or back, or stays without an owner for longer than a claim takes.
+func TestHandedOverShardGoesToWhoAsked(t *testing.T) {
+	const most = 400 * time.Millisecond // a caller's objective is 600 ms
+	l := &sharedLog{}
+	first := startProcess(t, l, "e1#1", 1)
+	eventually(t, func() bool { return first.owned.Load() == 1 })
+	second := startProcess(t, l, "e2#1", 1)
+	third := startProcess(t, l, "e3#1", 1)
+	time.Sleep(termLeast * time.Millisecond)
+	assert.Assert(t, !second.owners[0].HandOver(t.Context()), "it does not own the shard")
+	assert.Assert(t, first.owners[0].HandOver(t.Context()))
+	released := time.Now()
+	second.owners[0].Call()
+	eventually(t, func() bool { return second.owned.Load() == 1 })
+	assert.Assert(t, time.Since(released) < most, "the shard had no owner for %v", time.Since(released))
+	assert.Assert(t, !second.owners[0].HandOver(t.Context()), "it owns the shard only since")
+	time.Sleep(shunFor)
+	assert.Equal(t, first.owned.Load()+third.owned.Load(), int64(0))
+}
+
+// eventually waits until check holds.
+func eventually(t *testing.T, check func() bool) {
+	t.Helper()
+	for until := time.Now().Add(5 * time.Second); !check(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "not within 5 s")
+	}
+}
+
 // TestClaimHasItsOwnReason guards against a new owner that takes the shard for released since it was when it began to wait: another
 // process that owned it in between and released it in haste may have started items without a record, which would then run twice.
 func TestClaimHasItsOwnReason(t *testing.T) {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -88,6 +88,7 @@
 	Owned   *atomic.Int64 // shards owned by this process
 	// Claiming is held while this process claims a shard, so that each claim waits for what it owns already.
 	Claiming *sync.Mutex
+	Share    float64 // of a core that this process has, 0 if it is not known
 	// Handicap delays the claims of a process on a weak machine, so that strong ones own the shards.
 	Handicap time.Duration
 	Log      *zap.Logger
@@ -107,6 +108,9 @@
 	inbox  chan *intake // records that entries hand in
 	run    atomic.Pointer[run]
 	post   atomic.Pointer[jobs.Post] // to be written with the next renewal
+	term   atomic.Pointer[term]      // of the present ownership, nil without one
+	called chan struct{}             // the shard was handed over to this process; of size 1
+	shunTo time.Time                 // until then other processes claim first
 
 	seen    int   // renewals seen
 	beatAt  int64 // local ms at which the last renewal was seen
@@ -117,7 +121,7 @@
 // New returns an owner that does not run yet.
 func New(cfg Config) *Owner {
 	return &Owner{
-		cfg: cfg, inbox: make(chan *intake, maxIntakes), moved: cfg.Roster.Moved(),
+		cfg: cfg, inbox: make(chan *intake, maxIntakes), moved: cfg.Roster.Moved(), called: make(chan struct{}, 1),
 		log: cfg.Log.With(zap.Int("shard", cfg.Part), zap.String("service", cfg.Service)),
 	}
 }
@@ -131,6 +135,13 @@
 		case <-ctx.Done():
 			return
 		case <-o.moved:
+		case <-o.called:
+			o.shunTo = time.Time{}
+			if o.cfg.Roster.Catch(ctx) == nil && o.free() == reasonReleased && o.claimNow(ctx) {
+				o.own(ctx)
+				o.beatAt = 0
+			}
+			continue
 		}
 		if o.free() != "" && o.compete(ctx) {
 			o.own(ctx)
@@ -215,11 +226,22 @@
 	return true
 }
 
+// claimNow claims a shard that was handed over to this process.
+func (o *Owner) claimNow(ctx context.Context) bool {
+	o.cfg.Claiming.Lock()
+	defer o.cfg.Claiming.Unlock()
+	if !o.claim(ctx) {
+		return false
+	}
+	o.cfg.Owned.Add(1)
+	return true
+}
+
 // pause waits from the time at which the shard was free for a random time, longer in a process that owns more. It returns false at
 // the end of ctx.
 func (o *Owner) pause(ctx context.Context, free time.Time) bool {
 	wait := rand.N(claimSpread) + time.Duration(o.cfg.Owned.Load())*claimPerShard + o.cfg.Handicap
-	wire.Sleep(ctx, time.Until(free.Add(wait)))
+	wire.Sleep(ctx, max(time.Until(free.Add(wait)), time.Until(o.shunTo)))
 	return ctx.Err() == nil && o.cfg.Roster.Catch(ctx) == nil
 }
 
@@ -272,7 +294,7 @@
 }
 
 func (o *Owner) claimRecord(epoch int64, member, reason string) (jobs.Record, error) {
-	c := jobs.Claim{Epoch: epoch, Owner: member, Addr: o.cfg.Addr, Reason: reason}
+	c := jobs.Claim{Epoch: epoch, Owner: member, Addr: o.cfg.Addr, Reason: reason, Share: o.cfg.Share}
 	value, err := c.MarshalMsg(nil)
 	return jobs.Record{Key: jobs.ClaimKey(o.cfg.Part), Value: value}, err
 }
@@ -285,6 +307,10 @@
 	defer o.owning.Store(false)
 	work, stop := context.WithCancel(ctx)
 	defer stop()
+	t := &term{since: clock.BootMs(), stop: stop, over: make(chan struct{})}
+	o.term.Store(t)
+	defer close(t.over)
+	defer o.term.Store(nil)
 	beats, endBeats := context.WithCancel(context.WithoutCancel(ctx))
 	beaten := make(chan struct{})
 	go o.beatLoop(beats, stop, beaten)
@@ -295,11 +321,14 @@
 	if o.lost.Load() {
 		return
 	}
-	o.release(ctx, recorded)
+	t.free.Store(o.release(ctx, recorded))
+	if t.handed.Load() {
+		o.shunTo = time.Now().Add(shunFor)
+	}
 }
 
-// release makes the shard free for others.
-func (o *Owner) release(ctx context.Context, recorded bool) {
+// release makes the shard free for others. It returns whether that is recorded.
+func (o *Owner) release(ctx context.Context, recorded bool) bool {
 	reason := reasonReleased
 	if !recorded {
 		reason = reasonHaste
@@ -309,9 +338,10 @@
 	rec, err := o.claimRecord(o.claims.epoch, "", reason)
 	if err == nil && o.claims.write(c, []jobs.Record{rec}, nil) {
 		o.log.Info("shard released", zap.Int64("epoch", o.claims.epoch), zap.String("reason", reason))
-		return
+		return true
 	}
 	o.log.Warn("shard not released", zap.Int64("epoch", o.claims.epoch), zap.Error(err))
+	return false
 }
 
 // beatLoop renews the claim until ctx ends, and calls stop once the shard is lost.
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -115,6 +115,7 @@
 	idleUntil        int64         // unix nanoseconds until which no turn is taken, 0 for none
 	told             int64         // number of the last post that the keeper was told
 	stateAt          int64         // local ms of the last summary in the log
+	work             atomic.Int64  // as of that summary
 	turns            time.Duration // that turns took since then
 }
 
@@ -494,6 +495,7 @@
 	if now-r.stateAt >= stateEvery {
 		r.stateAt = now
 		c := r.engine.Counts(now)
+		r.work.Store(int64(c.Runs + c.Jobs))
 		r.log.Info("pool state", zap.Int("jobs", c.Jobs), zap.Int("waiting", c.Waiting), zap.Int("runs", c.Runs),
 			zap.Int("vms", c.VMs), zap.Int("usable", c.Usable), zap.Int("want", c.Want), zap.Int64("freeCPU", c.FreeCPU),
 			zap.Int("starting", c.Starting), zap.Int("mostStarting", c.MostStarting), zap.Int("held", c.Held),
