node: Have entries relieve different owners

Change: an entry asks any owner that it relieves, chosen at random among those that it saw in the tick before; a term lasts 1 s at least.

--- a/io/node/relief.go
+++ b/io/node/relief.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +23,7 @@
 	// when it moves.
 	reliefTimes = 2.5
 	// reliefEvery is the least time between two shards that one entry hands over, in which the others learn of the first.
-	reliefEvery = 1500 * time.Millisecond
+	reliefEvery = time.Second
 	// reliefTimeout bounds the request to an owner, which records all that it has decided and releases the shard.
 	reliefTimeout = 1500 * time.Millisecond
 	// reliefFresh is the age of the roster, in ms, up to which an entry knows the owners and can claim.
@@ -65,25 +66,27 @@
 func (r *relief) Run(ctx context.Context) { r.loop(ctx) }
 
 func (r *relief) loop(ctx context.Context) {
-	last := ""
+	var last []string
 	for ctx.Err() == nil && !r.n.leaving.Load() {
 		wire.Sleep(ctx, reliefTick)
-		addr := r.burdened()
-		if addr != "" && addr == last {
-			// The strongest entry asks first.
-			wire.Sleep(ctx, rand.N(reliefTick)+offerHandicap*handicap(r.n.cfg.CPUShare))
-			if r.burdened() == addr {
-				r.ask(ctx, addr)
-			}
+		// An owner that was there before is not about to lose its shard. Entries ask different ones, the strongest entry first.
+		list := r.burdened()
+		lasting := slices.DeleteFunc(slices.Clone(list), func(addr string) bool { return !slices.Contains(last, addr) })
+		if last = list; len(lasting) == 0 {
+			continue
+		}
+		addr := lasting[rand.N(len(lasting))]
+		wire.Sleep(ctx, rand.N(reliefTick)+offerHandicap*handicap(r.n.cfg.CPUShare))
+		if slices.Contains(r.burdened(), addr) {
+			r.ask(ctx, addr)
 		}
-		last = addr
 	}
 }
 
-// burdened returns the address of the owner that this entry relieves most, empty if there is none.
-func (r *relief) burdened() string {
+// burdened returns the addresses of the owners that this entry relieves.
+func (r *relief) burdened() []string {
 	if v := r.n.roster.View(); v.Failed || clock.BootMs()-v.FreshAt > reliefFresh {
-		return ""
+		return nil
 	}
 	owned := map[string]int{}
 	claims := map[string]jobs.Claim{}
@@ -93,15 +96,13 @@
 			claims[c.Addr] = c
 		}
 	}
-	best := ""
-	var least float64
+	var list []string
 	for addr, c := range claims {
-		each := c.Share / float64(owned[addr])
-		if c.Owner != r.n.member && relieves(r.n.cfg.CPUShare, owned[r.n.cfg.Peer], c.Share, owned[addr]) && (best == "" || each < least) {
-			best, least = addr, each
+		if c.Owner != r.n.member && relieves(r.n.cfg.CPUShare, owned[r.n.cfg.Peer], c.Share, owned[addr]) {
+			list = append(list, addr)
 		}
 	}
-	return best
+	return list
 }
 
 // ask asks the owner at addr for a shard.
--- a/io/owner/hand.go
+++ b/io/owner/hand.go
@@ -11,7 +11,7 @@
 // Handing over.
 const (
 	// termLeast is how long a process keeps a shard at least, in ms, so that shards do not wander.
-	termLeast = 2000
+	termLeast = 1000
 	// shunFor is how long a process that handed a shard over leaves it to others.
 	shunFor = 1500 * time.Millisecond
 )
