owner, node: Order claims by the processor that a shard gets

Cause: the delay for a weak machine and that for each shard owned were added up, so a quarter of a strong machine ranked behind a whole weak one.

Change: the delay follows from the processor that the shard would get. Entries of 0.4 core wait as long as before (130, 390, 650 ms for 115, 365, 615).

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -250,7 +250,8 @@
 func (n *Node) open(service string, part int) {
 	o := owner.New(owner.Config{
 		Member: n.member, Addr: n.cfg.Peer, Peers: n.peers, Service: service, Part: part, Store: n.store, Roster: n.roster,
-		Runner: n.runner(service), Owned: &n.owned, Claiming: &n.claiming, Share: n.cfg.CPUShare, Handicap: handicap(n.cfg.CPUShare), Log: n.log, Stats: n.stats,
+		Runner: n.runner(service), Owned: &n.owned, Claiming: &n.claiming, Share: n.cfg.CPUShare, Log: n.log, Stats: n.stats,
+		Delay: func(owned int64) time.Duration { return claimDelay(n.cfg.CPUShare, owned) },
 	})
 	n.peers.add(part, o)
 	n.owners.Add(1)
@@ -266,18 +267,32 @@
 	weakShare = 0.35
 	// fullShare is the share from which a machine claims shards without delay.
 	fullShare = 0.8
-	// claimSlope is the delay of a machine of no share at all.
-	claimSlope = 460 * time.Millisecond
+	// offerSlope is by how much a machine of no share at all delays what it offers to others.
+	offerSlope = 460 * time.Millisecond
+	// claimSlope is the delay of a claim for each time that a shard would have less processor than in a full machine of its own.
+	claimSlope = 130 * time.Millisecond
+	// claimMost bounds the delay, so that the last machines left do not keep callers waiting.
+	claimMost = 900 * time.Millisecond
 )
 
-// handicap returns by how much a machine with a share of a core delays its claims.
+// claimDelay returns by how much a machine with a share of a core and some shards delays its claims: the one in which a shard gets
+// most processor claims first. A share that is not known counts as a full one.
+func claimDelay(share float64, owned int64) time.Duration {
+	if share <= 0 || share > fullShare {
+		share = fullShare
+	}
+	less := fullShare*float64(owned+1)/share - 1
+	return min(time.Duration(float64(claimSlope)*less), claimMost)
+}
+
+// handicap returns by how much a machine with a share of a core delays what it offers to others.
 func handicap(share float64) time.Duration {
 	if share <= 0 || share >= fullShare {
 		return 0
 	}
 	// The square keeps the delay short where all machines are of the middle size.
 	lacks := (fullShare - share) / fullShare
-	return time.Duration(float64(claimSlope) * lacks * lacks)
+	return time.Duration(float64(offerSlope) * lacks * lacks)
 }
 
 // runner returns what the owner of a shard does.
--- a/io/node/relief_test.go
+++ b/io/node/relief_test.go
@@ -35,6 +35,31 @@
 	assert.NilError(t, lines.Err())
 }
 
+// TestClaimOrderScript guards against a weak entry that claims a shard before a strong one that owns another (trouble-1 --seed
+// 844486644255 on kegel-live-grown: an entry of a fifth of a core had the pool in its turn, while two strong ones owned one each).
+func TestClaimOrderScript(t *testing.T) {
+	f, err := os.Open("testdata/claims.txt")
+	assert.NilError(t, err)
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for n := 1; lines.Scan(); n++ {
+		line := lines.Text()
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		var share, other float64
+		var owned, otherOwned int64
+		_, err := fmt.Sscan(line, &share, &owned, &other, &otherOwned)
+		assert.NilError(t, err, "line %d", n)
+		first, second := claimDelay(share, owned), claimDelay(other, otherOwned)
+		assert.Assert(t, first+minClaimGap <= second, "line %d: %v, %v", n, first, second)
+	}
+	assert.NilError(t, lines.Err())
+}
+
+// minClaimGap is the time by which an order of claims shows beside their random spread.
+const minClaimGap = 100 * time.Millisecond
+
 // TestStrongEntryRelievesWeakOwner guards against a shard that stays with a weak entry which claimed it while the strong ones were
 // cut off, and against work that is lost or run twice on the way (kegel-live-grown, refused-reads seed 772178764796: 500 jobs
 // behind an owner with a fifth of a core).
--- a/io/owner/claim_test.go
+++ b/io/owner/claim_test.go
@@ -67,7 +67,7 @@
 	for part := range shards {
 		o := New(Config{
 			Member: name, Service: fmt.Sprint(part), Part: part, Store: l, Roster: roster, Peers: &askedPeers{}, Runner: idleRunner{},
-			Owned: &p.owned, Claiming: claiming, Log: zap.NewNop(), Stats: stats.New(),
+			Owned: &p.owned, Claiming: claiming, Delay: func(owned int64) time.Duration { return 2 * time.Duration(owned) * claimSpread }, Log: zap.NewNop(), Stats: stats.New(),
 		})
 		p.owners = append(p.owners, o)
 		wg.Add(1)
@@ -152,7 +152,7 @@
 	roster := tail.NewRoster(l, false, zap.NewNop())
 	o := New(Config{
 		Member: "e1#1", Store: l, Roster: roster, Peers: &askedPeers{}, Owned: &atomic.Int64{}, Claiming: &sync.Mutex{}, Log: zap.NewNop(),
-		Stats: stats.New(), Handicap: 2 * claimSpread,
+		Stats: stats.New(), Delay: func(int64) time.Duration { return 2 * claimSpread },
 	})
 	assert.NilError(t, roster.Catch(t.Context()))
 	assert.Equal(t, o.free(), reasonReleased)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -43,8 +43,6 @@
 	currentMs = 900
 	// claimSpread spreads the claims of processes that see a free shard at the same time.
 	claimSpread = 120 * time.Millisecond
-	// claimPerShard is the handicap for each shard that a process owns already.
-	claimPerShard = 250 * time.Millisecond
 	// claimTries is how often a claim is repeated when another record came in between.
 	claimTries = 8
 	// tickEvery is the pause between two turns without an event.
@@ -89,10 +87,11 @@
 	// Claiming is held while this process claims a shard, so that each claim waits for what it owns already.
 	Claiming *sync.Mutex
 	Share    float64 // of a core that this process has, 0 if it is not known
-	// Handicap delays the claims of a process on a weak machine, so that strong ones own the shards.
-	Handicap time.Duration
-	Log      *zap.Logger
-	Stats    *stats.Stats
+	// Delay returns by how much a process that owns some shards delays its claims, so that others have them that can do more for
+	// them; nil for none.
+	Delay func(owned int64) time.Duration
+	Log   *zap.Logger
+	Stats *stats.Stats
 }
 
 // Owner takes part in the election of one shard.
@@ -240,7 +239,10 @@
 // pause waits from the time at which the shard was free for a random time, longer in a process that owns more. It returns false at
 // the end of ctx.
 func (o *Owner) pause(ctx context.Context, free time.Time) bool {
-	wait := rand.N(claimSpread) + time.Duration(o.cfg.Owned.Load())*claimPerShard + o.cfg.Handicap
+	wait := rand.N(claimSpread)
+	if o.cfg.Delay != nil {
+		wait += o.cfg.Delay(o.cfg.Owned.Load())
+	}
 	wire.Sleep(ctx, max(time.Until(free.Add(wait)), time.Until(o.shunTo)))
 	return ctx.Err() == nil && o.cfg.Roster.Catch(ctx) == nil
 }
