node: Report an entry as not ready after 2.5 s without the log again

Since an entry that cannot read the log reported itself ready for up to 4.5 s, where it was 2.5 s everywhere before: the grace of 0.6 s was added to the new bound on the age of the configuration. New channels then go to entries that cannot store a job. The age for readiness is a constant of its own again.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -45,9 +45,9 @@
 	leaveWait = 2300 * time.Millisecond
 	// finishWait bounds the wait for open requests at a stop.
 	finishWait = 2500 * time.Millisecond
-	// readyGrace is how long an entry that refuses callers for the age of its configuration still reports itself ready, in ms: new
-	// channels go elsewhere after two checks, and come back as late.
-	readyGrace = 600
+	// readyAge is the age of the configuration, in ms, up to which an entry reports itself ready. An entry that cannot read the log
+	// may still reach owners that can write it, but others serve callers better.
+	readyAge = 2500
 	// memoryShare is the part of the memory limit that the runtime keeps to, in percent.
 	memoryShare = 70
 	// gcPercent trades memory, which is priced at its peak, against processor time.
@@ -357,7 +357,7 @@
 		return "the entry is stopping"
 	case c == nil:
 		return "no configuration has been read yet"
-	case age > desk.MaxConfigAge(n.cfg.Times.ConfigMs)+readyGrace:
+	case age > readyAge:
 		return "the configuration cannot be read at present"
 	}
 	if n.roster.View().Cursor < 0 {
