soak: Lose answers silently, send malformed input, hand shards over

Lost answers of the log now also leave their connection open, listeners for callers and for other entries get input that nobody sends, and every third seed has entries of 0.1, 0.3 and 0.8 core, so that shards pass to the strongest while faults come. What is new is drawn from a generator of its own: the stories of earlier seeds stay.

--- a/fake/plat/log.go
+++ b/fake/plat/log.go
@@ -36,7 +36,9 @@
 	Down bool
 	// LoseEvery has the answer of each so many appends lost after it took effect; 0 loses none.
 	LoseEvery int
-	appends   int
+	// Silent has a lost answer leave its connection open, as a network does that drops packets; otherwise it is reset.
+	Silent  bool
+	appends int
 }
 
 // NewLog returns an empty log.
@@ -46,6 +48,13 @@
 	return l
 }
 
+// SetSilent has lost answers leave their connections open.
+func (l *Log) SetSilent(silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Silent = silent
+}
+
 // Set changes the faults of the log.
 func (l *Log) Set(down bool, loseEvery int) {
 	l.mu.Lock()
@@ -142,6 +151,11 @@
 	l.grown.Broadcast()
 	l.appends++
 	if l.LoseEvery > 0 && l.appends%l.LoseEvery == 0 {
+		if l.Silent {
+			l.mu.Unlock()
+			<-r.Context().Done()
+			l.mu.Lock()
+		}
 		panic(http.ErrAbortHandler) // the append took effect, and its answer is lost
 	}
 	reply(w, http.StatusOK, map[string]any{"offset": a.offset, "end": a.end})
--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -53,6 +53,7 @@
 	name     string
 	settings string
 	front    string
+	peer     string
 	store    *proxy
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -71,13 +72,21 @@
 // relayShare is a processor so small that an entry calls one VM itself and the others by way of other entries. Odd seeds use it.
 const relayShare = 0.008
 
-// shareOf returns the share of a core that the entries of a seed have; 0 leaves it unknown.
-func shareOf(seed uint64) float64 { return relayShare * float64(seed%2) }
+// unevenShares have shards pass to the entry with most processor whenever another one has claimed them. Every third seed uses them.
+var unevenShares = [entryCount]float64{0.1, 0.3, 0.8}
+
+// shareOf returns the share of a core that entry i of a seed has; 0 leaves it unknown.
+func shareOf(seed uint64, i int) float64 {
+	if seed%3 == 0 {
+		return unevenShares[i]
+	}
+	return relayShare * float64(seed%2)
+}
 
 func newProcess(t *testing.T, bin, dir, name string, share float64, p *plat.Platform) *process {
 	store, err := newProxy(p.Store())
 	assert.NilError(t, err)
-	e := &process{t: t, bin: bin, dir: dir, name: name, front: freeAddr(t), store: store, settings: filepath.Join(dir, name+".toml")}
+	e := &process{t: t, bin: bin, dir: dir, name: name, front: freeAddr(t), peer: freeAddr(t), store: store, settings: filepath.Join(dir, name+".toml")}
 	text := fmt.Sprintf(`Node = %q
 Front = %q
 Ready = %q
@@ -93,7 +102,7 @@
 StatusMs = 120000
 GraceMs = 6000
 LeaseMs = 300
-`, name, e.front, freeAddr(t), freeAddr(t), share, store.addr(), p.Cloud())
+`, name, e.front, freeAddr(t), e.peer, share, store.addr(), p.Cloud())
 	assert.NilError(t, os.WriteFile(e.settings, []byte(text), 0o600))
 	return e
 }
@@ -175,6 +184,7 @@
 type soak struct {
 	t       *testing.T
 	rng     *rand.Rand
+	late    *rand.Rand // draws what was added later, so that earlier seeds keep their stories
 	plat    *plat.Platform
 	entries []*process
 	client  *http.Client
@@ -228,6 +238,12 @@
 // spoil injects one random fault.
 func (s *soak) spoil() {
 	e := s.entries[s.rng.IntN(len(s.entries))]
+	if s.late.IntN(garbleEvery) == 0 {
+		addr := []string{e.front, e.peer}[s.late.IntN(2)]
+		n := s.late.IntN(len(malformed))
+		s.tell("malformed input %d to %s of %s", n, addr, e.name)
+		s.garble(addr, malformed[n])
+	}
 	switch s.rng.IntN(8) {
 	case 0:
 		s.tell("kill %s", e.name)
@@ -257,12 +273,35 @@
 		s.tell("crash of machine %d", i)
 		assert.NilError(s.t, s.plat.Crash(i))
 	case 7:
-		down := s.rng.IntN(2) == 0
-		s.tell("log down %v", down)
+		down, silent := s.rng.IntN(2) == 0, s.late.IntN(2) == 0
+		s.tell("log down %v, lost answers silent %v", down, silent)
+		s.plat.Log.SetSilent(silent)
 		s.plat.Log.Set(down, []int{0, 3, 9}[s.rng.IntN(3)])
 	}
 }
 
+// garbleEvery is the number of faults to which one malformed input comes.
+const garbleEvery = 4
+
+// malformed is what the listeners of an entry get that no caller of theirs sends. A first byte of 0 selects relayed calls.
+var malformed = []string{
+	"", "\x00", "\x00\xff\xff\xff\xff\xff\xff\xff\xff", "{", "[[[[[[[[", `{"jsonrpc":"2.0","method":"Store","params":{"Part":-1,"Records":[{"Key":"","Value":"!"}]},"id":1}` + "\n",
+	`{"jsonrpc":"2.0","method":"Relieve","params":{"Share":"x"},"id":{}}` + "\n", "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+	"GET / HTTP/1.1\r\nHost: \x01\xff\r\n\r\n", "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff",
+}
+
+// garble sends bytes to a listener and leaves.
+func (s *soak) garble(addr, text string) {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return // the process is being replaced
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(200 * time.Millisecond))
+	_, _ = io.WriteString(c, text) // the process may end meanwhile
+	_, _ = io.Copy(io.Discard, c)
+}
+
 // heal ends all faults.
 func (s *soak) heal() {
 	s.plat.Log.Set(false, 0)
@@ -280,7 +319,7 @@
 // run plays one seed: jobs are handed in while faults come, then all that was accepted has to be complete.
 func run(t *testing.T, bin string, seed uint64) {
 	s := &soak{
-		t: t, rng: rand.New(rand.NewPCG(seed, 7)),
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), late: rand.New(rand.NewPCG(seed, 11)),
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	p, err := plat.Start(plat.Config{VMs: vmCount, Spare: 2, Route: func(addr string) (string, error) {
@@ -297,7 +336,7 @@
 	s.plat = p
 	dir := logDir(t, seed)
 	for i := range entryCount {
-		s.entries = append(s.entries, newProcess(t, bin, dir, "e"+strconv.Itoa(i), shareOf(seed), p))
+		s.entries = append(s.entries, newProcess(t, bin, dir, "e"+strconv.Itoa(i), shareOf(seed, i), p))
 		s.entries[i].start()
 	}
 	defer func() {
