desk: Use what is left of a caller's time

Cause: 0.15 s are kept for the way back, so the call to the owner had ended before it was sent, which counts as "may have run"; the caller cannot hand the job in elsewhere.

Change: a third of the caller's time is kept, 0.15 s at most; a caller with less than 15 ms is refused at once, which is true: nothing was sent.

--- a/io/desk/desk.go
+++ b/io/desk/desk.go
@@ -23,8 +23,11 @@
 	appendTimeout = 1500 * time.Millisecond
 	// appendPause is the pause before an append is repeated.
 	appendPause = 50 * time.Millisecond
-	// answerReserve is kept of the caller's time for the way back of the answer.
+	// answerReserve is kept of the caller's time for the way back of the answer, at most one part in reservePart of it.
 	answerReserve = 150 * time.Millisecond
+	reservePart   = 3
+	// leastTime is what storing a record takes at least. A caller with less is refused at once.
+	leastTime = 15 * time.Millisecond
 	// maxAppending bounds how long a caller waits for the log in all.
 	maxAppending = 2500 * time.Millisecond
 	// configReserve is left of the time in which a new configuration must be in force, in ms.
@@ -169,8 +172,14 @@
 // Ran means that it is stored, NotRun that it never will be.
 func (d *Desk) store(ctx context.Context, part int, rec jobs.Record) retry.Verdict {
 	limit := time.Now().Add(maxAppending)
-	if dl, ok := ctx.Deadline(); ok && dl.Add(-answerReserve).Before(limit) {
-		limit = dl.Add(-answerReserve)
+	if dl, ok := ctx.Deadline(); ok {
+		left := time.Until(dl)
+		if left < leastTime || ctx.Err() != nil {
+			return retry.NotRun
+		}
+		if dl = dl.Add(-min(answerReserve, left/reservePart)); dl.Before(limit) {
+			limit = dl
+		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
