owner, node: Withdraw records that no append has yet

Change: entries tell how long their caller waits. When that ends, less a fourth for the way back, records that no append has taken are withdrawn, and the caller learns that they are not stored. Whoever changes the fate of the records first decides, so withdrawn records are never appended.

--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -40,8 +40,20 @@
 
 // storeRequest hands records to the owner of a shard.
 type storeRequest struct {
-	Part    int
-	Records []jobs.Record
+	Part     int
+	Records  []jobs.Record
+	WithinMs int64 // how long the caller waits for the answer, 0 if it does not say
+}
+
+// answerShare is the part of a caller's time that is left for the way back of the answer: one in answerShare.
+const answerShare = 4
+
+// deadlineFor returns ctx with the time that a caller waits, less the way back.
+func (q *storeRequest) deadlineFor(ctx context.Context) (context.Context, context.CancelFunc) {
+	if q.WithinMs <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(q.WithinMs-q.WithinMs/answerShare)*time.Millisecond)
 }
 
 // stateTimeout bounds a question to an owner.
@@ -129,7 +141,11 @@
 
 // serve registers the methods that other entries call.
 func (o *owners) serve(s *peer.Server) {
-	handle(s, methodStore, func(ctx context.Context, req storeRequest) any { return o.storeHere(ctx, req.Part, req.Records) })
+	handle(s, methodStore, func(ctx context.Context, req storeRequest) any {
+		ctx, cancel := req.deadlineFor(ctx)
+		defer cancel()
+		return o.storeHere(ctx, req.Part, req.Records)
+	})
 	handle(s, methodPost, func(_ context.Context, req postRequest) any {
 		o.took(req.Service, req.Post)
 		return struct{}{}
@@ -174,7 +190,11 @@
 	})
 	defer probe.Stop()
 	var s owner.Stored
-	err := o.pool.Call(ctx, claim.Addr, methodStore, storeRequest{Part: part, Records: []jobs.Record{rec}}, &s)
+	req := storeRequest{Part: part, Records: []jobs.Record{rec}}
+	if until, ok := ctx.Deadline(); ok {
+		req.WithinMs = time.Until(until).Milliseconds()
+	}
+	err := o.pool.Call(ctx, claim.Addr, methodStore, req, &s)
 	if err == nil {
 		return s
 	}
--- a/io/owner/intake.go
+++ b/io/owner/intake.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
@@ -20,9 +22,23 @@
 type intake struct {
 	records []jobs.Record
 	done    chan Stored // of size 1
+	fate    atomic.Int32
 }
 
-// Store has records stored with the owner's next batch. Records may be stored twice without harm.
+// The fates of an intake. Whoever moves it from open decides.
+const (
+	intakeOpen int32 = iota
+	intakeTaken
+	intakeWithdrawn // its caller has gone, and was told that nothing is stored
+)
+
+// take keeps the intakes whose callers still wait, for an append that begins now.
+func take(list []*intake) []*intake {
+	return slices.DeleteFunc(list, func(in *intake) bool { return !in.fate.CompareAndSwap(intakeOpen, intakeTaken) })
+}
+
+// Store has records stored with the owner's next batch. Records may be stored twice without harm. At the end of ctx they are
+// withdrawn if no append has them yet.
 func (o *Owner) Store(ctx context.Context, records []jobs.Record) Stored {
 	if !o.owning.Load() {
 		return Stored{Verdict: retry.NotRun}
@@ -43,6 +59,9 @@
 	case s := <-in.done:
 		return s
 	case <-ctx.Done():
+		if in.fate.CompareAndSwap(intakeOpen, intakeWithdrawn) {
+			return Stored{Owner: true, Verdict: retry.NotRun}
+		}
 		return Stored{Owner: true, Verdict: retry.MayHaveRun}
 	}
 }
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -405,7 +405,7 @@
 	if b != nil {
 		records = b.Records
 	}
-	r.waiting = append(r.waiting, r.o.takeIntakes()...)
+	r.waiting = take(append(r.waiting, r.o.takeIntakes()...))
 	if len(records) == 0 && len(r.waiting) == 0 {
 		return
 	}
