shard, node: Interrupt nothing beside an earlier owner's stop

Cause, by reading and by a test: the earlier owner stops a run, records all and releases the shard. A VM takes up to 0.9 s for a stop and shows the run at work until then, so the new owner counts it as at work and ends the next one.

Ruled out: the keeper (no order about a machine ended the item) and two owners at once (the first item's run was ended before the claim).

Change: an item counts as at work, beside which another may be ended, only once its VM has known the owner's fence number for as long as a stop may take (Times.StopMs, the platform's stop_grace_ms): no earlier stop can be accepted after that.

TestNewOwnerWaitsForEarlierStops failed before: the stop was ordered 50 ms after the takeover.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -53,6 +53,7 @@
 	PaceMs   int64 // until an order to pace takes effect
 	HarmMs   int64 // how long a serving item may be over its target
 	NoticeMs int64 // how long an item may be away before it counts against its budget
+	StopMs   int64 // until a stop that a VM has accepted is carried out; 0 stands for defaultStopMs
 }
 
 // Engine is the state of one owned shard. It is not safe for concurrent use.
--- a/core/shard/look.go
+++ b/core/shard/look.go
@@ -89,6 +89,9 @@
 	if v.failing {
 		e.note(Note{VM: id, What: "vm answers again", N: len(v.runs)})
 	}
+	if !v.met {
+		v.metAt = now
+	}
 	v.met, v.failing, v.lastLook = true, false, now
 	if look.ClockMs >= v.clock {
 		v.clock, v.clockAt = look.ClockMs, now
--- a/core/shard/look_test.go
+++ b/core/shard/look_test.go
@@ -59,3 +59,53 @@
 	assert.Equal(t, len(orders), 1, "three looks over 1.7 s show no progress")
 	assert.Equal(t, orders[0].Kind, pools.Stop)
 }
+
+// TestNewOwnerWaitsForEarlierStops guards against an item that a new owner ends while another of its step is being stopped by the
+// earlier owner: the VM shows that run at work until the stop is carried out (AVAIL 1 on semillero-plata-grown, hunt-f00e-7, 0.2 s
+// behind a planned hand-over).
+func TestNewOwnerWaitsForEarlierStops(t *testing.T) {
+	const stopMs = 900
+	e := New(Config{Service: "s", Epoch: 2, StatusMs: 1000, StopMs: stopMs}, &jobs.Catalog{}, 0)
+	e.Confirm(0)
+	var list []pools.VM
+	states := []jobs.ItemState{}
+	for i, id := range []string{"a", "b", "c"} {
+		list = append(list, pools.VM{ID: id, Service: "s", Addr: "x", CPU: 1000, MemMB: 1000})
+		states = append(states, jobs.ItemState{Index: i, Run: 1, VM: id, VMBorn: 1})
+	}
+	e.Load("j", &jobs.Entry{
+		Job:      &jobs.Job{ID: "j", Steps: []jobs.Step{{Count: 3, CPU: 800, MemMB: 10, Persistent: true, Budget: 1}}},
+		Progress: jobs.Progress{Rev: 1, State: jobs.Running, Items: states},
+	}, 0, 0)
+	e.SetVMs(list, 0)
+	e.SetVacate([]string{"b"})
+	look := func(now int64, ended bool) {
+		for i, v := range list {
+			l := pools.Look{Kind: pools.Done, ClockMs: now + 1, Born: 1}
+			name := jobs.Item{Index: i}.Name("j")
+			if ended && i == 0 {
+				l.Ended = []pools.EndRow{{Seq: 1, Item: name, Run: 1, How: pools.EndStopped}}
+			} else {
+				l.Running = []pools.RunRow{{Item: name, Run: 1, Percent: 100}}
+			}
+			e.Looked(v.ID, l, now, now)
+		}
+		e.Confirm(now)
+		e.Step(now, now)
+	}
+	stops := func() (n int) {
+		for _, o := range e.TakeOrders() {
+			if o.Kind == pools.Stop {
+				n++
+			}
+		}
+		return n
+	}
+	look(50, false) // the stop of a's run, by the earlier owner, is under way
+	look(400, false)
+	look(850, false)
+	assert.Equal(t, stops(), 0, "a run that an earlier owner may have stopped counts as at work")
+	look(900, true) // it is carried out
+	look(1200, true)
+	assert.Equal(t, stops(), 0, "b's run is ended beside a's")
+}
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -16,6 +16,7 @@
 	knownAt int64 // since when the owner knows it
 
 	met     bool  // it answered a look that raised its fence number
+	metAt   int64 // since when: orders of an earlier owner that it accepted before may still take effect
 	clock   int64 // its clock when it last answered
 	clockAt int64 // local time of that answer
 	lease   int64 // latest end of a lease sent, by its clock
--- a/core/shard/wave.go
+++ b/core/shard/wave.go
@@ -9,6 +9,10 @@
 	// returnMs is how long a VM whose offer was withdrawn gets nothing that lasts: the keeper may
 	// have ordered its move already.
 	returnMs = 4000
+	// defaultStopMs is the longest time that a VM may take to stop a run, of the platform's deployments.
+	defaultStopMs = 900
+	// stopSlackMs is left for a VM that ends a run a little late.
+	stopSlackMs = 100
 )
 
 // SetVacate takes over which VMs the keeper asks to be emptied.
@@ -58,15 +62,22 @@
 	}
 	away := 0
 	for _, o := range it.job.order {
-		if o != it && o.K == it.K && o.Step == it.Step && !o.atWork(now) {
+		if o != it && o.K == it.K && o.Step == it.Step && !e.atWork(o, now) {
 			away++
 		}
 	}
 	return away < it.step.Budget
 }
 
-// atWork reports whether an item that lasts is surely at work: on a VM that has just said so.
-func (it *item) atWork(now int64) bool {
-	return it.phase == running && it.percent >= 100 && it.paced == 100 &&
-		!it.vm.failing && now-it.vm.lastLook < 2*LookWaitMs
+// atWork reports whether an item that lasts is surely at work and stays so: on a VM that has just said so, and on which no stop of
+// an earlier owner is still under way, which shows only once it is carried out.
+func (e *Engine) atWork(it *item, now int64) bool {
+	if it.phase != running || it.percent < 100 || it.paced != 100 || it.vm.failing || now-it.vm.lastLook >= 2*LookWaitMs {
+		return false
+	}
+	stop := e.cfg.StopMs
+	if stop <= 0 {
+		stop = defaultStopMs
+	}
+	return now-it.vm.metAt > stop+stopSlackMs
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -309,7 +309,7 @@
 		Machines: n.cloud.Machines, Advise: n.policy.Advise, Stats: n.stats,
 		Engine: shard.Config{
 			StatusMs: n.cfg.Times.StatusMs + statusMargin, EarlyMs: n.cfg.Times.EarlyMs, PaceMs: n.cfg.Times.PaceMs,
-			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs,
+			HarmMs: n.cfg.Times.HarmMs, NoticeMs: n.cfg.Times.NoticeMs, StopMs: n.cfg.Times.StopMs,
 		},
 	})
 }
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -52,6 +52,7 @@
 	NoticeMs int64 // how long a lasting item may be away before it counts against its budget
 	HarmMs   int64 // how long a serving item may be over its target
 	PaceMs   int64 // until an order to pace takes effect
+	StopMs   int64 // until a stop that a VM has accepted is carried out; 0 if it is not known
 	ConfigMs int64 // within which a new configuration must be in force; 0 if it is not known
 	LeaseMs  int64 // for so long after another process's order a machine is left alone
 }
