--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -14,7 +14,6 @@
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
-	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/tail"
 	"sassafrasvalve/io/wire"
@@ -286,43 +285,6 @@
 	return r.batch == nil || <-appended
 }
 
-// batch is what one append stores: the owner's own records, and those that entries handed in.
-type batch struct {
-	own     []jobs.Record
-	intakes []*intake
-}
-
-// records returns all records of the batch.
-func (b *batch) records() []jobs.Record {
-	list := b.own
-	for _, in := range b.intakes {
-		list = append(list, in.records...)
-	}
-	return list
-}
-
-// appendLoop appends one batch at a time.
-func (r *run) appendLoop(batches <-chan *batch, appended chan<- bool) {
-	defer r.wg.Done()
-	for b := range batches {
-		ok := r.writer.write(r.ctx, b.records(), func() []jobs.Record {
-			// The store refuses calls at present: the callers learn at once that nothing was stored.
-			answer(b.intakes, Stored{Owner: true, Verdict: retry.NotRun})
-			b.intakes = nil
-			return b.own
-		})
-		if ok {
-			for _, in := range b.intakes {
-				r.ledger.Put(in.records)
-			}
-			answer(b.intakes, Stored{Owner: true, Verdict: retry.Ran})
-		} else {
-			answer(b.intakes, Stored{Owner: true, Verdict: retry.MayHaveRun})
-		}
-		appended <- ok
-	}
-}
-
 // livesEvery is the pause between two looks at whether a VM is in doubt.
 const livesEvery = 300 * time.Millisecond
 
@@ -394,44 +356,6 @@
 	return false
 }
 
-// begin starts the next batch, if there is something to record.
-func (r *run) begin(batches chan<- *batch) {
-	b, err := r.engine.Batch()
-	if err != nil {
-		r.log.Error("batch not encoded", zap.Error(err))
-		return
-	}
-	var records []jobs.Record
-	if b != nil {
-		records = b.Records
-	}
-	r.waiting = take(append(r.waiting, r.o.takeIntakes()...))
-	if len(records) == 0 && len(r.waiting) == 0 {
-		return
-	}
-	if b == nil {
-		b = &shard.Batch{}
-	}
-	b.Records = records
-	r.batch = b
-	batches <- &batch{own: records, intakes: r.waiting}
-	r.waiting = nil
-}
-
-// committed sends the orders of the batch that was stored.
-func (r *run) committed() {
-	now := clock.BootMs()
-	r.ledger.Put(r.batch.Records)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	orders := r.engine.Committed(r.batch, now)
-	r.batch = nil
-	r.send(orders)
-	for _, l := range r.links {
-		l.nudge()
-	}
-}
-
 // send hands orders to the links of their VMs. An order that finds no room is reported as unsent.
 func (r *run) send(orders []pools.Order) {
 	now := clock.BootMs()
@@ -486,25 +410,3 @@
 	}
 	l.close()
 }
-
-// stateEvery is the pause between two summaries of a pool in the log, in milliseconds.
-const stateEvery = 1000
-
-// report writes the engine's decisions to the log, and a summary now and then.
-func (r *run) report(now int64) {
-	if now-r.stateAt >= stateEvery {
-		r.stateAt = now
-		c := r.engine.Counts(now)
-		r.work.Store(int64(c.Runs + c.Jobs))
-		r.log.Info("pool state", zap.Int("jobs", c.Jobs), zap.Int("waiting", c.Waiting), zap.Int("runs", c.Runs),
-			zap.Int("vms", c.VMs), zap.Int("usable", c.Usable), zap.Int("want", c.Want), zap.Int64("freeCPU", c.FreeCPU),
-			zap.Int("starting", c.Starting), zap.Int("mostStarting", c.MostStarting), zap.Int("held", c.Held),
-			zap.Int("unasked", c.Unasked), zap.Int("unrecorded", c.Unrecorded), zap.Duration("turns", r.turns),
-			zap.Int64("confirmedAgo", now-r.o.health.confirmed.Load()), zap.Int64("readAgo", now-r.ledger.View().FreshAt))
-		r.turns = 0
-	}
-	for _, n := range r.engine.TakeNotes() {
-		r.log.Info(n.What, zap.String("job", n.JobID), zap.String("vm", n.VM), zap.String("reason", n.Reason), zap.Int("n", n.N))
-		r.cfg.Stats.Count("sassafrasvalve_decisions_total", stats.Labels{{Name: "what", Value: n.What}}, 1)
-	}
-}
