owner, node: Refuse to relieve while a shard is handed over, name the steps

Requests to relieve waited for a hand-over under way and were carried out after the asker had given up, which would release a shard for nobody; found by reading. They are refused at once now. Call is Invite, shunTo is claimAfter.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -150,8 +150,8 @@
 	n.newRelays(base)
 	calls := peer.NewServer(peer.ServerConfig{Listen: n.cfg.Peer, Raw: n.peers.relays.Serve, Log: n.log})
 	n.peers.serve(calls)
-	passing := &relief{n: n}
-	handle(calls, methodRelieve, func(ctx context.Context, req relieveRequest) any { return passing.relieve(ctx, req) })
+	rel := &relief{n: n}
+	handle(calls, methodRelieve, func(ctx context.Context, req relieveRequest) any { return rel.relieve(ctx, req) })
 	if err := calls.Listen(base); err != nil {
 		return err
 	}
@@ -159,7 +159,7 @@
 	go n.roster.Run(base)
 	go n.shards.loop(base, n.catalog.Current)
 	go n.peers.relays.Run(base)
-	go passing.Run(base)
+	go rel.Run(base)
 	go (&offers{n: n, next: map[string]time.Time{}}).Run(base)
 	d := desk.New(desk.Config{Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards, ConfigMs: n.cfg.Times.ConfigMs, Log: n.log, Stats: n.stats})
 	server := &http.Server{
--- a/io/node/relief.go
+++ b/io/node/relief.go
@@ -46,7 +46,7 @@
 }
 
 // relieves reports whether an entry with a share of a core and some shards does much more for one more shard than its owner does
-// with its share for each of his. Shares that are not known count for none.
+// with its share for each of its own. Shares that are not known count for none.
 func relieves(share float64, owned int, ownerShare float64, ownerOwned int) bool {
 	if share <= 0 || ownerShare <= 0 || ownerOwned == 0 {
 		return false
@@ -58,8 +58,8 @@
 type relief struct {
 	n *Node
 
-	mu   sync.Mutex
-	next time.Time // of the next shard that this entry may hand over
+	mu   sync.Mutex // held while a shard is handed over
+	next time.Time  // of the next shard that this entry may hand over
 }
 
 // Run asks for shards until ctx ends or the entry leaves.
@@ -119,13 +119,15 @@
 	}
 	r.n.log.Info("shard handed over to this entry", zap.Int("shard", a.Part), zap.String("addr", addr))
 	if o := r.n.peers.find(a.Part); o != nil {
-		o.Call()
+		o.Invite()
 	}
 }
 
 // relieve hands a shard over if the entry that asks does much more for it: the one with most work.
 func (r *relief) relieve(ctx context.Context, req relieveRequest) relieveAnswer {
-	r.mu.Lock()
+	if !r.mu.TryLock() {
+		return relieveAnswer{} // a shard is being handed over
+	}
 	defer r.mu.Unlock()
 	part, own, owned := r.busiest()
 	if r.n.leaving.Load() || time.Now().Before(r.next) || !relieves(req.Share, req.Owned, r.n.cfg.CPUShare, owned) ||
--- a/io/owner/claim_test.go
+++ b/io/owner/claim_test.go
@@ -121,11 +121,11 @@
 	assert.Assert(t, !second.owners[0].HandOver(t.Context()), "it does not own the shard")
 	assert.Assert(t, first.owners[0].HandOver(t.Context()))
 	released := time.Now()
-	second.owners[0].Call()
+	second.owners[0].Invite()
 	eventually(t, func() bool { return second.owned.Load() == 1 })
 	assert.Assert(t, time.Since(released) < most, "the shard had no owner for %v", time.Since(released))
 	assert.Assert(t, !second.owners[0].HandOver(t.Context()), "it owns the shard only since")
-	time.Sleep(shunFor)
+	time.Sleep(leaveFor)
 	assert.Equal(t, first.owned.Load()+third.owned.Load(), int64(0))
 }
 
--- a/io/owner/hand.go
+++ b/io/owner/hand.go
@@ -12,8 +12,8 @@
 const (
 	// termLeast is how long a process keeps a shard at least, in ms, so that shards do not wander.
 	termLeast = 1000
-	// shunFor is how long a process that handed a shard over leaves it to others.
-	shunFor = 1500 * time.Millisecond
+	// leaveFor is how long a process that handed a shard over leaves it to others.
+	leaveFor = 1500 * time.Millisecond
 )
 
 // term is one ownership of a shard.
@@ -25,7 +25,7 @@
 	free   atomic.Bool // the release is recorded
 }
 
-// HandOver releases the shard for another process, which is to be told by Call there. It returns false if this process does not
+// HandOver releases the shard for another process, which is to be told by Invite there. It returns false if this process does not
 // own the shard for long enough, or not for certain.
 func (o *Owner) HandOver(ctx context.Context) bool {
 	t := o.term.Load()
@@ -41,10 +41,10 @@
 	}
 }
 
-// Call has this process claim the shard at once, which another one has just released for it.
-func (o *Owner) Call() {
+// Invite has this process claim the shard at once, which another one has just released for it.
+func (o *Owner) Invite() {
 	select {
-	case o.called <- struct{}{}:
+	case o.invited <- struct{}{}:
 	default:
 	}
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -108,8 +108,9 @@
 	run    atomic.Pointer[run]
 	post   atomic.Pointer[jobs.Post] // to be written with the next renewal
 	term   atomic.Pointer[term]      // of the present ownership, nil without one
-	called chan struct{}             // the shard was handed over to this process; of size 1
-	shunTo time.Time                 // until then other processes claim first
+	// invited is signalled when the shard was released for this process; of size 1.
+	invited    chan struct{}
+	claimAfter time.Time // other processes claim first
 
 	seen    int   // renewals seen
 	beatAt  int64 // local ms at which the last renewal was seen
@@ -120,7 +121,7 @@
 // New returns an owner that does not run yet.
 func New(cfg Config) *Owner {
 	return &Owner{
-		cfg: cfg, inbox: make(chan *intake, maxIntakes), moved: cfg.Roster.Moved(), called: make(chan struct{}, 1),
+		cfg: cfg, inbox: make(chan *intake, maxIntakes), moved: cfg.Roster.Moved(), invited: make(chan struct{}, 1),
 		log: cfg.Log.With(zap.Int("shard", cfg.Part), zap.String("service", cfg.Service)),
 	}
 }
@@ -134,8 +135,8 @@
 		case <-ctx.Done():
 			return
 		case <-o.moved:
-		case <-o.called:
-			o.shunTo = time.Time{}
+		case <-o.invited:
+			o.claimAfter = time.Time{}
 			if o.cfg.Roster.Catch(ctx) == nil && o.free() == reasonReleased && o.claimNow(ctx) {
 				o.own(ctx)
 				o.beatAt = 0
@@ -243,7 +244,7 @@
 	if o.cfg.Delay != nil {
 		wait += o.cfg.Delay(o.cfg.Owned.Load())
 	}
-	wire.Sleep(ctx, max(time.Until(free.Add(wait)), time.Until(o.shunTo)))
+	wire.Sleep(ctx, max(time.Until(free.Add(wait)), time.Until(o.claimAfter)))
 	return ctx.Err() == nil && o.cfg.Roster.Catch(ctx) == nil
 }
 
@@ -325,7 +326,7 @@
 	}
 	t.free.Store(o.release(ctx, recorded))
 	if t.handed.Load() {
-		o.shunTo = time.Now().Add(shunFor)
+		o.claimAfter = time.Now().Add(leaveFor)
 	}
 }
 
