--- a/cmd/svbench/main.go
+++ b/cmd/svbench/main.go
@@ -11,6 +11,7 @@
 
 	"sassafrasvalve/bench"
 	"sassafrasvalve/bench/fleet"
+	"sassafrasvalve/bench/plays"
 )
 
 func main() {
@@ -44,6 +45,14 @@
 				&cli.StringFlag{Name: "csv", Usage: "write all rows to this file"},
 			},
 			Action: control,
+		}, {
+			Name:  "plays",
+			Usage: "name the days of the journal that need a look",
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: "journal", Value: "journal", Usage: "folder with the entries of the platform's bench"},
+				&cli.IntFlag{Name: "last", Value: 10, Usage: "newest entries to read; 0 means all"},
+			},
+			Action: look,
 		}},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
@@ -101,3 +110,15 @@
 	}()
 	return write(f)
 }
+
+func look(_ context.Context, cmd *cli.Command) error {
+	list, err := plays.Load(cmd.String("journal"))
+	if err != nil {
+		return err
+	}
+	newest := list
+	if n := cmd.Int("last"); n > 0 && n < len(list) {
+		newest = list[len(list)-n:]
+	}
+	return plays.Write(os.Stdout, list, newest)
+}
