--- a/io/node/relief_test.go
+++ b/io/node/relief_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"fmt"
 	"os"
 	"strings"
@@ -16,45 +15,39 @@
 // TestReliefScript guards against shards that wander between entries of the same size, and against crowded or weak owners that
 // keep theirs. Each line of the script holds an entry and its shards, an owner and its shards, and whether the entry relieves it.
 func TestReliefScript(t *testing.T) {
-	f, err := os.Open("testdata/relief.txt")
-	assert.NilError(t, err)
-	defer f.Close()
-	lines := bufio.NewScanner(f)
-	for n := 1; lines.Scan(); n++ {
-		line := lines.Text()
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
+	eachLine(t, "testdata/relief.txt", func(n int, line string) {
 		var share, ownerShare float64
 		var owned, ownerOwned int
 		var want bool
 		_, err := fmt.Sscan(line, &share, &owned, &ownerShare, &ownerOwned, &want)
 		assert.NilError(t, err, "line %d", n)
 		assert.Equal(t, relieves(share, owned, ownerShare, ownerOwned), want, "line %d: %s", n, line)
+	})
+}
+
+// eachLine calls check for each line of a script that is neither empty nor a comment.
+func eachLine(t *testing.T, path string, check func(n int, line string)) {
+	t.Helper()
+	b, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for i, line := range strings.Split(string(b), "\n") {
+		if line != "" && !strings.HasPrefix(line, "#") {
+			check(i+1, line)
+		}
 	}
-	assert.NilError(t, lines.Err())
 }
 
 // TestClaimOrderScript guards against a weak entry that claims a shard before a strong one that owns another (trouble-1 --seed
 // 844486644255 on kegel-live-grown: an entry of a fifth of a core had the pool in its turn, while two strong ones owned one each).
 func TestClaimOrderScript(t *testing.T) {
-	f, err := os.Open("testdata/claims.txt")
-	assert.NilError(t, err)
-	defer f.Close()
-	lines := bufio.NewScanner(f)
-	for n := 1; lines.Scan(); n++ {
-		line := lines.Text()
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
+	eachLine(t, "testdata/claims.txt", func(n int, line string) {
 		var share, other float64
 		var owned, otherOwned int64
 		_, err := fmt.Sscan(line, &share, &owned, &other, &otherOwned)
 		assert.NilError(t, err, "line %d", n)
 		first, second := claimDelay(share, owned), claimDelay(other, otherOwned)
 		assert.Assert(t, first+minClaimGap <= second, "line %d: %v, %v", n, first, second)
-	}
-	assert.NilError(t, lines.Err())
+	})
 }
 
 // minClaimGap is the time by which an order of claims shows beside their random spread.
