shard: Hold the demand of the last confirmation

Cause: that nothing is confirmed shows after 1 s. By then a lull of some tenths of a second before the outage, which the pool holds its VMs over, has taken effect.

Change: the want is noted while confirmations are fresh (0.6 s), and held from there.

--- a/core/shard/need.go
+++ b/core/shard/need.go
@@ -36,6 +36,8 @@
 	// blindMs is the time without a confirmation of the log after which jobs that callers hand in count as unseen. The claim is
 	// renewed every 500 ms.
 	blindMs = 1000
+	// sightMs is the age of a confirmation up to which jobs are seen for certain: the pause between renewals, and an append.
+	sightMs = 600
 	// settleMs is how long the demand from before is held once jobs are seen again: refused callers come back after 1 s, and a rate
 	// is measured over another.
 	settleMs = 2000
@@ -56,6 +58,7 @@
 	posted   jobs.Post
 	postedAt int64
 	want     int
+	seen     int   // VMs that the pool could use when jobs were seen last
 	held     int   // VMs that the pool could use before its jobs went unseen, 0 for none
 	heldTill int64 // local ms
 }
@@ -134,11 +137,16 @@
 // heldWant returns the demand from before the log stopped to take what callers hand in, 0 if none is held. What could not be
 // recorded meanwhile does not show in the rates, and comes back.
 func (e *Engine) heldWant(now int64) int {
-	if now-e.confirmed > blindMs {
+	switch age := now - e.confirmed; {
+	case age <= sightMs:
+		e.need.seen = e.need.want
+	case age > blindMs:
+		// It has fallen since the last confirmation, as rates are measured over a second.
+		want := max(e.need.seen, e.need.want)
 		if e.need.held == 0 {
-			e.note(Note{What: "demand held", Reason: "the log confirms nothing", N: e.need.want})
+			e.note(Note{What: "demand held", Reason: "the log confirms nothing", N: want})
 		}
-		e.hold(e.need.want, now)
+		e.hold(want, now)
 	}
 	if now >= e.need.heldTill {
 		e.need.held = 0
--- a/core/shard/need_test.go
+++ b/core/shard/need_test.go
@@ -94,6 +94,29 @@
 	assert.Assert(t, e.need.want < before, "%d VMs are wanted long behind the outage, %d before it", e.need.want, before)
 }
 
+// TestDemandIsHeldFromTheLastConfirmation guards against a demand that is held only once it has fallen: in an outage at the start of a
+// turn the want fell from 22 to 9 VMs before it was noticed that nothing is confirmed (riga-quote at 0.19 on dna-renewals, trouble-3
+// --seed 717989166888).
+func TestDemandIsHeldFromTheLastConfirmation(t *testing.T) {
+	e := poolOf(20, 10_000, 100_000)
+	for i := range 6 {
+		id := string(rune('a' + i))
+		e.Submit(&jobs.Entry{Job: &jobs.Job{ID: id, Steps: []jobs.Step{{Count: 8, CPU: 2000, MemMB: 10, EstimateMs: 1000}}}}, 0, 0)
+	}
+	e.Confirm(0)
+	e.tickNeed(needEveryMs)
+	before := e.need.want
+	assert.Assert(t, before >= 8, "%d VMs", before)
+	clear(e.jobs) // a lull, in which the pool keeps its VMs, and then the outage
+	for now := int64(2 * needEveryMs); now < 5000; now += needEveryMs {
+		if now <= holdMs/2 {
+			e.Confirm(now)
+		}
+		e.tickNeed(now)
+	}
+	assert.Assert(t, e.need.want >= before, "%d VMs are wanted in the outage, %d before it", e.need.want, before)
+}
+
 // TestNewOwnerHoldsDemand guards against an owner that takes over in the turn of a pool and gives VMs away since few jobs are
 // recorded yet (alley-hold on kegel-live-grown, refused-reads seed 772178764796).
 func TestNewOwnerHoldsDemand(t *testing.T) {
