relay: Count no VM for a client that is closed

Since a release does not wait for looks. One that begins beside the end of its link took a relay again after Close, which counted the VM there for good; found by reading. A closed client calls the VM from here.

TestClosedClientTakesNoRelay failed before: 1 VM counted for 0.

--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -23,6 +23,7 @@
 
 	mu      sync.Mutex
 	channel *Channel
+	closed  bool
 }
 
 // relay returns the channel to use, nil to call the VM from here.
@@ -33,6 +34,9 @@
 		return c.channel
 	}
 	c.drop()
+	if c.closed {
+		return nil // a look that begins beside Close would count at the channel for good
+	}
 	if ch := c.relays.pick(c.vm.DC); ch != nil {
 		ch.count(1)
 		c.channel = ch
@@ -114,5 +118,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.drop()
+	c.closed = true
 	c.direct.Close()
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -256,3 +256,16 @@
 		assert.Assert(t, late <= 2*delaySpan/50, "%d ms late", late)
 	}
 }
+
+// TestClosedClientTakesNoRelay guards against a look that begins while its owner gives the shard up and counts as a VM at the relay
+// for good, until the relay seems full.
+func TestClosedClientTakesNoRelay(t *testing.T) {
+	s := newSite(t)
+	ch := s.client.relay()
+	assert.Equal(t, ch.load(), 1)
+	s.client.Close()
+	look, err := s.client.Look(pools.LookCall{VM: "vm"}, time.Now().Add(time.Second))
+	assert.NilError(t, err)
+	assert.Equal(t, look.Kind, pools.Done)
+	assert.Equal(t, ch.load(), 0)
+}
