daemon: Take the group's lock before the store's when a view is read

Cause: readView held the store's read lock and waited for the group's lock, while Digest and others hold the group's lock and wait for the store's, and a fold that waits for the write lock closes the circle. Ruled out: the race detector, since a build without it hung the same way.

Change: readView reads the member ID before it enters the store.

--- a/io/daemon/views.go
+++ b/io/daemon/views.go
@@ -201,9 +201,11 @@
 func (d *Daemon) readView() view {
 	region := d.cfg.Settings.Region
 	var v view
+	// The group reads the store under its own lock, so that lock must not be taken inside store.View: a fold that waits
+	// for the store in between would stop all three for good.
+	v.self = d.group.Self()
 	d.store.View(func(st *fleet.State) {
 		v.fleet, v.version, v.offset = st.Config.Fleet, st.Config.Version, st.Offset
-		v.self = d.group.Self()
 		for id, m := range st.Members {
 			// A guest, a process that is not a member yet, uses the slots of the previous process on its VM. That
 			// process has ended, since the listening port was free. Without slots the guest could serve nothing until
