ports: Keep the ports of started programs from other processes

Cause: a port was chosen with a listener on port 0, closed and passed to a program, and the system gave it to another process meanwhile.

--- a/system/proc_test.go
+++ b/system/proc_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +23,7 @@
 	"sassafrasvalve/core/fleet"
 	"sassafrasvalve/core/spec"
 	"sassafrasvalve/fake/cloud"
+	"sassafrasvalve/fake/ports"
 	"sassafrasvalve/fake/worker"
 	"sassafrasvalve/io/oplog"
 )
@@ -116,21 +116,12 @@
 	<-p.done
 }
 
-// freeAddrs returns n loopback addresses with ports that are currently free.
+// freeAddrs returns n loopback addresses that no other test process gets meanwhile.
 func freeAddrs(t *testing.T, n int) []string {
 	t.Helper()
-	var lns []net.Listener
-	var out []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		lns = append(lns, ln)
-		out = append(out, ln.Addr().String())
-	}
-	for _, ln := range lns {
-		_ = ln.Close()
-	}
-	return out
+	list, err := ports.Free(n)
+	assert.NilError(t, err)
+	return list
 }
 
 // world is a platform, workers and entries, each running as a separate process.
--- a/system/scale/scale_test.go
+++ b/system/scale/scale_test.go
@@ -9,7 +9,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,6 +24,7 @@
 	"sassafrasvalve/core/fleet"
 	"sassafrasvalve/core/spec"
 	"sassafrasvalve/fake/cloud"
+	"sassafrasvalve/fake/ports"
 	"sassafrasvalve/io/admin"
 )
 
@@ -281,18 +281,9 @@
 }
 
 func addrs(b *testing.B, n int) []string {
-	var lns []net.Listener
-	var out []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(b, err)
-		lns = append(lns, ln)
-		out = append(out, ln.Addr().String())
-	}
-	for _, ln := range lns {
-		_ = ln.Close()
-	}
-	return out
+	list, err := ports.Free(n)
+	assert.NilError(b, err)
+	return list
 }
 
 func eventually(b *testing.B, limit time.Duration, f func() error) {
--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -25,6 +25,7 @@
 
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/fake/plat"
+	"sassafrasvalve/fake/ports"
 )
 
 // Numbers of processes, times and default seeds of a run.
@@ -63,10 +64,9 @@
 }
 
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	list, err := ports.Free(1)
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return list[0]
 }
 
 // relayCPUShare is a CPU share so low that an entry calls only one VM directly and relays the calls to the other VMs
