shard: Keep starts back whose records are left to a later batch

Found by reading; no caller was seen to suffer from it. NextBatch took all starts that waited to be recorded, though jobs beyond maxBatchBytes were left to a later batch, so such a start was sent unrecorded while the ownership was not confirmed; a crash then lets the next owner start the item again. After an encoding error the starts were dropped and their items stayed planned for good.

Change: a batch takes only the starts of the jobs that it records, and an error leaves jobs and starts to the next call.

--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -59,24 +59,51 @@
 }
 
 // NextBatch returns the records that are due, nil if there are none, and marks the batch as in progress.
-// HandleBatchStored must be called before the next call. The batch takes all starts that wait to be recorded, while the
-// records of jobs beyond maxBatchBytes are left to later batches.
+// HandleBatchStored must be called before the next call. Jobs beyond maxBatchBytes are left to later batches, with the
+// starts that wait until these jobs are recorded. After an error everything is left to the next call.
 func (e *Engine) NextBatch() (*Batch, error) {
-	b := &Batch{acks: map[string]int64{}, starts: e.unrecordedStarts}
-	e.unrecordedStarts = nil
 	if len(e.dirty) == 0 && len(e.expiredJobs) == 0 && len(e.staleJobs) == 0 {
 		return nil, nil
 	}
+	b := &Batch{acks: map[string]int64{}}
+	if err := e.addProgress(b); err != nil {
+		for _, r := range b.jobStates {
+			e.markDirty(r.job)
+		}
+		return nil, err
+	}
+	for _, id := range e.expiredJobs {
+		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id)})
+	}
+	for _, id := range e.staleJobs {
+		b.Records = append(b.Records, jobs.Record{Key: jobs.JobKey(id)}, jobs.Record{Key: jobs.CancelKey(id)})
+	}
+	e.expiredJobs, e.staleJobs = nil, nil
+	if len(e.dirty) == 0 {
+		for id, v := range e.vms {
+			if v.seenSeq > v.ackedSeq {
+				b.acks[id] = v.seenSeq
+			}
+		}
+	}
+	e.takeRecordedStarts(b)
+	e.recording = true
+	return b, nil
+}
+
+// addProgress adds the progress records of the jobs that have changed, up to maxBatchBytes. It returns the error of the
+// first record that cannot be encoded.
+func (e *Engine) addProgress(b *Batch) error {
 	size := 0
 	for id, j := range e.dirty {
 		if size > maxBatchBytes {
-			break
+			return nil
 		}
 		j.rev++
 		p := j.progress()
 		value, err := p.MarshalMsg(nil)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		size += len(value)
 		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id), Value: value})
@@ -87,22 +114,21 @@
 		b.jobStates = append(b.jobStates, recordedJob{j, j.state})
 		delete(e.dirty, id)
 	}
-	for _, id := range e.expiredJobs {
-		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id)})
-	}
-	for _, id := range e.staleJobs {
-		b.Records = append(b.Records, jobs.Record{Key: jobs.JobKey(id)}, jobs.Record{Key: jobs.CancelKey(id)})
-	}
-	e.expiredJobs, e.staleJobs = nil, nil
-	if len(e.dirty) == 0 {
-		for id, v := range e.vms {
-			if v.seenSeq > v.ackedSeq {
-				b.acks[id] = v.seenSeq
-			}
+	return nil
+}
+
+// takeRecordedStarts moves the starts that wait to be recorded into a batch, except those of jobs that the batch does not
+// hold.
+func (e *Engine) takeRecordedStarts(b *Batch) {
+	waiting := e.unrecordedStarts[:0]
+	for _, s := range e.unrecordedStarts {
+		if e.dirty[s.it.job.ID] == s.it.job {
+			waiting = append(waiting, s)
+		} else {
+			b.starts = append(b.starts, s)
 		}
 	}
-	e.recording = true
-	return b, nil
+	e.unrecordedStarts = waiting
 }
 
 // HandleBatchStored marks a batch as stored and returns the orders of its starts.
