--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -67,7 +67,6 @@
 	lastConfirmed      int   // wantedVMs at the last fresh confirmation
 	heldVMs            int   // lower bound of wantedVMs after a time without confirmation, 0 for none
 	heldUntil          int64 // end of that bound
-	excessSince        int64 // since when the pool uses more VMs than it wants, 0 if it does not
 }
 
 // addArrival records the work of a submitted job. The work of all occurrences counts at once, also of those that are
@@ -134,7 +133,6 @@
 	}
 	wanted := max(floor, int((d.batchCPU*100/targetUsePercent+d.persistentCPU+vmCPU-1)/vmCPU))
 	e.demand.wantedVMs = max(e.addWantedSample(wanted, now), e.updateHeldDemand(now))
-	e.retireVMs(now)
 	e.updateOffers(floor, now)
 	e.prepareReport(floor, now)
 }
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -42,8 +42,6 @@
 	progressPercent   int      // work done, as last reported; 100 means that a persistent item is at work
 	tailLatencyMs     int64    // as last reported for a serving item; unused for other items
 	progressChangedAt int64    // time of the last change of progressPercent
-	firstPercent      int      // progressPercent as first reported for the present run
-	firstPercentAt    int64    // time of that report, 0 before it
 	throttlePercent   int      // percentage of full speed that was ordered last
 	throttleSentAt    int64    // time of the last throttle order, 0 if none was sent or it failed
 	seenRunning       bool     // a poll reply has listed the present run
@@ -52,31 +50,6 @@
 	failedVMs         []string // VMs on which it failed or stalled
 }
 
-// minMeasuredPercent is the progress in a run from which its remaining time is derived.
-const minMeasuredPercent = 5
-
-// remainingMs returns the time in milliseconds that a run still needs: by its progress once it has made some, otherwise
-// by its estimate.
-func (it *item) remainingMs(now int64) int64 {
-	if it.phase != running {
-		return it.stepDef.EstimateMs
-	}
-	done := int64(it.progressPercent - it.firstPercent)
-	if it.firstPercentAt == 0 || done < minMeasuredPercent {
-		return max(it.stepDef.EstimateMs-(now-it.startedAt), it.stepDef.EstimateMs/10)
-	}
-	total := (it.progressChangedAt - it.firstPercentAt) * int64(100-it.progressPercent) / done
-	return max(total-(now-it.progressChangedAt), 0)
-}
-
-// reservedCPU returns the CPU that the item takes from its VM's capacity, in thousandths of a core.
-func (it *item) reservedCPU() int64 {
-	if it.stepDef.Fill {
-		return 0
-	}
-	return it.stepDef.CPU
-}
-
 // failedOn reports whether the item failed or stalled on a VM.
 func (it *item) failedOn(id string) bool {
 	for _, a := range it.failedVMs {
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -178,7 +178,6 @@
 	}
 	for _, s := range starts {
 		s.it.run, s.it.throttlePercent, s.it.stopAckedAt, s.it.throttleSentAt, s.it.seenRunning = run+1, 100, 0, 0, false
-		s.it.firstPercent, s.it.firstPercentAt = 0, 0
 	}
 	e.markDirty(j)
 	return starts
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -206,9 +206,6 @@
 	case pools.Done:
 		it.phase, it.phaseSince, it.startedAt, it.progressChangedAt = running, now, now, now
 		it.progressPercent = 0
-		if it.checkpoint == "" {
-			it.firstPercentAt = now
-		}
 		e.markStarted(it.job, v, now)
 		if it.job.state.Final() || it.done {
 			e.stop(it, "no longer wanted", now)
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -242,9 +242,6 @@
 	if it.job.state.Final() || it.done {
 		e.stop(it, "no longer wanted", now)
 	}
-	if it.firstPercentAt == 0 {
-		it.firstPercent, it.firstPercentAt = r.ProgressPercent, now
-	}
 	if r.ProgressPercent != it.progressPercent {
 		it.progressPercent, it.progressChangedAt = r.ProgressPercent, now
 	}
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -39,7 +39,6 @@
 	vacateSince                 int64 // since when it is to be vacated, 0 if it is not
 	offered                     bool  // offered to other pools
 	offerWithdrawnAt            int64 // time at which the last offer was withdrawn
-	retireSince                 int64 // since when its runs are moved to other VMs, 0 if they are not
 }
 
 // rackPrefix is the prefix of the label that names a VM's rack, such as "r1-3".
@@ -104,7 +103,7 @@
 
 // usable reports whether the VM may get new work.
 func (v *vm) usable(now int64) bool {
-	return v.listed && v.missingSince == 0 && !v.Draining && !v.vacate && !v.offered && v.retireSince == 0 && v.polled && !v.silent &&
+	return v.listed && v.missingSince == 0 && !v.Draining && !v.vacate && !v.offered && v.polled && !v.silent &&
 		now-v.lastPollAt < vmSilenceMs+max(v.pollWaitMs-PollWaitMs, 0) && now >= v.suspectUntil && now >= v.noCapacityUntil
 }
 
