owner: Claim a released shard wherever the partition ends

Cause: a claim had to follow the last record of the owners' partition, which all shards' owners renew their claims in. With appends of 0.5 s some renewal always came first, and each attempt took two calls. Ruled out: the reads, which showed the release to five others within 0.5 s.

Change: a claim of a shard that nobody owns is appended wherever the partition ends; the store refuses a second claim with the same epoch. A silent owner may still renew, so that its shard is claimed as before. TestReleasedShardIsClaimedInASlowStore fails before (no owner in 5 s). The test of the reason read after the wait now expects the store to refuse the stale epoch; its log refuses epochs as the platform's does.

--- a/io/owner/claim_test.go
+++ b/io/owner/claim_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -24,6 +25,13 @@
 type sharedLog struct {
 	mu sync.Mutex
 	claimLog
+	producers map[string]producerState
+	took      time.Duration // duration of an append, 0 for appendDuration
+}
+
+// producerState is the newest epoch of a producer, and its last sequence number.
+type producerState struct {
+	epoch, seq int64
 }
 
 func (l *sharedLog) Read(r platform.ReadRequest) (platform.Page, error) {
@@ -33,12 +41,26 @@
 }
 
 func (l *sharedLog) Append(a platform.AppendRequest) (platform.AppendResult, error) {
-	time.Sleep(appendDuration)
+	time.Sleep(cmp.Or(l.took, appendDuration))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if a.At >= 0 && a.At != int64(len(l.records)) {
 		return platform.AppendResult{Outcome: platform.EndMismatch}, nil
 	}
+	if p, ok := l.producers[a.Producer]; ok {
+		switch {
+		case a.Epoch < p.epoch:
+			return platform.AppendResult{Outcome: platform.Fenced}, nil
+		case a.Epoch == p.epoch && a.Seq == p.seq:
+			return platform.AppendResult{Outcome: platform.Appended}, nil
+		case a.Epoch == p.epoch && a.Seq != p.seq+1:
+			return platform.AppendResult{Outcome: platform.OutOfSeq}, nil
+		}
+	}
+	if l.producers == nil {
+		l.producers = map[string]producerState{}
+	}
+	l.producers[a.Producer] = producerState{a.Epoch, a.Seq}
 	l.records = append(l.records, a.Records...)
 	return platform.AppendResult{Outcome: platform.Appended}, nil
 }
@@ -150,6 +172,7 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.records = append(l.records, jobs.Record{Key: jobs.ClaimKey(0), Value: value})
+		l.producers = map[string]producerState{shardProducer(0): {epoch, 0}}
 	}
 	add(1, "", reasonReleased)
 	directory := tail.NewDirectory(l, false, zap.NewNop())
@@ -164,7 +187,51 @@
 		add(2, "e2#1", reasonReleased)
 		add(2, "", reasonIncomplete)
 	})
+	assert.Assert(t, !o.compete(t.Context()), "the store has seen the epoch that this process knows to be the next one")
+	assert.NilError(t, directory.CatchUp(t.Context()))
 	assert.Assert(t, o.compete(t.Context()))
 	assert.Equal(t, o.reason, reasonIncomplete)
 	assert.Assert(t, !o.recordsComplete())
 }
+
+// TestReleasedShardIsClaimedInASlowStore guards against a shard that stays without an owner after a planned stop while the
+// store answers slowly: claims were refused because other shards' renewals were appended between the read of the
+// partition and the claim, for as long as the store was slow (3.9 s at 0.5 s an append).
+func TestReleasedShardIsClaimedInASlowStore(t *testing.T) {
+	const (
+		took   = 300 * time.Millisecond
+		maxGap = 3 * took // the delay of the claim, an append, and the view of the claim
+	)
+	l := &sharedLog{took: took}
+	l.renew(t)
+	value, err := (&jobs.Claim{Epoch: 1, Reason: reasonReleased}).MarshalMsg(nil)
+	assert.NilError(t, err)
+	l.records = append(l.records, jobs.Record{Key: jobs.ClaimKey(0), Value: value})
+	renewals := &renewals{log: l, stopped: make(chan struct{})}
+	go renewals.run()
+	t.Cleanup(func() { close(renewals.stopped) })
+	freeAt := time.Now()
+	p := startProcess(t, l, "e2#1", 1)
+	eventually(t, "the shard has an owner", func() bool { return p.owned.Load() == 1 })
+	assert.Assert(t, time.Since(freeAt) < maxGap, "the shard had no owner for %v", time.Since(freeAt))
+}
+
+// renewals appends the renewals of other shards' claims to a log, faster than a slow append takes.
+type renewals struct {
+	log     *sharedLog
+	stopped chan struct{}
+}
+
+func (r *renewals) run() {
+	const interval = 20 * time.Millisecond
+	for {
+		select {
+		case <-r.stopped:
+			return
+		case <-time.After(interval):
+		}
+		r.log.mu.Lock()
+		r.log.records = append(r.log.records, jobs.Record{Key: jobs.ClaimKey(1), Value: []byte("?")})
+		r.log.mu.Unlock()
+	}
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -260,30 +260,55 @@
 }
 
 // waitToClaim waits for a random delay plus ClaimDelay, counted from freeAt, at which the shard was seen without an
-// owner. It then reads the owners' partition, and returns false if that fails or ctx ends.
+// owner. It returns false if ctx ends.
 func (o *Owner) waitToClaim(ctx context.Context, freeAt time.Time) bool {
 	wait := rand.N(claimJitter)
 	if o.cfg.ClaimDelay != nil {
 		wait += o.cfg.ClaimDelay(o.cfg.OwnedCount.Load())
 	}
 	wire.Sleep(ctx, max(time.Until(freeAt.Add(wait)), time.Until(o.claimAfter)))
-	return ctx.Err() == nil && o.cfg.Directory.CatchUp(ctx) == nil
+	return ctx.Err() == nil
 }
 
-// claim appends a claim after all records that this process has read, if the shard may be claimed by those records. It
-// returns true if the claim is stored.
+// anyPosition is the position of an append that holds wherever the partition ends.
+const anyPosition = -1
+
+// freed reports whether the reason of a claim still holds whatever is appended before the claim: there is no owner that
+// could renew its claim.
+func freed(reason string) bool {
+	return reason == reasonFirst || reason == reasonReleased || reason == reasonIncomplete
+}
+
+// claimPosition returns the reason for which the shard may be claimed, "" if it may not be claimed, and the position at
+// which the claim has to be appended.
+//
+// A silent owner may renew its claim at any time, so that the claim must follow all records that were read. Nobody renews
+// a released claim, and the store refuses the second claim with the same epoch. Without a position such a claim succeeds
+// also in a slow store, in which the renewals of other shards would always come first.
+func (o *Owner) claimPosition(ctx context.Context) (reason string, at int64) {
+	if reason = o.claimReason(); freed(reason) {
+		return reason, anyPosition
+	}
+	if o.cfg.Directory.CatchUp(ctx) != nil {
+		return "", anyPosition
+	}
+	// The position is taken before the reason. A record that is appended after that position makes the append fail, so
+	// the reason still holds once the claim is stored.
+	at = o.cfg.Directory.Position().NextOffset
+	return o.claimReason(), at
+}
+
+// claim appends a claim if the shard may be claimed. It returns true if the claim is stored.
 func (o *Owner) claim(ctx context.Context) bool {
 	for range maxClaimAttempts {
-		if ctx.Err() != nil || o.cfg.Directory.CatchUp(ctx) != nil {
+		if ctx.Err() != nil {
 			return false
 		}
-		// The position is taken before the reason. A record that is appended after that position makes the append fail,
-		// so the reason still holds once the claim is stored.
-		v := o.cfg.Directory.Position()
-		reason, s := o.claimReason(), o.cfg.Directory.Shard(o.cfg.Part)
+		reason, at := o.claimPosition(ctx)
 		if reason == "" {
 			return false
 		}
+		s := o.cfg.Directory.Shard(o.cfg.Part)
 		// The store answers a call with a known epoch and sequence number as it answered the first such call, also if
 		// another process sends it. A random first sequence number separates the claims of two processes.
 		w := writer{
@@ -298,7 +323,7 @@
 		}
 		sentAtMs := clock.BootMs()
 		res, _, err := Hedge(o.cfg.Store, platform.AppendRequest{
-			Topic: w.topic, Records: []jobs.Record{rec}, At: v.NextOffset,
+			Topic: w.topic, Records: []jobs.Record{rec}, At: at,
 			Producer: w.producer, Epoch: w.epoch, Seq: w.seq, Deadline: time.Now().Add(appendTimeout),
 		}, 0)
 		switch {
@@ -310,7 +335,7 @@
 			o.health.failingSinceMs.Store(0)
 			o.health.confirmedAtMs.Store(sentAtMs)
 			o.log.Info("shard claimed", zap.Int64("epoch", w.epoch), zap.String("reason", reason),
-				zap.String("previous", s.Claim.Owner), zap.Int64("offset", v.NextOffset))
+				zap.String("previous", s.Claim.Owner), zap.Int64("offset", at))
 			return true
 		case res.Outcome != platform.EndMismatch:
 			o.log.Info("claim refused", zap.Int64("epoch", w.epoch), zap.String("outcome", outcomeNames[res.Outcome]))
