shard: Forecast the rate of arrivals by a fit over seconds

What was seen: under a steady load the wanted VMs of a pool swung between the need and 2.4 times of it (14 VMs needed, 17 to 35 wanted), so that machines moved 400 times in 34 s, and a pool in its turn held twice the VMs it used.

Cause: the forecast extrapolated the difference between two windows of a second, taken as work. With 40 jobs a second of very different sizes that difference is chance, and it was multiplied by 5.6. Ruled out: the slope of the requested CPU, which only bounds the forecast.

Change: numbers of arrivals and mean work are estimated apart; the rate comes from a linear fit over the last 80 arrivals, 1 to 4 s, and its trend counts as far as it exceeds that of a steady Poisson process.

--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -9,7 +9,7 @@
 
 // Parameters of a pool's demand, in milliseconds where not said otherwise.
 const (
-	// rateWindowMs is the window over which arriving work is measured.
+	// rateWindowMs is the window whose arrivals tell how certain a rise of the requested CPU is.
 	rateWindowMs = 1000
 	// forecastMs is how far a rise of the demand is extrapolated. A VM joins the pool about this time after it was
 	// requested.
@@ -58,7 +58,7 @@
 
 // demandTracker holds the measurements behind a pool's demand, and the demand report.
 type demandTracker struct {
-	arrivals           []sample // work of submitted jobs, in core-milliseconds
+	rate               arrivalRate
 	recentWanted       []sample // newest values of wanted VMs
 	recentRequestedCPU []sample // newest values of the CPU that the present jobs request, in thousandths of a core
 	report             jobs.DemandReport
@@ -71,29 +71,7 @@
 
 // addArrival records the work of a submitted job. The work of all occurrences counts at once, also of those that are
 // due much later.
-func (t *demandTracker) addArrival(j *jobs.Job, now int64) {
-	t.arrivals = append(t.arrivals, sample{now, j.CoreMs() * int64(j.Occurrences())})
-}
-
-// arrivedWork returns the core-milliseconds of the work that arrived in the newest window and in the one before, and
-// the number of jobs in the newest. It deletes older arrivals.
-func (t *demandTracker) arrivedWork(now int64) (newest, before, count int64) {
-	kept := t.arrivals[:0]
-	for _, a := range t.arrivals {
-		switch {
-		case a.at > now-rateWindowMs:
-			newest += a.value
-			count++
-		case a.at > now-2*rateWindowMs:
-			before += a.value
-		default:
-			continue
-		}
-		kept = append(kept, a)
-	}
-	t.arrivals = kept
-	return newest, before, count
-}
+func (t *demandTracker) addArrival(j *jobs.Job, now int64) { t.rate.add(j.CoreMs()*int64(j.Occurrences()), now) }
 
 // addCPUSample adds a sample of the requested CPU, in thousandths of a core. It returns the rise within slopeWindowMs,
 // in thousandths of a core per second, or 0 if the CPU falls or the samples cover less than a third of the window.
@@ -206,16 +184,13 @@
 			requestedCPU += cpu
 		}
 	}
-	newest, before, count := e.demand.arrivedWork(now)
-	mean := (newest + before) / 2
-	// The trend of a few jobs is mostly chance.
-	trend := (newest - mean) * count / (count + trendHalfWeightJobs)
-	forecastWork := max(mean+trend*(1+2*forecastMs/rateWindowMs), 0)
-	// Core-milliseconds divided by milliseconds are cores. The present jobs can use no more CPU than their items
+	// Core-milliseconds per second are thousandths of a core. The present jobs can use no more CPU than their items
 	// request. A rise that comes from a few jobs is mostly chance.
+	count := e.demand.rate.countSince(now - rateWindowMs)
 	rise := e.demand.addCPUSample(requestedCPU, now) * forecastMs / 1000 * count / (count + trendHalfWeightJobs)
 	maxForecast := requestedCPU*steadyForecastPercent/100 + rise
-	d.batchCPU = max(min(waitingWork*1000/backlogDrainMs, requestedCPU), min(forecastWork*1000/rateWindowMs, maxForecast))
+	forecast := e.demand.rate.forecast(now, forecastMs)
+	d.batchCPU = max(min(waitingWork*1000/backlogDrainMs, requestedCPU), min(forecast, maxForecast))
 	return d
 }
 
