shard: Want further VMs while a persistent item goes on waiting

Change: for each 1.5 s that an item waits on, the pool wants one VM more, up to four. TestWaitingPersistentItemGetsFurtherVMs fails before.

--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -38,6 +38,11 @@
 	// maxCapacityWaitMs is how long a persistent item may wait for a VM before the pool wants one more VM for each VM
 	// that is to be vacated.
 	maxCapacityWaitMs = 1000
+	// extraVMWaitMs is the time for each further VM that the pool wants while a persistent item goes on waiting. Some of
+	// the pool's machines may have no VM that the owner can use.
+	extraVMWaitMs = 1500
+	// maxExtraVMs bounds these VMs.
+	maxExtraVMs = 4
 	// unconfirmedMs is the time without a confirmation by the store after which submitted jobs are assumed not to be
 	// recorded. The claim is renewed every 500 ms.
 	unconfirmedMs = 1000
@@ -107,7 +112,7 @@
 	// VMs to vacate take no new work. One whose items may not be interrupted stays in use while another item of the same
 	// step waits for capacity, so that without further VMs neither would change.
 	if waitMs > maxCapacityWaitMs {
-		floor += e.countVMsToVacate()
+		floor += e.countVMsToVacate() + int(min((waitMs-maxCapacityWaitMs)/extraVMWaitMs, maxExtraVMs))
 	}
 	wanted := max(floor, int((d.batchCPU*100/targetUsePercent+d.persistentCPU+vmCPU-1)/vmCPU))
 	e.demand.wantedVMs = max(e.addWantedSample(wanted, now), e.updateHeldDemand(now))
--- a/core/shard/demand_test.go
+++ b/core/shard/demand_test.go
@@ -62,6 +62,28 @@
 	assert.Equal(t, e.demand.wantedVMs, before+2, "the VMs that are being vacated take no new work")
 }
 
+// TestWaitingPersistentItemGetsFurtherVMs guards against a persistent item that never runs because machines of its pool
+// count as VMs that the owner cannot use. Two items, lost with a rack, were away for 32 s.
+func TestWaitingPersistentItemGetsFurtherVMs(t *testing.T) {
+	e := newPolledEngine(2, 32_000, 128_000)
+	e.MarkOwnershipConfirmed(100)
+	e.LoadJob("j", &jobs.StoredJob{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{
+		{Count: 2, CPU: 1000, MemMB: 100_000, Persistent: true, Budget: 1},
+	}}}, 0, 0)
+	e.HandlePollFailure("b", 50) // its machine still counts for the pool
+	e.Advance(100, 100)
+	assert.Equal(t, len(e.TakeOrders()), 1)
+	wanted := func(now int64) int {
+		e.demand.recentWanted = nil
+		e.updateDemand(now)
+		return e.demand.wantedVMs
+	}
+	before := wanted(500)
+	assert.Equal(t, wanted(maxCapacityWaitMs+extraVMWaitMs+100), before+1)
+	assert.Equal(t, wanted(maxCapacityWaitMs+2*extraVMWaitMs+100), before+2)
+	assert.Equal(t, wanted(100*extraVMWaitMs), before+maxExtraVMs)
+}
+
 // TestDemandIsHeldWithoutConfirmation guards against a pool that releases its VMs while the store accepts no jobs.
 // Refused callers retry, and a VM needs seconds to join again. The wanted VMs fell from 170 to 56 in the pool's busy
 // period, and 110 of 173 VMs were offered. Seen on day mix of site kegel-live-grown, seed 903236234918.
