owner: Replace an owner sooner if its renewals came in time

Cause: a silent owner is replaced 2 s after its last renewal, a time that covers a slow store. Ruled out: probes, as a call that is not answered proves nothing.

Change: with four intervals between renewals seen, the owner lapses 0.8 s after the longest of them, 1.4 to 2 s. 1.4 s stays above the 0.9 and 1.2 s for which an owner acts on a confirmation; the claim still follows a fresh read of all renewals. TestRegularOwnerLapsesSooner covers late renewals and reads that fail.

--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,9 +31,16 @@
 const (
 	// renewInterval is the pause between two renewals of a claim.
 	renewInterval = 500 * time.Millisecond
-	// lapseAfterMs is the time without a renewal after which other processes may claim the shard. It covers three
-	// renewals and a slow answer of the store.
-	lapseAfterMs = 2000
+	// maxLapseMs is the time without a renewal after which other processes may claim the shard. It covers three renewals
+	// and a slow answer of the store.
+	maxLapseMs = 2000
+	// minLapseMs replaces maxLapseMs if all renewals of the owner came in time. It is longer than
+	// earlyStartConfirmationMs of core/shard, up to which an owner acts on a confirmation.
+	minLapseMs = 1400
+	// lapseMarginMs is the time beyond the longest recent interval between renewals after which a further one is missing.
+	lapseMarginMs = 800
+	// observedRenewals is the number of newest intervals that are taken into account.
+	observedRenewals = 4
 	// probeAfterMs is the time without a renewal after which the owner is asked whether it still owns the shard. An
 	// owner of which this process has seen no renewal yet is asked at once.
 	probeAfterMs = 900
@@ -127,10 +135,11 @@
 	claimAfter   time.Time // earliest time of the next claim, so that other processes claim first
 
 	// The following belong to the loop.
-	claimsSeen       int   // number of claim records of the shard at the last check, renewals included
-	renewedAtMs      int64 // local ms at which the last renewal was seen; 0 counts the owner's silence anew
-	goneAtClaimCount int   // number of claim records when the owner turned out to be gone, 0 before that
-	nextProbeMs      int64 // local ms of the next probe of a silent owner
+	claimsSeen       int     // number of claim records of the shard at the last check, renewals included
+	renewedAtMs      int64   // local ms at which the last renewal was seen; 0 counts the owner's silence anew
+	goneAtClaimCount int     // number of claim records when the owner turned out to be gone, 0 before that
+	intervals        []int64 // newest intervals between renewals, in ms; empty after a read that failed
+	nextProbeMs      int64   // local ms of the next probe of a silent owner
 }
 
 // New returns an Owner that takes part in the election of a shard once Run is called.
@@ -202,13 +211,17 @@
 	v, s := o.cfg.Directory.Position(), o.cfg.Directory.Shard(o.cfg.Part)
 	now := clock.BootMs()
 	if v.Failed || v.NextOffset < 0 {
-		o.renewedAtMs = 0 // missing renewals count only while this process can read them
+		o.renewedAtMs, o.intervals = 0, nil // missing renewals count only while this process can read them
 		return ""
 	}
 	if s.ClaimCount != o.claimsSeen || o.renewedAtMs == 0 {
 		if s.ClaimCount != o.claimsSeen && o.claimsSeen != 0 {
 			o.nextProbeMs = now + probeAfterMs // the owner renewed its claim since the last read
 		}
+		if o.renewedAtMs != 0 {
+			o.intervals = append(o.intervals, now-o.renewedAtMs)
+			o.intervals = o.intervals[max(len(o.intervals)-observedRenewals, 0):]
+		}
 		o.claimsSeen, o.renewedAtMs = s.ClaimCount, now
 	}
 	switch {
@@ -218,7 +231,7 @@
 		return s.Claim.Reason
 	case s.Claim.Owner == o.cfg.Member:
 		return reasonOwn
-	case now-o.renewedAtMs > lapseAfterMs:
+	case now-o.renewedAtMs > o.lapseMs():
 		return reasonSilent
 	case o.goneAtClaimCount == s.ClaimCount:
 		return reasonGone
@@ -234,6 +247,15 @@
 	return ""
 }
 
+// lapseMs returns the time without a renewal after which the shard may be claimed. Renewals that come late, because of a
+// slow store or a busy owner, make it longer.
+func (o *Owner) lapseMs() int64 {
+	if len(o.intervals) < observedRenewals {
+		return maxLapseMs
+	}
+	return min(max(slices.Max(o.intervals)+lapseMarginMs, minLapseMs), maxLapseMs)
+}
+
 // compete claims the shard, which has no owner, unless another process claims it first. It returns true if this process
 // owns the shard.
 func (o *Owner) compete(ctx context.Context) bool {
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -85,3 +85,32 @@
 	o.claimReason()
 	assert.Equal(t, peers.n, 2, "an owner that has not renewed its claim is probed")
 }
+
+// TestRegularOwnerLapsesSooner guards against two failures: a shard that stays for 2 s without the owner that was
+// suspended, although all its renewals had come in time, and a live owner that is replaced because a slow store delays
+// its renewals.
+func TestRegularOwnerLapsesSooner(t *testing.T) {
+	l := &claimLog{}
+	directory := tail.NewDirectory(l, false, zap.NewNop())
+	o := New(Config{
+		Member: "e2#1", Peers: &countingPeers{}, Store: l, Directory: directory, OwnedCount: &atomic.Int64{}, ClaimMu: &sync.Mutex{}, Log: zap.NewNop(),
+	})
+	renewAfter := func(pause time.Duration) {
+		time.Sleep(pause)
+		l.renew(t)
+		assert.NilError(t, directory.CatchUp(t.Context()))
+		assert.Equal(t, o.claimReason(), "")
+	}
+	renewAfter(0)
+	assert.Equal(t, o.lapseMs(), int64(maxLapseMs), "nothing is known of the owner's renewals yet")
+	for range observedRenewals {
+		renewAfter(20 * time.Millisecond)
+	}
+	assert.Equal(t, o.lapseMs(), int64(minLapseMs))
+	renewAfter((minLapseMs - lapseMarginMs + 200) * time.Millisecond)
+	assert.Assert(t, o.lapseMs() >= minLapseMs+200, "a renewal was late, lapse after %d ms", o.lapseMs())
+	l.busy = true
+	assert.Assert(t, directory.CatchUp(t.Context()) != nil)
+	assert.Equal(t, o.claimReason(), "")
+	assert.Equal(t, o.lapseMs(), int64(maxLapseMs), "this process could not read the renewals")
+}
