assign, shard: Look as far ahead as a move of a machine takes

Cause: the demand was extrapolated by 2.3 s, the time of a move on the platforms known so far. Change: the machine controller measures the time from an order until the machine is listed in its new pool, records it beside the VMs to vacate, and the owners look ahead by it. A next controller goes on with the measured time.

Left: VMs still come 5 s after the callers; only a reserve would be there before.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -50,6 +50,7 @@
 	// just have ordered it.
 	StartAtMs  int64
 	OrdersPerS float64 // rate limit of the platform for the orders of all processes together, 0 for none
+	JoinMs     int64   // time that a move takes, as an earlier machine controller measured it; 0 if unknown
 }
 
 // PoolDemand holds the newest demand report of a pool's owner.
@@ -83,6 +84,8 @@
 	fenced          bool
 	quota           quota
 	shortages       []*shortage // pools that want more machines, as of the present call of Plan
+	joinMs          int64       // time that a move takes, 0 if unknown
+	recordedJoinMs  int64       // joinMs as last recorded
 }
 
 // Event is a decision or observation that is logged and counted.
@@ -100,7 +103,8 @@
 	missingSince   int64        // local ms since which it is missing from the list, 0 while it is listed
 	offeredSince   int64        // local ms since which its VM is offered, 0 if it is not
 	order          *pools.Order // last order, or the assumed one of an earlier machine controller; nil if there is none
-	queuedAt       int64        // local ms at which the last order was queued; not read
+	queuedAt       int64        // local ms at which the last order was queued
+	movedAt        int64        // queuedAt of an executed move until its VM has joined the pool, 0 otherwise
 	pending        bool         // the last order was queued and its reply has not arrived
 	uncertainUntil int64        // local ms until which an order without a reply may still be executed
 	orderDoneAt    int64        // local ms at which the last order was executed
@@ -113,7 +117,8 @@
 func New(cfg Config) *Controller {
 	return &Controller{
 		cfg: cfg, machines: map[string]*machine{}, finishedUpkeeps: map[jobs.Upkeep]bool{}, rejectedMoves: map[[2]string]bool{},
-		quota: quota{perS: cfg.OrdersPerS * orderSharePercent / 100},
+		quota:  quota{perS: cfg.OrdersPerS * orderSharePercent / 100},
+		joinMs: cfg.JoinMs, recordedJoinMs: cfg.JoinMs,
 	}
 }
 
@@ -140,13 +145,13 @@
 	}
 	c.upkeepsToRecord = nil
 	if c.vacateDirty {
-		v := jobs.VacateRequest{VMs: c.vmsToVacate}
+		v := jobs.VacateRequest{VMs: c.vmsToVacate, JoinMs: c.joinMs}
 		value, err := v.MarshalMsg(nil)
 		if err != nil {
 			return nil, err
 		}
 		records = append(records, jobs.Record{Key: jobs.VacateKey, Value: value})
-		c.vacateDirty = false
+		c.vacateDirty, c.recordedJoinMs = false, c.joinMs
 	}
 	return records, nil
 }
@@ -186,6 +191,10 @@
 			c.addEvent(l.ID, "state "+stateNames[l.State], l.Pool+" "+l.VM, 0)
 		}
 		m.Machine, m.listed, m.missingSince = l, true, 0
+		if m.movedAt > 0 && l.State == pools.MachineUp && l.Pool == m.order.Spec && c.listIsCurrent(m) {
+			c.measureJoin(c.view.ListedAtMs - m.movedAt)
+			m.movedAt = 0
+		}
 		if m.targetPool != "" && (l.Pool == m.targetPool || now-m.orderDoneAt > maxJoinMs) && c.listIsCurrent(m) {
 			m.targetPool = ""
 		}
@@ -205,6 +214,26 @@
 	}
 }
 
+// Parameters of the measured time of a move.
+const (
+	// joinWeight is the weight of one move in the running mean.
+	joinWeight = 8
+	// joinChangePercent is the change of the mean that is recorded.
+	joinChangePercent = 20
+)
+
+// measureJoin adds the time that a move took to the running mean, and has it recorded after a large change.
+func (c *Controller) measureJoin(ms int64) {
+	if c.joinMs == 0 {
+		c.joinMs = ms
+	}
+	c.joinMs += (ms - c.joinMs) / joinWeight
+	change := c.joinMs - c.recordedJoinMs
+	if max(change, -change)*100 > c.recordedJoinMs*joinChangePercent {
+		c.vacateDirty = true
+	}
+}
+
 // stateNames holds the names of the machine states in logs.
 var stateNames = map[pools.MachineState]string{pools.MachineBusy: "busy", pools.MachineUp: "up", pools.MachineDown: "down"}
 
@@ -268,9 +297,9 @@
 		m.orderDoneAt, m.uncertainUntil = now, 0
 		m.offeredSince = 0
 		if o.Kind == pools.Upkeep {
-			m.upkeepWave = o.Run
+			m.upkeepWave, m.movedAt = o.Run, 0
 		} else {
-			m.targetPool = o.Spec
+			m.targetPool, m.movedAt = o.Spec, m.queuedAt
 		}
 	case pools.Fenced:
 		c.fenced = true
--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -12,122 +12,6 @@
 	zf88ce922limitMaps   = 262144
 )
 
-// MarshalMsg implements msgp.Marshaler
-func (z *JobTable) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "Jobs"
-	o = append(o, 0x81, 0xa4, 0x4a, 0x6f, 0x62, 0x73)
-	o = msgp.AppendMapHeader(o, uint32(len(z.Jobs)))
-	for za0001, za0002 := range z.Jobs {
-		o = msgp.AppendString(o, za0001)
-		if za0002 == nil {
-			o = msgp.AppendNil(o)
-		} else {
-			o, err = za0002.MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Jobs", za0001)
-				return
-			}
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *JobTable) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "Jobs":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Jobs")
-				return
-			}
-			if zb0002 > zf88ce922limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Jobs == nil {
-				z.Jobs = make(map[string]*StoredJob, zb0002)
-			} else if len(z.Jobs) > 0 {
-				clear(z.Jobs)
-			}
-			for zb0002 > 0 {
-				var za0002 *StoredJob
-				zb0002--
-				var za0001 string
-				za0001, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Jobs")
-					return
-				}
-				if msgp.IsNil(bts) {
-					bts, err = msgp.ReadNilBytes(bts)
-					if err != nil {
-						return
-					}
-					za0002 = nil
-				} else {
-					if za0002 == nil {
-						za0002 = new(StoredJob)
-					}
-					bts, err = za0002.UnmarshalMsg(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Jobs", za0001)
-						return
-					}
-				}
-				z.Jobs[za0001] = za0002
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *JobTable) Msgsize() (s int) {
-	s = 1 + 5 + msgp.MapHeaderSize
-	if z.Jobs != nil {
-		for za0001, za0002 := range z.Jobs {
-			_ = za0002
-			s += msgp.StringPrefixSize + len(za0001)
-			if za0002 == nil {
-				s += msgp.NilSize
-			} else {
-				s += za0002.Msgsize()
-			}
-		}
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Catalog) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -470,35 +354,41 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *StoredJob) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *DemandReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "Job"
-	o = append(o, 0x83, 0xa3, 0x4a, 0x6f, 0x62)
-	if z.Job == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Job.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Job")
-			return
-		}
+	// map header, size 7
+	// string "e"
+	o = append(o, 0x87, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendInt64(o, z.Rev)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.Want)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt(o, z.Min)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt64(o, z.Urgent)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Offers)))
+	for za0001 := range z.Offers {
+		o = msgp.AppendString(o, z.Offers[za0001])
 	}
-	// string "Progress"
-	o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x67, 0x72, 0x65, 0x73, 0x73)
-	o, err = z.Progress.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Progress")
-		return
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Clear)))
+	for za0002 := range z.Clear {
+		o = msgp.AppendString(o, z.Clear[za0002])
 	}
-	// string "Cancelled"
-	o = append(o, 0xa9, 0x43, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Cancelled)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *StoredJob) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *DemandReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -519,35 +409,204 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "Job":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "r":
+			z.Rev, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rev")
+				return
+			}
+		case "w":
+			z.Want, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Want")
+				return
+			}
+		case "m":
+			z.Min, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Min")
+				return
+			}
+		case "u":
+			z.Urgent, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Urgent")
+				return
+			}
+		case "o":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offers")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Offers) >= int(zb0002) {
+				z.Offers = (z.Offers)[:zb0002]
+			} else {
+				z.Offers = make([]string, zb0002)
+			}
+			for za0001 := range z.Offers {
+				z.Offers[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
+					err = msgp.WrapError(err, "Offers", za0001)
 					return
 				}
-				z.Job = nil
+			}
+		case "c":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Clear")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Clear) >= int(zb0003) {
+				z.Clear = (z.Clear)[:zb0003]
 			} else {
-				if z.Job == nil {
-					z.Job = new(Job)
-				}
-				bts, err = z.Job.UnmarshalMsg(bts)
+				z.Clear = make([]string, zb0003)
+			}
+			for za0002 := range z.Clear {
+				z.Clear[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Job")
+					err = msgp.WrapError(err, "Clear", za0002)
 					return
 				}
 			}
-		case "Progress":
-			bts, err = z.Progress.UnmarshalMsg(bts)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Progress")
+				err = msgp.WrapError(err)
 				return
 			}
-		case "Cancelled":
-			z.Cancelled, bts, err = msgp.ReadBoolBytes(bts)
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DemandReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Offers {
+		s += msgp.StringPrefixSize + len(z.Offers[za0001])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Clear {
+		s += msgp.StringPrefixSize + len(z.Clear[za0002])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Directory) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "Vacate"
+	o = append(o, 0x81, 0xa6, 0x56, 0x61, 0x63, 0x61, 0x74, 0x65)
+	// map header, size 2
+	// string "v"
+	o = append(o, 0x82, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Vacate.VMs)))
+	for za0001 := range z.Vacate.VMs {
+		o = msgp.AppendString(o, z.Vacate.VMs[za0001])
+	}
+	// string "j"
+	o = append(o, 0xa1, 0x6a)
+	o = msgp.AppendInt64(o, z.Vacate.JoinMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Directory) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Vacate":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Cancelled")
+				err = msgp.WrapError(err, "Vacate")
+				return
+			}
+			if zb0002 > zf88ce922limitMaps {
+				err = msgp.ErrLimitExceeded
 				return
 			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Vacate")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "v":
+					var zb0003 uint32
+					zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Vacate", "VMs")
+						return
+					}
+					if zb0003 > zf88ce922limitArrays {
+						err = msgp.ErrLimitExceeded
+						return
+					}
+					if cap(z.Vacate.VMs) >= int(zb0003) {
+						z.Vacate.VMs = (z.Vacate.VMs)[:zb0003]
+					} else {
+						z.Vacate.VMs = make([]string, zb0003)
+					}
+					for za0001 := range z.Vacate.VMs {
+						z.Vacate.VMs[za0001], bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Vacate", "VMs", za0001)
+							return
+						}
+					}
+				case "j":
+					z.Vacate.JoinMs, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Vacate", "JoinMs")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Vacate")
+						return
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -561,14 +620,12 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *StoredJob) Msgsize() (s int) {
-	s = 1 + 4
-	if z.Job == nil {
-		s += msgp.NilSize
-	} else {
-		s += z.Job.Msgsize()
+func (z *Directory) Msgsize() (s int) {
+	s = 1 + 7 + 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Vacate.VMs {
+		s += msgp.StringPrefixSize + len(z.Vacate.VMs[za0001])
 	}
-	s += 9 + z.Progress.Msgsize() + 10 + msgp.BoolSize
+	s += 2 + msgp.Int64Size
 	return
 }
 
@@ -907,26 +964,29 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Pool) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *JobTable) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "Service"
-	o = append(o, 0x84, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	// string "EnforcesCapacity"
-	o = append(o, 0xb0, 0x45, 0x6e, 0x66, 0x6f, 0x72, 0x63, 0x65, 0x73, 0x43, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
-	o = msgp.AppendBool(o, z.EnforcesCapacity)
-	// string "Spare"
-	o = append(o, 0xa5, 0x53, 0x70, 0x61, 0x72, 0x65)
-	o = msgp.AppendBool(o, z.Spare)
-	// string "HealthPath"
-	o = append(o, 0xaa, 0x48, 0x65, 0x61, 0x6c, 0x74, 0x68, 0x50, 0x61, 0x74, 0x68)
-	o = msgp.AppendString(o, z.HealthPath)
+	// map header, size 1
+	// string "Jobs"
+	o = append(o, 0x81, 0xa4, 0x4a, 0x6f, 0x62, 0x73)
+	o = msgp.AppendMapHeader(o, uint32(len(z.Jobs)))
+	for za0001, za0002 := range z.Jobs {
+		o = msgp.AppendString(o, za0001)
+		if za0002 == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = za0002.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Jobs", za0001)
+				return
+			}
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Pool) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *JobTable) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -947,29 +1007,48 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "Service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
+		case "Jobs":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Service")
+				err = msgp.WrapError(err, "Jobs")
 				return
 			}
-		case "EnforcesCapacity":
-			z.EnforcesCapacity, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "EnforcesCapacity")
+			if zb0002 > zf88ce922limitMaps {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-		case "Spare":
-			z.Spare, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Spare")
-				return
+			if z.Jobs == nil {
+				z.Jobs = make(map[string]*StoredJob, zb0002)
+			} else if len(z.Jobs) > 0 {
+				clear(z.Jobs)
 			}
-		case "HealthPath":
-			z.HealthPath, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "HealthPath")
-				return
+			for zb0002 > 0 {
+				var za0002 *StoredJob
+				zb0002--
+				var za0001 string
+				za0001, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Jobs")
+					return
+				}
+				if msgp.IsNil(bts) {
+					bts, err = msgp.ReadNilBytes(bts)
+					if err != nil {
+						return
+					}
+					za0002 = nil
+				} else {
+					if za0002 == nil {
+						za0002 = new(StoredJob)
+					}
+					bts, err = za0002.UnmarshalMsg(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Jobs", za0001)
+						return
+					}
+				}
+				z.Jobs[za0001] = za0002
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -984,47 +1063,43 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Pool) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 17 + msgp.BoolSize + 6 + msgp.BoolSize + 11 + msgp.StringPrefixSize + len(z.HealthPath)
+func (z *JobTable) Msgsize() (s int) {
+	s = 1 + 5 + msgp.MapHeaderSize
+	if z.Jobs != nil {
+		for za0001, za0002 := range z.Jobs {
+			_ = za0002
+			s += msgp.StringPrefixSize + len(za0001)
+			if za0002 == nil {
+				s += msgp.NilSize
+			} else {
+				s += za0002.Msgsize()
+			}
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *DemandReport) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Pool) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "e"
-	o = append(o, 0x87, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Epoch)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt64(o, z.Rev)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt(o, z.Want)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt(o, z.Min)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt64(o, z.Urgent)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Offers)))
-	for za0001 := range z.Offers {
-		o = msgp.AppendString(o, z.Offers[za0001])
-	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Clear)))
-	for za0002 := range z.Clear {
-		o = msgp.AppendString(o, z.Clear[za0002])
-	}
+	// map header, size 4
+	// string "Service"
+	o = append(o, 0x84, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "EnforcesCapacity"
+	o = append(o, 0xb0, 0x45, 0x6e, 0x66, 0x6f, 0x72, 0x63, 0x65, 0x73, 0x43, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	o = msgp.AppendBool(o, z.EnforcesCapacity)
+	// string "Spare"
+	o = append(o, 0xa5, 0x53, 0x70, 0x61, 0x72, 0x65)
+	o = msgp.AppendBool(o, z.Spare)
+	// string "HealthPath"
+	o = append(o, 0xaa, 0x48, 0x65, 0x61, 0x6c, 0x74, 0x68, 0x50, 0x61, 0x74, 0x68)
+	o = msgp.AppendString(o, z.HealthPath)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *DemandReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Pool) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1045,81 +1120,29 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "e":
-			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Epoch")
-				return
-			}
-		case "r":
-			z.Rev, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Rev")
-				return
-			}
-		case "w":
-			z.Want, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Want")
-				return
-			}
-		case "m":
-			z.Min, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Min")
-				return
-			}
-		case "u":
-			z.Urgent, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Urgent")
-				return
-			}
-		case "o":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Offers")
-				return
-			}
-			if zb0002 > zf88ce922limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if cap(z.Offers) >= int(zb0002) {
-				z.Offers = (z.Offers)[:zb0002]
-			} else {
-				z.Offers = make([]string, zb0002)
-			}
-			for za0001 := range z.Offers {
-				z.Offers[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Offers", za0001)
-					return
-				}
-			}
-		case "c":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "Service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Clear")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
-			if zb0003 > zf88ce922limitArrays {
-				err = msgp.ErrLimitExceeded
+		case "EnforcesCapacity":
+			z.EnforcesCapacity, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EnforcesCapacity")
 				return
 			}
-			if cap(z.Clear) >= int(zb0003) {
-				z.Clear = (z.Clear)[:zb0003]
-			} else {
-				z.Clear = make([]string, zb0003)
+		case "Spare":
+			z.Spare, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Spare")
+				return
 			}
-			for za0002 := range z.Clear {
-				z.Clear[za0002], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Clear", za0002)
-					return
-				}
+		case "HealthPath":
+			z.HealthPath, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HealthPath")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1134,15 +1157,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *DemandReport) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Offers {
-		s += msgp.StringPrefixSize + len(z.Offers[za0001])
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Clear {
-		s += msgp.StringPrefixSize + len(z.Clear[za0002])
-	}
+func (z *Pool) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 17 + msgp.BoolSize + 6 + msgp.BoolSize + 11 + msgp.StringPrefixSize + len(z.HealthPath)
 	return
 }
 
@@ -1478,115 +1494,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Directory) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "Vacate"
-	o = append(o, 0x81, 0xa6, 0x56, 0x61, 0x63, 0x61, 0x74, 0x65)
-	// map header, size 1
-	// string "v"
-	o = append(o, 0x81, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Vacate.VMs)))
-	for za0001 := range z.Vacate.VMs {
-		o = msgp.AppendString(o, z.Vacate.VMs[za0001])
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Directory) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "Vacate":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Vacate")
-				return
-			}
-			if zb0002 > zf88ce922limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Vacate")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "v":
-					var zb0003 uint32
-					zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Vacate", "VMs")
-						return
-					}
-					if zb0003 > zf88ce922limitArrays {
-						err = msgp.ErrLimitExceeded
-						return
-					}
-					if cap(z.Vacate.VMs) >= int(zb0003) {
-						z.Vacate.VMs = (z.Vacate.VMs)[:zb0003]
-					} else {
-						z.Vacate.VMs = make([]string, zb0003)
-					}
-					for za0001 := range z.Vacate.VMs {
-						z.Vacate.VMs[za0001], bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Vacate", "VMs", za0001)
-							return
-						}
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Vacate")
-						return
-					}
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Directory) Msgsize() (s int) {
-	s = 1 + 7 + 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Vacate.VMs {
-		s += msgp.StringPrefixSize + len(z.Vacate.VMs[za0001])
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Shard) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1926,6 +1833,109 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *StoredJob) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Job"
+	o = append(o, 0x83, 0xa3, 0x4a, 0x6f, 0x62)
+	if z.Job == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Job.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Job")
+			return
+		}
+	}
+	// string "Progress"
+	o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x67, 0x72, 0x65, 0x73, 0x73)
+	o, err = z.Progress.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Progress")
+		return
+	}
+	// string "Cancelled"
+	o = append(o, 0xa9, 0x43, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Cancelled)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StoredJob) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Job":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Job = nil
+			} else {
+				if z.Job == nil {
+					z.Job = new(Job)
+				}
+				bts, err = z.Job.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Job")
+					return
+				}
+			}
+		case "Progress":
+			bts, err = z.Progress.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Progress")
+				return
+			}
+		case "Cancelled":
+			z.Cancelled, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cancelled")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StoredJob) Msgsize() (s int) {
+	s = 1 + 4
+	if z.Job == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Job.Msgsize()
+	}
+	s += 9 + z.Progress.Msgsize() + 10 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Upkeep) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1994,13 +2004,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *VacateRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "v"
-	o = append(o, 0x81, 0xa1, 0x76)
+	o = append(o, 0x82, 0xa1, 0x76)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
 	for za0001 := range z.VMs {
 		o = msgp.AppendString(o, z.VMs[za0001])
 	}
+	// string "j"
+	o = append(o, 0xa1, 0x6a)
+	o = msgp.AppendInt64(o, z.JoinMs)
 	return
 }
 
@@ -2049,6 +2062,12 @@
 					return
 				}
 			}
+		case "j":
+			z.JoinMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "JoinMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2067,5 +2086,6 @@
 	for za0001 := range z.VMs {
 		s += msgp.StringPrefixSize + len(z.VMs[za0001])
 	}
+	s += 2 + msgp.Int64Size
 	return
 }
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -72,9 +72,10 @@
 	return p.Epoch > o.Epoch || p.Epoch == o.Epoch && p.Rev > o.Rev
 }
 
-// VacateRequest is the machine controller's request that the owners vacate VMs.
+// VacateRequest is what the machine controller tells the owners: the VMs to vacate, and how long a move takes.
 type VacateRequest struct {
-	VMs []string `msg:"v"` // VMs that are due for upkeep and must be vacated
+	VMs    []string `msg:"v"` // VMs that are due for upkeep and must be vacated
+	JoinMs int64    `msg:"j"` // time from a move order until the machine has a VM in its new pool, 0 if unknown
 }
 
 // Claim is the ownership record of a shard.
--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -11,9 +12,13 @@
 const (
 	// rateWindowMs is the window whose arrivals tell how certain a rise of the requested CPU is.
 	rateWindowMs = 1000
-	// forecastMs is how far a rise of the demand is extrapolated. A VM joins the pool about this time after it was
-	// requested.
-	forecastMs = 2300
+	// defaultJoinMs is the time that a VM takes to join the pool until it was measured.
+	defaultJoinMs = 1800
+	// joinDelayMs is the time from a rise of the demand until the machine is ordered, and from the end of its move until
+	// the VM gets work.
+	joinDelayMs = 500
+	// maxForecastMs bounds how far a rise of the demand is extrapolated.
+	maxForecastMs = 8000
 	// steadyForecastPercent bounds the forecast for a steady load, as a percentage of the CPU that the present jobs
 	// request.
 	steadyForecastPercent = 115
@@ -72,11 +77,14 @@
 	lastConfirmed      int   // wantedVMs at the last fresh confirmation
 	heldVMs            int   // lower bound of wantedVMs after a time without confirmation, 0 for none
 	heldUntil          int64 // end of that bound
+	joinMs             int64 // time that a VM takes to join the pool, 0 if unknown
 }
 
 // addArrival records the work of a submitted job. The work of all occurrences counts at once, also of those that are
 // due much later.
-func (t *demandTracker) addArrival(j *jobs.Job, now int64) { t.rate.add(j.CoreMs()*int64(j.Occurrences()), now) }
+func (t *demandTracker) addArrival(j *jobs.Job, now int64) {
+	t.rate.add(j.CoreMs()*int64(j.Occurrences()), now)
+}
 
 // addCPUSample adds a sample of the requested CPU, in thousandths of a core. It returns the rise within slopeWindowMs,
 // in thousandths of a core per second, or 0 if the CPU falls or the samples cover less than a third of the window.
@@ -96,6 +104,14 @@
 	return max((requestedCPU-first.value)*1000/(now-first.at), 0)
 }
 
+// SetJoinMs sets the time in milliseconds from an order for a machine until its VM has joined the pool, 0 if unknown.
+func (e *Engine) SetJoinMs(ms int64) { e.demand.joinMs = ms }
+
+// forecastMs returns how far a rise of the demand is extrapolated: VMs that are requested now get work after that time.
+func (e *Engine) forecastMs() int64 {
+	return min(cmp.Or(e.demand.joinMs, defaultJoinMs)+joinDelayMs, maxForecastMs)
+}
+
 // updateDemand computes the number of wanted VMs, and updates the offers and the demand report.
 func (e *Engine) updateDemand(now int64) {
 	vmCPU, vmMemMB := e.vmSize()
@@ -192,9 +208,9 @@
 	// Core-milliseconds per second are thousandths of a core. The present jobs can use no more CPU than their items
 	// request. A rise that comes from a few jobs is mostly chance.
 	count := e.demand.rate.countSince(now - rateWindowMs)
-	rise := e.demand.addCPUSample(requestedCPU, now) * forecastMs / 1000 * count / (count + trendHalfWeightJobs)
+	rise := e.demand.addCPUSample(requestedCPU, now) * e.forecastMs() / 1000 * count / (count + trendHalfWeightJobs)
 	maxForecast := requestedCPU*steadyForecastPercent/100 + rise
-	forecast := e.demand.rate.forecast(now, forecastMs)
+	forecast := e.demand.rate.forecast(now, e.forecastMs())
 	d.batchCPU = max(min(waitingWork*1000/backlogDrainMs, requestedCPU), min(forecast, maxForecast))
 	return d
 }
--- a/core/shard/rate_test.go
+++ b/core/shard/rate_test.go
@@ -1,13 +1,19 @@
 package shard
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/jobs"
 )
 
+// aheadMs is the time that VMs take until they get work.
+const aheadMs = 2300
+
 // arrivalPattern is a rate of arrivals over time, with its forecasts.
 type arrivalPattern struct {
 	rate    func(ms int64) float64 // arrivals per second
@@ -22,7 +28,7 @@
 		if p.rng.Float64() < p.rate(p.now)/1000 {
 			p.tracker.add(int64(1000*math.Exp(p.rng.NormFloat64()-0.5)), p.now)
 		}
-		p.tracker.forecast(p.now, forecastMs)
+		p.tracker.forecast(p.now, aheadMs)
 	}
 }
 
@@ -35,8 +41,8 @@
 		p := &arrivalPattern{rate: rate, rng: rand.New(rand.NewPCG(seed, 1))}
 		for at := from; at < to; at += stepMs {
 			p.run(at)
-			want := rate(at + forecastMs)
-			d := float64(p.tracker.forecast(at, forecastMs))/1000 - want
+			want := rate(at + aheadMs)
+			d := float64(p.tracker.forecast(at, aheadMs))/1000 - want
 			squared, mean, n = squared+d*d, mean+want, n+1
 		}
 	}
@@ -77,5 +83,27 @@
 	}
 	p := &arrivalPattern{rate: drop, rng: rand.New(rand.NewPCG(1, 2))}
 	p.run(8000 + rateWindowMs)
-	assert.Assert(t, p.tracker.forecast(p.now, forecastMs) < 10_000, "a second into the lull: %d", p.tracker.forecast(p.now, forecastMs))
+	assert.Assert(t, p.tracker.forecast(p.now, aheadMs) < 10_000, "a second into the lull: %d", p.tracker.forecast(p.now, aheadMs))
+}
+
+// TestForecastLooksAheadAsFarAsAMoveTakes guards against VMs that come late on a platform whose moves take longer than
+// usual: a rise has to be extrapolated to the time at which VMs that are requested now get work.
+func TestForecastLooksAheadAsFarAsAMoveTakes(t *testing.T) {
+	wanted := func(joinMs int64) int {
+		e := newPolledEngine(3, 10_000, 100_000)
+		e.SetJoinMs(joinMs)
+		for now := int64(0); now < 2000; now += demandIntervalMs {
+			e.MarkOwnershipConfirmed(now)
+			for i := range now / 200 { // a rise by five jobs a second each second
+				e.Submit(&jobs.StoredJob{Job: &jobs.Job{
+					ID: fmt.Sprintf("%d-%d", now, i), Steps: []jobs.Step{{Count: 2, CPU: 1000, MemMB: 10, EstimateMs: 1000}},
+				}}, now, now)
+			}
+			e.updateDemand(now)
+		}
+		return e.demand.wantedVMs
+	}
+	usual, slow := wanted(0), wanted(3*defaultJoinMs)
+	assert.Assert(t, slow > usual+usual/4, "%d VMs wanted, %d with moves that take three times as long", usual, slow)
+	assert.Equal(t, wanted(defaultJoinMs), usual)
 }
--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -76,7 +76,9 @@
 	if o.reason == reasonSilent {
 		start += c.cfg.SettleMs
 	}
-	r.controller = assign.New(assign.Config{Epoch: o.Epoch(), StartAtMs: start, OrdersPerS: c.cfg.OrdersPerS})
+	r.controller = assign.New(assign.Config{
+		Epoch: o.Epoch(), StartAtMs: start, OrdersPerS: c.cfg.OrdersPerS, JoinMs: o.cfg.Directory.JoinMs(),
+	})
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.wg.Wait()
 	defer r.cancel()
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -68,8 +68,10 @@
 	ReportDemand func(service string, p jobs.DemandReport)
 	// VMsToVacate returns the VMs that the machine controller wants vacated.
 	VMsToVacate func() []string
-	Engine      shard.Config
-	Stats       *stats.Stats
+	// JoinMs returns the time in milliseconds that a VM takes to join the pool, 0 if it is unknown.
+	JoinMs func() int64
+	Engine shard.Config
+	Stats  *stats.Stats
 }
 
 // PoolRunner places the jobs of one pool while this process owns its shard.
@@ -337,6 +339,7 @@
 	defer r.mu.Unlock()
 	r.engine.SetCatalog(r.cfg.Catalog())
 	r.engine.SetVMsToVacate(r.cfg.VMsToVacate())
+	r.engine.SetJoinMs(r.cfg.JoinMs())
 	if list, version := r.cfg.Registry.VMs(); version != r.listVersion || now-r.listedAtMs > relistIntervalMs {
 		r.engine.SetVMs(list, now)
 		r.listVersion, r.listedAtMs = version, now
--- a/io/owner/stop_test.go
+++ b/io/owner/stop_test.go
@@ -52,7 +52,7 @@
 	r := newPoolRun(PoolConfig{
 		Service: "s", Registry: pool, Catalog: func() *jobs.Catalog { return &jobs.Catalog{} }, Stats: stats.New(),
 		ListMachines: func(time.Time) ([]pools.Machine, error) { return nil, nil },
-		ReportDemand: func(string, jobs.DemandReport) {}, VMsToVacate: func() []string { return nil },
+		ReportDemand: func(string, jobs.DemandReport) {}, VMsToVacate: func() []string { return nil }, JoinMs: func() int64 { return 0 },
 		Engine: shard.Config{StatusRetentionMs: 1000},
 	}, o)
 	r.writer.store = l
--- a/io/tail/directory.go
+++ b/io/tail/directory.go
@@ -86,6 +86,14 @@
 	return jobs.Shard{}
 }
 
+// JoinMs returns the time in milliseconds that a move of a machine takes, as the machine controller measured it, or 0 if
+// it is unknown.
+func (d *Directory) JoinMs() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fold.Vacate.JoinMs
+}
+
 // VMsToVacate returns the VMs that the machine controller wants their owners to vacate.
 func (d *Directory) VMsToVacate() []string {
 	d.mu.Lock()
