sim: Simulate whole deployments with several pools

bench/sim ran one owner on fixed VMs, so that no run showed what the owners of several pools and the machine controller decide together. A report gives VM-seconds in pools beside a lower bound, moves, and for each class what was in time, late, refused or never done. The fake VM resumes from checkpoints.

--- a/bench/sim/report.go
+++ b/bench/sim/report.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
 	"sort"
 	"strings"
@@ -11,6 +12,7 @@
 	Name                string
 	Asked, InTime, Late int
 	Never, Cancelled    int
+	Refused             int     // all requests of the caller were refused
 	Earned, Owed        float64 // worth
 	LargestEarned       float64 // share of its worth that the largest tenth of the jobs earned
 	NextEarned          float64 // share of its worth that the next fifth of the jobs by size earned
@@ -19,12 +21,16 @@
 
 // Report is the result of a scenario.
 type Report struct {
-	Name    string
-	Classes []ClassReport
-	Earned  float64 // share of the owed worth that was earned
-	Starts  int     // orders to start a run
-	WasteS  float64 // core-seconds of runs that did not end as done
-	Faults  []string
+	Name           string
+	Classes        []ClassReport
+	Earned         float64 // share of the owed worth that was earned
+	Starts         int     // orders to start a run
+	WasteS         float64 // core-seconds of runs that did not end as done
+	VMSeconds      float64 // in pools other than the spare one; 0 without a Site
+	LeastVMSeconds float64 // lower bound of VMSeconds, see leastVMSeconds
+	Moves          int
+	LateS          float64 // seconds by which machines of waves are late
+	Faults         []string
 }
 
 // Factors of the worth of a job relative to the worth of its class. It has a fixed part and a part in proportion to the
@@ -38,6 +44,10 @@
 
 func (w *World) report() Report {
 	r := Report{Name: w.spec.Name, Starts: w.starts, WasteS: float64(w.wasteMs) / 1000, Faults: w.check.faults}
+	if w.site != nil {
+		r.VMSeconds, r.Moves, r.LateS = float64(w.site.pooledMs)/1000, w.site.moves, float64(w.site.lateMs)/1000
+		r.LeastVMSeconds = w.leastVMSeconds()
+	}
 	var earned, owed float64
 	for i := range w.spec.Classes {
 		c := w.classReport(&w.spec.Classes[i])
@@ -51,6 +61,28 @@
 	return r
 }
 
+// leastVMSeconds returns a lower bound of the time of VMs in pools. No scheduler needs less to do the work that was done,
+// even if it knew all arrivals and run times: a VM does no more than its CPU in a second, and persistent items need their
+// VMs all the time because of their limit of items per VM.
+func (w *World) leastVMSeconds() float64 {
+	var coreMs float64
+	for _, d := range w.order {
+		if d.doneMs > 0 && !d.failed {
+			coreMs += float64(d.coreMs)
+		}
+	}
+	seconds := float64(w.spec.ForMs) / 1000
+	items := len(w.services) * w.spec.Serving * lastingCount
+	lastingCores := float64(items) * float64(cmp.Or(w.spec.LastingCPU, lastingCPU)) / 1000
+	vmCores := float64(w.spec.CPU) / 1000
+	least := (coreMs/1000 + lastingCores*seconds) / vmCores
+	if w.spec.Serving == 0 {
+		return least
+	}
+	spread := len(w.services) * lastingCount / cmp.Or(w.spec.LastingPerVM, lastingPerVM)
+	return max(least, float64(spread)*seconds)
+}
+
 func (w *World) classReport(c *Class) ClassReport {
 	r := ClassReport{Name: c.Name}
 	var list []*generatedJob
@@ -73,6 +105,9 @@
 			r.Cancelled++
 			continue
 		}
+		if d.refused {
+			r.Refused++
+		}
 		r.Owed += d.worth
 		e := w.earned(d, &r)
 		r.Earned += e
@@ -126,13 +161,16 @@
 func (r Report) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s: earned %.3f, %d starts, %.0f core-seconds not done, %d faults\n", r.Name, r.Earned, r.Starts, r.WasteS, len(r.Faults))
+	if r.VMSeconds > 0 {
+		fmt.Fprintf(&b, "  %.0f VM-seconds in pools (at least %.0f), %d moves, machines of waves late by %.1f s\n", r.VMSeconds, r.LeastVMSeconds, r.Moves, r.LateS)
+	}
 	for _, c := range r.Classes {
 		share := 0.0
 		if c.Owed > 0 {
 			share = c.Earned / c.Owed
 		}
-		fmt.Fprintf(&b, "  %-8s asked %4d in time %4d late %4d never %4d cancelled %3d earned %.3f largest %.3f next %.3f p50 %5d p95 %5d\n",
-			c.Name, c.Asked, c.InTime, c.Late, c.Never, c.Cancelled, share, c.LargestEarned, c.NextEarned, c.P50, c.P95)
+		fmt.Fprintf(&b, "  %-8s asked %4d in time %4d late %4d never %4d refused %4d cancelled %3d earned %.3f largest %.3f next %.3f p50 %5d p95 %5d\n",
+			c.Name, c.Asked, c.InTime, c.Late, c.Never, c.Refused, c.Cancelled, share, c.LargestEarned, c.NextEarned, c.P50, c.P95)
 	}
 	return b.String()
 }
--- a/bench/sim/spec.go
+++ b/bench/sim/spec.go
@@ -11,8 +11,9 @@
 // Class describes a class of jobs by the distributions of their sizes. A spread is a relative standard deviation.
 type Class struct {
 	Name            string
+	Service         string  // empty for the only service of a scenario
 	PerS            float64 // mean arrivals per second
-	TurnFactor      float64 // factor on PerS during a turn of the class; 0 means a constant rate
+	TurnFactor      float64 // factor on PerS at the height of a turn of the class; 0 means a constant rate
 	TurnMs          int64   // length of a turn
 	PeriodMs        int64   // time from the start of a turn to the start of the next
 	PhaseMs         int64   // start of the first turn
@@ -29,6 +30,8 @@
 	ItemSpread      float64 // spread of the run times within a step
 	EstimateSpread  float64 // spread of the estimates around the run time
 	Spread          float64 // spread of the run times between steps
+	LongShare       float64 // fraction of steps whose run time is multiplied by LongFactor
+	LongFactor      float64
 	CheckpointShare float64 // fraction of jobs with checkpoints
 	Stretch         float64 // factor on the run time of the job's longest items in the objective
 	SLOMs           int64   // constant part of the objective
@@ -62,11 +65,22 @@
 	Dark    []Outage
 	Slow    []Slow
 	Grey    []Grey
-	Serving int // number of persistent jobs, with 5 items each
+	Serving int // number of persistent jobs of each service, with lastingCount items each
+	// LastingCPU, LastingMemMB and LastingPerVM describe an item of these jobs; 0 stands for the defaults.
+	LastingCPU, LastingMemMB int64
+	LastingPerVM             int
 	// OwnersLost are the times in ms at which the owner is lost without notice. The next owner takes over takeoverMs
 	// later.
-	OwnersLost []int64
-	LostOrders float64 // fraction of orders without a reply; half of them are executed late
+	OwnersLost  []int64
+	LostOrders  float64 // fraction of orders without a reply; half of them are executed late
+	StoreDown   []Span  // times in which the store refuses all calls
+	StopDelayMs int64   // time that a VM takes to stop a run, 0 for that of the fake
+	Site        *Site   // machines that change their pool; nil if all VMs serve the only service
+}
+
+// Span is a time from FromMs to ToMs.
+type Span struct {
+	FromMs, ToMs int64
 }
 
 // Outage makes VMs unavailable from FromMs to ToMs. They come back with a new lifetime.
@@ -117,6 +131,7 @@
 	cancel  int64 // time of the cancellation in ms, or 0
 	doneMs  int64 // time at which callers see the final state, or 0
 	failed  bool
+	refused bool // all requests of its caller were refused
 }
 
 // objective returns the time in ms within which the job should be complete.
@@ -129,13 +144,16 @@
 	steps := int(math.Round(g.around(c.Steps, 0.4, float64(c.MaxSteps))))
 	steps = max(steps, 1)
 	d := &generatedJob{class: c, work: map[jobs.Item]int64{}, atMs: at, poison: g.rng.Float64() < c.Poison}
-	j := &jobs.Job{ID: id, Queue: c.Name, Service: "pool", Spec: "x", AcceptedMs: at}
+	j := &jobs.Job{ID: id, Queue: c.Name, Service: c.Service, Spec: "x", AcceptedMs: at}
 	saves := g.rng.Float64() < c.CheckpointShare
 	cpu := math.Round(g.around(c.CPU, 0.45, c.MaxCPU))
 	mem := math.Round(g.around(c.MemMB, 0.6, c.MaxMemMB))
 	for s := range steps {
 		width := max(int(math.Round(g.around(c.Width, 0.6, float64(c.MaxWidth)))), 1)
 		work := g.around(c.WorkMs, c.Spread, c.MaxWorkMs)
+		if c.LongShare > 0 && g.rng.Float64() < c.LongShare {
+			work = min(work*c.LongFactor, c.MaxWorkMs)
+		}
 		step := jobs.Step{
 			Count: width, CPU: int64(cpu), MemMB: int64(mem), Checkpoint: saves,
 			EstimateMs: int64(g.around(work, c.EstimateSpread, 10*work)),
--- a/fake/pool/vm.go
+++ b/fake/pool/vm.go
@@ -4,6 +4,7 @@
 
 import (
 	"sort"
+	"strconv"
 
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
@@ -19,6 +20,7 @@
 	StopAtMs    int64 // end of a stop in progress, or 0
 	StartedAtMs int64
 	WorkMs      int64 // duration of the run; 0 if it hangs
+	SavedMs     int64 // work of earlier runs that the checkpoint in the order has saved
 }
 
 // VM is one lifetime of a VM. It is not safe for concurrent use.
@@ -62,15 +64,15 @@
 		r := v.Runs[n]
 		switch {
 		case lapsed:
-			v.end(r, pools.EndStopped)
+			v.end(r, pools.EndStopped, now)
 		case r.StopAtMs > 0 && now >= r.StopAtMs:
-			v.end(r, pools.EndStopped)
+			v.end(r, pools.EndStopped, now)
 		case r.EndsAtMs > 0 && now >= r.EndsAtMs:
 			kind := pools.EndDone
 			if r.Fails {
 				kind = pools.EndFailed
 			}
-			v.end(r, kind)
+			v.end(r, kind, now)
 		}
 	}
 }
@@ -88,11 +90,15 @@
 	return at, at > 0
 }
 
-func (v *VM) end(r *Run, kind pools.EndKind) {
+func (v *VM) end(r *Run, kind pools.EndKind, now int64) {
 	delete(v.Runs, r.Item)
 	v.highestEndedRun[r.Item] = max(v.highestEndedRun[r.Item], r.Run)
 	v.seq++
-	v.ended = append(v.ended, pools.RunEnd{Seq: v.seq, Item: r.Item, Run: r.Run, Kind: kind})
+	end := pools.RunEnd{Seq: v.seq, Item: r.Item, Run: r.Run, Kind: kind}
+	if r.Step.Checkpoint && kind == pools.EndStopped {
+		end.Ref = strconv.FormatInt(r.SavedMs+now-r.StartedAtMs, 10)
+	}
+	v.ended = append(v.ended, end)
 	if v.OnEnd != nil {
 		v.OnEnd(v, r, kind)
 	}
@@ -147,7 +153,14 @@
 	if !step.Fill && cpu+step.CPU > v.CPU || mem+step.MemMB > v.MemMB {
 		return pools.NoCapacity
 	}
-	r := &Run{Item: o.Item, Run: o.Run, Step: step, Fails: fails, StartedAtMs: now, WorkMs: work}
+	saved, err := strconv.ParseInt(o.Ref, 10, 64)
+	if o.Ref == "" || err != nil {
+		saved = 0
+	}
+	if work > 0 {
+		work = max(work-saved, 1)
+	}
+	r := &Run{SavedMs: saved, Item: o.Item, Run: o.Run, Step: step, Fails: fails, StartedAtMs: now, WorkMs: work}
 	if work > 0 && !step.Persistent {
 		r.EndsAtMs = now + work
 	}
@@ -187,7 +200,7 @@
 		r := v.Runs[n]
 		row := pools.RunStatus{Item: r.Item, Run: r.Run, ProgressPercent: 100}
 		if r.WorkMs > 0 && r.EndsAtMs > 0 {
-			row.ProgressPercent = int(min(100*(now-r.StartedAtMs)/r.WorkMs, 99))
+			row.ProgressPercent = int(min(100*(r.SavedMs+now-r.StartedAtMs)/(r.SavedMs+r.WorkMs), 99))
 		}
 		l.Running = append(l.Running, row)
 	}
