--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -193,43 +193,28 @@
 // measureDemand returns the resources that the jobs of the pool can use, including a forecast for arriving jobs.
 func (e *Engine) measureDemand(now int64) requiredResources {
 	var d requiredResources
-	var o outstanding
+	var waitingWork, requestedCPU int64
 	for _, j := range e.jobs {
 		switch {
 		case j.state.Final():
 		case j.Persistent():
 			d.addPersistent(j)
 		default:
-			e.addOutstanding(&o, j, now)
+			work, cpu := e.outstandingWork(j, now)
+			waitingWork += work
+			requestedCPU += cpu
 		}
 	}
 	// Core-milliseconds per second are thousandths of a core. The present jobs can use no more CPU than their items
 	// request. A rise that comes from a few jobs is mostly chance.
 	count := e.demand.rate.countSince(now - rateWindowMs)
-	rise := e.demand.addCPUSample(o.cpu, now) * e.forecastMs() / 1000 * count / (count + trendHalfWeightJobs)
-	maxForecast := o.cpu*steadyForecastPercent/100 + rise
-	forecast := min(e.demand.rate.forecast(now, e.forecastMs()), maxForecast)
-	if e.demand.heldVMs == 0 {
-		// Until further VMs join, what arrives beyond the capacity of the present ones is added to the queue. After an
-		// outage or a takeover the queue says nothing of the capacity: its items wait for the log or for polls.
-		growing := max(min(e.demand.rate.forecast(now, 0), maxForecast)-e.usableCPU(now), 0) * e.forecastMs() / 1000
-		forecast += (o.queuedMs + growing) * 1000 / backlogDrainMs
-	}
-	d.batchCPU = max(min(o.workMs*1000/backlogDrainMs, o.cpu), forecast)
+	rise := e.demand.addCPUSample(requestedCPU, now) * e.forecastMs() / 1000 * count / (count + trendHalfWeightJobs)
+	maxForecast := requestedCPU*steadyForecastPercent/100 + rise
+	forecast := e.demand.rate.forecast(now, e.forecastMs())
+	d.batchCPU = max(min(waitingWork*1000/backlogDrainMs, requestedCPU), min(forecast, maxForecast))
 	return d
 }
 
-// usableCPU returns the CPU of the VMs that may get new work, in thousandths of a core.
-func (e *Engine) usableCPU(now int64) int64 {
-	var cpu int64
-	for _, v := range e.vms {
-		if v.usable(now) {
-			cpu += v.CPU
-		}
-	}
-	return cpu
-}
-
 // addPersistent adds the resources of a persistent job.
 func (d *requiredResources) addPersistent(j *job) {
 	for i := range j.Steps {
@@ -286,18 +271,12 @@
 	return n
 }
 
-// outstanding sums up the items of jobs whose predecessors are done.
-type outstanding struct {
-	workMs   int64 // core-milliseconds left
-	queuedMs int64 // core-milliseconds of those that wait for a VM
-	cpu      int64 // thousandths of a core that they request together
-}
-
-// addOutstanding adds the items of a job. A job that is later than lateFactor times its objective has no value left, and
-// its items do not count.
-func (e *Engine) addOutstanding(o *outstanding, j *job, now int64) {
+// outstandingWork returns the core-milliseconds left in the items of a job whose predecessors are done, and the
+// thousandths of a core that these items request together. Both are 0 if the job is later than lateFactor times its
+// objective and so has no value left.
+func (e *Engine) outstandingWork(j *job, now int64) (work, cpu int64) {
 	if now > j.arrivedAt+lateFactor*e.objectiveMs(j) {
-		return
+		return 0, 0
 	}
 	for _, it := range j.orderedItems {
 		if it.done || !j.predecessorsDone(it) {
@@ -307,12 +286,10 @@
 		if it.phase == running {
 			left = max(left-(now-it.startedAt), left/10)
 		}
-		o.workMs += left * it.stepDef.CPU / 1000
-		o.cpu += it.stepDef.CPU
-		if it.phase == idle {
-			o.queuedMs += left * it.stepDef.CPU / 1000
-		}
+		work += left * it.stepDef.CPU / 1000
+		cpu += it.stepDef.CPU
 	}
+	return work, cpu
 }
 
 // addWantedSample adds a value of wanted VMs and returns the largest one within offerDelayMs, so that a short lull
