owner: Treat reset connections to the store as refusals

Cause: a reset append counted as unanswered, for which an owner keeps its shard 1.5 s, and the callers' records waited for it. Ruled out: a slow store, which lets calls wait.

Change: an append that fails within 0.12 s counts as a refusal, so that the owner stops claiming the shard after 0.7 s; callers whose records wait are told within 50 ms, and their entries append the records themselves. TestResetsAreRefusals fails before.

--- a/io/owner/hedge_test.go
+++ b/io/owner/hedge_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/io/stats"
+	"sassafrasvalve/io/tail"
 	"sassafrasvalve/platform"
 )
 
@@ -89,3 +91,39 @@
 	_, _, err := Hedge(l, platform.AppendRequest{Seq: 1, Deadline: time.Now().Add(2 * hedgeAfter)}, 0)
 	assert.Equal(t, platform.VerdictOf(err), retry.MayHaveRun)
 }
+
+// resettingLog resets the connection of every append.
+type resettingLog struct{ claimLog }
+
+func (*resettingLog) Append(platform.AppendRequest) (platform.AppendResult, error) {
+	return platform.AppendResult{}, &platform.CallError{Call: "append", Verdict: retry.MayHaveRun}
+}
+
+// TestResetsAreRefusals guards against callers that wait for an owner whose host the store turns away by resets until
+// their time is over (504): their records may be stored, but another entry can store them at once.
+func TestResetsAreRefusals(t *testing.T) {
+	o := New(Config{
+		Member: "e1#1", Store: &resettingLog{}, Directory: tail.NewDirectory(&claimLog{}, false, zap.NewNop()), Log: zap.NewNop(), Stats: stats.New(),
+	})
+	o.owning.Store(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	taken := make(chan *pendingRecords, 1)
+	go func() {
+		p := <-o.inbox
+		takeForAppend([]*pendingRecords{p})
+		taken <- p
+		w := writer{
+			store: o.cfg.Store, topic: platform.TopicJobs, producer: "p", epoch: 1, timeout: appendTimeout, health: &o.health,
+			log: zap.NewNop(), stats: o.cfg.Stats, observe: func(time.Duration) {},
+		}
+		w.write(ctx, p.records, nil)
+	}()
+	startedAt := time.Now()
+	assert.Equal(t, o.AppendRecords(ctx, []jobs.Record{{Key: "k"}}), StoreResult{Owner: true, Verdict: retry.MayHaveRun})
+	assert.Assert(t, time.Since(startedAt) < objective, "the caller waited %v", time.Since(startedAt))
+	<-taken
+	assert.Equal(t, o.AppendRecords(ctx, []jobs.Record{{Key: "l"}}), StoreResult{Verdict: retry.NotRun}, "the next records are not taken")
+	time.Sleep(time.Until(startedAt.Add((maxRefusedMs + 200) * time.Millisecond)))
+	assert.Assert(t, !o.Owns(), "another process may own the shard after maxRefusedMs")
+}
--- a/io/owner/pending.go
+++ b/io/owner/pending.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
@@ -12,6 +13,9 @@
 // maxPending bounds the calls of Store that wait in the inbox of a shard.
 const maxPending = 512
 
+// refusalCheckInterval is the interval at which waiting callers check whether the store turns this process away.
+const refusalCheckInterval = 50 * time.Millisecond
+
 // StoreResult is the outcome of Store.
 type StoreResult struct {
 	Owner   bool // this process is the owner; otherwise nothing was stored
@@ -43,7 +47,7 @@
 	if !o.owning.Load() {
 		return StoreResult{Verdict: retry.NotRun}
 	}
-	if o.lost.Load() || o.health.failingSinceMs.Load() != 0 && o.health.lastRefused.Load() || o.health.unavailable() {
+	if o.lost.Load() || o.health.refusing() || o.health.unavailable() {
 		return StoreResult{Verdict: retry.NotRun} // the store may still accept appends of the calling entry
 	}
 	if r := o.run.Load(); r != nil && r.isStored(records) {
@@ -55,14 +59,27 @@
 	default:
 		return StoreResult{Owner: true, Verdict: retry.NotRun}
 	}
-	select {
-	case s := <-p.done:
-		return s
-	case <-ctx.Done():
-		if p.state.CompareAndSwap(pendingOpen, pendingWithdrawn) {
-			return StoreResult{Owner: true, Verdict: retry.NotRun}
+	ticker := time.NewTicker(refusalCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case s := <-p.done:
+			return s
+		case <-ctx.Done():
+			if p.state.CompareAndSwap(pendingOpen, pendingWithdrawn) {
+				return StoreResult{Owner: true, Verdict: retry.NotRun}
+			}
+			return StoreResult{Owner: true, Verdict: retry.MayHaveRun}
+		case <-ticker.C:
+			if !o.health.refusing() {
+				continue
+			}
+			// The calling entry appends the records itself.
+			if p.state.CompareAndSwap(pendingOpen, pendingWithdrawn) {
+				return StoreResult{Verdict: retry.NotRun}
+			}
+			return StoreResult{Owner: true, Verdict: retry.MayHaveRun}
 		}
-		return StoreResult{Owner: true, Verdict: retry.MayHaveRun}
 	}
 }
 
--- a/io/owner/writer.go
+++ b/io/owner/writer.go
@@ -37,11 +37,15 @@
 
 // storeHealth tracks whether the store accepts the records of this process's epoch.
 type storeHealth struct {
-	lastRefused    atomic.Bool  // the last failed append was refused rather than unanswered
+	lastRefused    atomic.Bool  // the last failed append was refused or its connection reset, rather than left unanswered
 	failingSinceMs atomic.Int64 // local ms of the first failed append since the last success, 0 if none failed
 	confirmedAtMs  atomic.Int64 // local ms at which the last successful append was sent
 }
 
+// refusing reports whether the store turns the records of this process away at present, though it may accept those of
+// other entries.
+func (h *storeHealth) refusing() bool { return h.failingSinceMs.Load() != 0 && h.lastRefused.Load() }
+
 // unavailable reports whether the store has accepted none of the owner's records for so long that another process may
 // reach the store better.
 func (h *storeHealth) unavailable() bool {
@@ -92,7 +96,8 @@
 			return w.handleResult(res, startedAt, startedAtMs, len(records), maybeStored || time.Since(sentAt) > took+hedgeAfter)
 		}
 		w.health.failingSinceMs.CompareAndSwap(0, startedAtMs)
-		w.health.lastRefused.Store(platform.VerdictOf(err) == retry.NotRun)
+		// A store that resets connections turns this host away, while a slow one lets calls wait.
+		w.health.lastRefused.Store(platform.VerdictOf(err) == retry.NotRun || time.Since(sentAt) < hedgeAfter)
 		w.stats.Count("sassafrasvalve_appends_failed_total", nil, 1)
 		if platform.VerdictOf(err) != retry.NotRun {
 			maybeStored = true
