owner: Log the offset that was read when a shard is claimed

Since the line "shard claimed" gave offset -1 for a released shard, where docs/OPERATIONS.md shows the position at which the claim was made. It gives the position that this process had read; decisions are unchanged. io/owner passes.

--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -357,7 +357,7 @@
 			o.health.failingSinceMs.Store(0)
 			o.health.confirmedAtMs.Store(sentAtMs)
 			o.log.Info("shard claimed", zap.Int64("epoch", w.epoch), zap.String("reason", reason),
-				zap.String("previous", s.Claim.Owner), zap.Int64("offset", at))
+				zap.String("previous", s.Claim.Owner), zap.Int64("offset", o.cfg.Directory.Position().NextOffset))
 			return true
 		case res.Outcome != platform.EndMismatch:
 			o.log.Info("claim refused", zap.Int64("epoch", w.epoch), zap.String("outcome", outcomeNames[res.Outcome]))
