--- a/core/assign/quota_test.go
+++ b/core/assign/quota_test.go
@@ -30,7 +30,7 @@
 
 // TestOrdersKeepToThePlatformsRate guards against orders that the platform refuses because of its rate limit, and against
 // machines that are moved to the spare pool while the orders are needed for a pool that has too few. 3,296 of 4,764
-// orders were refused. Seen on the large site.
+// orders were refused.
 func TestOrdersKeepToThePlatformsRate(t *testing.T) {
 	const perS = 64
 	v := largeFleet(300, 0)
@@ -105,7 +105,7 @@
 
 // TestPoolsWithPersistentWorkAreVacatedFromTheStart guards against a wave that is late for its last machines. Machines
 // with the lowest cost make up the number that may be down at once, and the VMs of one pool that can only be vacated one
-// after the other come last. 3 to 20 of 561 machines were late. Seen on inc-e920 and on the large site.
+// after the other come last. 3 to 20 of 561 machines were late.
 func TestPoolsWithPersistentWorkAreVacatedFromTheStart(t *testing.T) {
 	v := largeFleet(0, 60)
 	v.Pools[1].Report.Want = 40 // a pool has too few machines, so the wave takes down no more than it needs to end in time
--- a/core/assign/repeat_test.go
+++ b/core/assign/repeat_test.go
@@ -21,8 +21,7 @@
 
 // TestEarlierUpkeepOrderWaitsUntilTheVMIsVacated guards against a machine controller that repeats an upkeep order of an
 // earlier one although the VM is in use again. A new machine controller took down machines with up to 10 running items,
-// 6 s after the earlier orders were refused, so that more items were unavailable than their budgets allow. Seen on day
-// trouble-1 of site semillero-plata-grown, replay 3031c71b.
+// 6 s after the earlier orders were refused, so that more items were unavailable than their budgets allow.
 func TestEarlierUpkeepOrderWaitsUntilTheVMIsVacated(t *testing.T) {
 	v := oneMachine()
 	v.Upkeeps = map[jobs.Upkeep]bool{{Wave: 1, Machine: "m"}: false}
--- a/core/assign/wave_test.go
+++ b/core/assign/wave_test.go
@@ -138,7 +138,7 @@
 
 // TestWaveKeepsItsLimit guards against a machine controller that takes down more machines of a wave than allowed: after a
 // change of machine controllers in the middle of upkeeps, when the new one does not count the upkeeps of the earlier one,
-// and when replies are lost or orders are executed late. Seen on day fresh-c311.
+// and when replies are lost or orders are executed late.
 func TestWaveKeepsItsLimit(t *testing.T) {
 	never := func(int) (bool, int64) { return false, 0 }
 	third := func(n int) (bool, int64) { return n%3 == 0, int64(n%5) * 900 }
--- a/core/shard/demand_test.go
+++ b/core/shard/demand_test.go
@@ -24,8 +24,7 @@
 }
 
 // TestPersistentItemsGetTheirVMs guards against a pool that offers VMs which its persistent items need: by memory, and
-// one more while a VM is to be vacated. Two of eleven items found no memory for 17 s. Seen on day quiet-1 of site
-// dna-renewals, seed 1072310200108.
+// one more while a VM is to be vacated. Two of eleven items found no memory for 17 s.
 func TestPersistentItemsGetTheirVMs(t *testing.T) {
 	e := newPolledEngine(3, 32_000, 128_000)
 	e.LoadJob("j", &jobs.StoredJob{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{
@@ -43,8 +42,7 @@
 
 // TestVacatedVMsAreReplaced guards against a wave that stalls. VMs that are being vacated take no new work, a persistent
 // item waits for capacity, and while it is unavailable the budget of its step lets no other VM be vacated. An item waited
-// from 7.3 s to the end of the wave at 26.5 s, and five such faults were counted. Seen on day quiet-1 of site
-// kegel-live-large, seed 354968618660.
+// from 7.3 s to the end of the wave at 26.5 s, and five such faults were counted.
 func TestVacatedVMsAreReplaced(t *testing.T) {
 	e := newPolledEngine(4, 32_000, 128_000)
 	e.MarkOwnershipConfirmed(100)
@@ -86,7 +84,7 @@
 
 // TestDemandIsHeldWithoutConfirmation guards against a pool that releases its VMs while the store accepts no jobs.
 // Refused callers retry, and a VM needs seconds to join again. The wanted VMs fell from 170 to 56 in the pool's busy
-// period, and 110 of 173 VMs were offered. Seen on day mix of site kegel-live-grown, seed 903236234918.
+// period, and 110 of 173 VMs were offered.
 func TestDemandIsHeldWithoutConfirmation(t *testing.T) {
 	e := newPolledEngine(20, 10_000, 100_000)
 	now := int64(0)
@@ -119,7 +117,7 @@
 
 // TestDemandIsHeldFromTheLastConfirmation guards against a demand that is held only after it has fallen. In an outage
 // at the start of a busy period the wanted VMs fell from 22 to 9 before the missing confirmation was noticed, and
-// riga-quote ended with a result of 0.19. Seen on day trouble-3 of site dna-renewals, seed 717989166888.
+// the callers got 0.19 of their worth.
 func TestDemandIsHeldFromTheLastConfirmation(t *testing.T) {
 	e := newPolledEngine(20, 10_000, 100_000)
 	for i := range 6 {
@@ -141,7 +139,7 @@
 }
 
 // TestNewOwnerHoldsDemand guards against an owner that takes over in the pool's busy period and releases VMs because
-// few jobs are recorded yet. Seen for alley-hold on day refused-reads of site kegel-live-grown, seed 772178764796.
+// few jobs are recorded yet.
 func TestNewOwnerHoldsDemand(t *testing.T) {
 	e := newPolledEngine(20, 10_000, 100_000)
 	e.MarkOwnershipConfirmed(0)
--- a/core/shard/job_kinds_test.go
+++ b/core/shard/job_kinds_test.go
@@ -216,7 +216,7 @@
 }
 
 // TestUpkeepKeepsTheBudget guards against an upkeep that ends a persistent item while the budget of its step is used
-// up by others. Runs that their VM had not reported for long counted as at work. Seen on day hunt-b1d0-3.
+// up by others. Runs that their VM had not reported for long counted as at work.
 func TestUpkeepKeepsTheBudget(t *testing.T) {
 	newPersistent := func(t *testing.T) *simPool {
 		t.Helper()
--- a/core/shard/poll_test.go
+++ b/core/shard/poll_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestIdleVMsOfALargePoolArePolledLess guards against an owner that spends its CPU on polling VMs that run nothing (91%
-// of 0.4 core at 2,000 VMs), and against VMs that get no work because they are polled less often. Seen in run 8e607832.
+// of 0.4 core at 2,000 VMs), and against VMs that get no work because they are polled less often.
 func TestIdleVMsOfALargePoolArePolledLess(t *testing.T) {
 	for _, c := range []struct {
 		vms  int
@@ -41,7 +41,7 @@
 
 // TestStallIsMeasuredBetweenPolls guards against a run that counts as stalled because polls were late. A poll right
 // after the start and one 0.4 s later reported the same progress, and the next one came a second later. 1,694 runs were
-// stopped. Seen on the small twin of a site.
+// stopped.
 func TestStallIsMeasuredBetweenPolls(t *testing.T) {
 	e := newPolledEngine(1, 1000, 1000)
 	e.MarkOwnershipConfirmed(10)
@@ -63,7 +63,7 @@
 
 // TestNewOwnerWaitsForEarlierStops guards against a new owner that stops an item while another one of its step is
 // being stopped by the earlier owner. The VM reports that run at work until the stop is executed. The budget of the step
-// was exceeded once, 0.2 s after a planned handover. Seen on day hunt-f00e-7 of site semillero-plata-grown.
+// was exceeded once, 0.2 s after a planned handover.
 func TestNewOwnerWaitsForEarlierStops(t *testing.T) {
 	const stopMs = 900
 	e := New(Config{Service: "s", Epoch: 2, StatusRetentionMs: 1000, StopEffectMs: stopMs}, &jobs.Catalog{}, 0)
--- a/core/shard/run_end_test.go
+++ b/core/shard/run_end_test.go
@@ -10,8 +10,7 @@
 )
 
 // TestFailedRunsOfAnEarlierOwnerCount guards against an item that starts once more than its queue allows. The earlier
-// owner was lost before it recorded two failed runs, and the VMs list these in another order. Seen on day mix of
-// site kegel-live, seed 957648084696.
+// owner was lost before it recorded two failed runs, and the VMs list these in another order.
 func TestFailedRunsOfAnEarlierOwnerCount(t *testing.T) {
 	e := New(Config{Service: "s", Epoch: 2, StatusRetentionMs: 1000}, &jobs.Catalog{Queues: []jobs.Queue{{Name: "q", MaxAttempts: 3}}}, 0)
 	e.LoadJob("j", &jobs.StoredJob{
--- a/core/shard/start_window_test.go
+++ b/core/shard/start_window_test.go
@@ -11,7 +11,7 @@
 
 // TestStartWindowFollowsReplyLatency guards against an owner that sends more starts than its CPU or connection can
 // handle. Polls are then so late that leases of running items expire, and the budgets of steps were exceeded 41
-// times. Seen on the calm day of the large site's small twin.
+// times.
 func TestStartWindowFollowsReplyLatency(t *testing.T) {
 	f := startWindow{size: 1000}
 	for now := int64(0); now < 1000; now += windowIntervalMs {
--- a/io/owner/claim_test.go
+++ b/io/owner/claim_test.go
@@ -109,8 +109,7 @@
 }
 
 // TestFreeShardsSpread guards against a process that claims several free shards at once because none of its claims counts
-// the others. An entry with a fifth of a core then owned three shards while other entries owned none. Seen on day
-// refused-reads of site kegel-live-grown, seed 772178764796.
+// the others. An entry with a fifth of a core then owned three shards while other entries owned none.
 func TestFreeShardsSpread(t *testing.T) {
 	const processes, shards = 3, 3
 	l := &sharedLog{}
--- a/io/owner/hedge_test.go
+++ b/io/owner/hedge_test.go
@@ -53,7 +53,7 @@
 
 // TestLostAnswersDoNotStopAShard guards against a shard that stalls after lost answers of the store. Only one append is
 // sent at a time, so with timeouts of 0.7 s and then 2 s nothing was accepted, recorded or started meanwhile, and 88
-// callers got the answer 504. Seen on day mix of site kegel-live-grown, seed 903236234918.
+// callers got the answer 504.
 func TestLostAnswersDoNotStopAShard(t *testing.T) {
 	for _, lost := range []int{0, 1, 2} {
 		l := &lossyLog{lose: lost, seqs: map[int64]int{}}
