owner: Log how often and how long the turns of a pool's loop take

The line "pool state" sums the time of a loop's turns in a second. It doesn't tell a loop with 1,000 short turns from one with 5 turns of 50 ms, each followed by a pause of 150 ms; a job waits for the latter three times and more.

--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -121,11 +121,11 @@
 	pending      []*pendingRecords // included in the next append
 	// listVersion is the version of the VM list that the engine has, listedAtMs the local ms at which it got that list.
 	listVersion, listedAtMs int64
-	nextTickAfterNs         int64         // Unix time in ns after which the next tick runs, 0 for no pause
-	reportedRev             int64         // revision of the last demand report sent to the machine controller
-	summaryAtMs             int64         // local ms of the last summary in the log
-	load                    atomic.Int64  // runs and jobs as of that summary
-	tickTime                time.Duration // total duration of the ticks since that summary
+	nextTickAfterNs         int64        // Unix time in ns after which the next tick runs, 0 for no pause
+	reportedRev             int64        // revision of the last demand report sent to the machine controller
+	summaryAtMs             int64        // local ms of the last summary in the log
+	load                    atomic.Int64 // runs and jobs as of that summary
+	ticks                   tickStats    // of the ticks since that summary
 }
 
 // newPoolRun returns a run of a pool for the current epoch of o.
@@ -274,7 +274,7 @@
 		lost := r.tick(calls)
 		r.nextTickAfterNs = 0
 		took := time.Since(startedAt)
-		r.tickTime += took
+		r.ticks.add(took)
 		if took > longTick {
 			r.nextTickAfterNs = time.Now().Add(tickPauseFactor * took).UnixNano()
 		}
