owner: Append submitted jobs and apply stored records in the pause behind a turn

Cause: the loop of a pool slept through the pause that bounds its CPU share. Neither the answer of the store nor a submitted record was handled in it, though both take next to no CPU time.

Ruled out: the store (appends of this shard under 0.2 s) and the inbox.

Change: the pause ends by a timer. Meanwhile the loop applies what is stored and appends what callers submit; the engine's batch goes with it if the last turn found an append in progress. Sessions are told of recorded ends only if there were some.

--- a/io/owner/batch.go
+++ b/io/owner/batch.go
@@ -55,20 +55,35 @@
 		r.log.Error("encode batch of records failed", zap.Error(err))
 		return
 	}
-	var records []jobs.Record
-	if b != nil {
-		records = b.Records
+	if b == nil {
+		b = &shard.Batch{}
+	}
+	r.sendAppend(calls, b)
+}
+
+// appendInPause passes the pending records to appendLoop between two ticks, unless an append is in progress. The engine's
+// batch goes with them if the last tick could not start its append.
+func (r *poolRun) appendInPause(calls chan<- *appendCall) {
+	switch {
+	case r.engineBatch != nil:
+	case r.batchDue:
+		r.batchDue = false
+		r.mu.Lock()
+		r.startAppend(calls)
+		r.mu.Unlock()
+	default:
+		r.sendAppend(calls, &shard.Batch{})
 	}
+}
+
+// sendAppend passes a batch of the engine and the pending records to appendLoop if there is something to record.
+func (r *poolRun) sendAppend(calls chan<- *appendCall, b *shard.Batch) {
 	r.pending = takeForAppend(append(r.pending, r.o.drainInbox()...))
-	if len(records) == 0 && len(r.pending) == 0 {
+	if len(b.Records) == 0 && len(r.pending) == 0 {
 		return
 	}
-	if b == nil {
-		b = &shard.Batch{}
-	}
-	b.Records = records
 	r.engineBatch = b
-	calls <- &appendCall{own: records, pending: r.pending}
+	calls <- &appendCall{own: b.Records, pending: r.pending}
 	r.pending = nil
 }
 
@@ -80,8 +95,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	orders := r.engine.HandleBatchStored(r.engineBatch, now)
+	stored := len(r.engineBatch.Records) > 0
 	r.engineBatch = nil
 	r.send(orders)
+	if !stored {
+		return
+	}
 	for _, s := range r.sessions {
 		s.notifyEndsRecorded()
 	}
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -121,7 +121,8 @@
 	pending      []*pendingRecords // included in the next append
 	// listVersion is the version of the VM list that the engine has, listedAtMs the local ms at which it got that list.
 	listVersion, listedAtMs int64
-	nextTickAfterNs         int64        // Unix time in ns after which the next tick runs, 0 for no pause
+	nextTickAt              time.Time    // end of the pause behind a long tick
+	batchDue                bool         // the last tick found an append in progress
 	reportedRev             int64        // revision of the last demand report sent to the machine controller
 	summaryAtMs             int64        // local ms of the last summary in the log
 	load                    atomic.Int64 // runs and jobs as of that summary
@@ -239,9 +240,14 @@
 }
 
 // loop runs ticks until ctx ends or the shard is lost. It returns true if everything that was decided is recorded.
+//
+// A tick handles all pending events at once, so it may be delayed: the pause behind a long tick bounds the CPU share of a
+// large pool. Callers wait for the log only, so submitted records are appended and stored ones applied in the pause, too.
 func (r *poolRun) loop(ctx context.Context) bool {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	pause := time.NewTimer(0)
+	defer pause.Stop()
 	appended := make(chan bool, 1)
 	calls := make(chan *appendCall, 1)
 	defer func() { r.o.rejectPending(r.pending) }()
@@ -262,21 +268,21 @@
 		case p := <-r.o.inbox:
 			r.pending = append(r.pending, p)
 		case <-ticker.C:
+		case <-pause.C:
 		case <-ctx.Done():
 			return r.recordRemaining(calls, appended)
 		}
-		if r.nextTickAfterNs > 0 {
-			// A tick handles all pending events at once, so it may be delayed. The pause bounds the CPU share of a large
-			// pool.
-			wire.Sleep(r.ctx, time.Duration(r.nextTickAfterNs-time.Now().UnixNano()))
+		if time.Now().Before(r.nextTickAt) {
+			r.appendInPause(calls)
+			continue
 		}
 		startedAt := time.Now()
 		lost := r.tick(calls)
-		r.nextTickAfterNs = 0
 		took := time.Since(startedAt)
 		r.ticks.add(took)
 		if took > longTick {
-			r.nextTickAfterNs = time.Now().Add(tickPauseFactor * took).UnixNano()
+			r.nextTickAt = time.Now().Add(tickPauseFactor * took)
+			pause.Reset(tickPauseFactor * took)
 		}
 		if lost {
 			r.log.Info("shard lost: a VM has seen a higher fence number")
@@ -368,7 +374,7 @@
 		r.o.demand.Store(&p)
 		r.cfg.ReportDemand(r.cfg.Service, p)
 	}
-	if r.engineBatch == nil {
+	if r.batchDue = r.engineBatch != nil; !r.batchDue {
 		r.startAppend(calls)
 	}
 	r.syncSessions()
--- a/io/owner/stop_test.go
+++ b/io/owner/stop_test.go
@@ -40,22 +40,28 @@
 
 func (p *singleVMRegistry) Client(pools.VM) VMClient { return &p.vm }
 
-// TestReleaseDoesNotWaitForPolls guards against a pool that stalls at a planned stop because its shard is released only
-// after all polls and policy queries in progress have ended. A poll takes up to 1.2 s and a policy query up to 4 s.
-func TestReleaseDoesNotWaitForPolls(t *testing.T) {
-	const maxStop = 200 * time.Millisecond // without the append of the last records; a caller's objective is 600 ms
-	l := &sharedLog{}
-	pool := &singleVMRegistry{}
+// newTestRun returns a run of a pool whose shard this process owns.
+func newTestRun(l Store, registry VMRegistry, catalog func() *jobs.Catalog) *poolRun {
 	directory := tail.NewDirectory(l, false, zap.NewNop())
 	o := New(Config{Member: "e1#1", Service: "s", Store: l, Directory: directory, Log: zap.NewNop(), Stats: stats.New()})
 	o.health.confirmedAtMs.Store(clock.BootMs())
 	r := newPoolRun(PoolConfig{
-		Service: "s", Registry: pool, Catalog: func() *jobs.Catalog { return &jobs.Catalog{} }, Stats: stats.New(),
+		Service: "s", Registry: registry, Catalog: catalog, Stats: stats.New(),
 		ListMachines: func(time.Time) ([]pools.Machine, error) { return nil, nil },
 		ReportDemand: func(string, jobs.DemandReport) {}, VMsToVacate: func() []string { return nil }, JoinMs: func() int64 { return 0 },
 		Engine: shard.Config{StatusRetentionMs: 1000},
 	}, o)
 	r.writer.store = l
+	return r
+}
+
+// TestReleaseDoesNotWaitForPolls guards against a pool that stalls at a planned stop because its shard is released only
+// after all polls and policy queries in progress have ended. A poll takes up to 1.2 s and a policy query up to 4 s.
+func TestReleaseDoesNotWaitForPolls(t *testing.T) {
+	const maxStop = 200 * time.Millisecond // without the append of the last records; a caller's objective is 600 ms
+	l := &sharedLog{}
+	pool := &singleVMRegistry{}
+	r := newTestRun(l, pool, func() *jobs.Catalog { return &jobs.Catalog{} })
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan time.Time, 1)
 	go func() {
