assign, shard: Divide the machines while pools want more than there are

Cause: the machine controller hands out only what owners offer, and an owner offers a VM once it runs nothing and the pool has wanted less for 1.2 s. Under full load neither comes. Priority decided only between two pools that miss equally many machines. Work that had lost its value was started on every VM that became free, so that the pool kept its machines from the next turn as well.

Ruled out: the rate of orders (590 a second are taken), and machines that a wave holds (34 to 57 of the moved 100 to 200 a second).

Change: while pools want more than there are, the controller divides the machines: what persistent items need first, the rest by the wants, of which each step of priority counts double. Pools over their share read a limit beside the VMs to vacate. Their owners close the VMs that will be empty first for new work, offer them when they are, and go on reporting what they could use. Persistent items are not touched. Work without value counts for the demand again, as what has to be done in 3 s, since nothing else keeps VMs for it. A new controller replaces the request of the earlier one in any case.

--- a/bench/sim/site.go
+++ b/bench/sim/site.go
@@ -204,6 +204,7 @@
 		if sv.owned() {
 			sv.engine.SetVMsToVacate(s.directory.Vacate.VMs)
 			sv.engine.SetJoinMs(s.directory.Vacate.JoinMs)
+			sv.engine.SetVMLimit(s.directory.Vacate.Limit(sv.name))
 		}
 	}
 }
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -83,9 +83,11 @@
 	events          []Event
 	fenced          bool
 	quota           quota
-	shortages       []*shortage // pools that want more machines, as of the present call of Plan
-	joinMs          int64       // time that a move takes, 0 if unknown
-	recordedJoinMs  int64       // joinMs as last recorded
+	shortages       []*shortage      // pools that want more machines, as of the present call of Plan
+	shares          map[string]int   // machines that each pool may have, nil while there are enough for all
+	limits          []jobs.PoolLimit // as last recorded
+	joinMs          int64            // time that a move takes, 0 if unknown
+	recordedJoinMs  int64            // joinMs as last recorded
 }
 
 // Event is a decision or observation that is logged and counted.
@@ -119,6 +121,7 @@
 		cfg: cfg, machines: map[string]*machine{}, finishedUpkeeps: map[jobs.Upkeep]bool{}, rejectedMoves: map[[2]string]bool{},
 		quota:  quota{perS: cfg.OrdersPerS * orderSharePercent / 100},
 		joinMs: cfg.JoinMs, recordedJoinMs: cfg.JoinMs,
+		vacateDirty: true, // replaces the request of an earlier machine controller
 	}
 }
 
@@ -145,7 +148,7 @@
 	}
 	c.upkeepsToRecord = nil
 	if c.vacateDirty {
-		v := jobs.VacateRequest{VMs: c.vmsToVacate, JoinMs: c.joinMs}
+		v := jobs.VacateRequest{VMs: c.vmsToVacate, JoinMs: c.joinMs, Limits: c.limits}
 		value, err := v.MarshalMsg(nil)
 		if err != nil {
 			return nil, err
@@ -166,7 +169,9 @@
 	c.updateOffers(now)
 	c.orders = nil
 	c.quota.refill(now)
-	c.shortages = c.findShortages()
+	have := c.countMachines()
+	c.updateLimits(have)
+	c.shortages = c.findShortages(have)
 	vacate := c.planWaves(now)
 	if !slices.Equal(vacate, c.vmsToVacate) {
 		c.vmsToVacate, c.vacateDirty = vacate, true
--- a/core/assign/move.go
+++ b/core/assign/move.go
@@ -9,6 +9,7 @@
 // shortage is a pool that wants more machines than it has.
 type shortage struct {
 	pool    *PoolDemand
+	target  int // machines that it wants and may have
 	missing int
 	urgent  int64
 }
@@ -72,8 +73,8 @@
 	c.queueOrder(m, pools.Order{Kind: pools.Move, VM: m.VM, Item: m.ID, Spec: pool, Fence: c.cfg.Epoch}, now)
 }
 
-// findShortages returns the pools that want more machines than they have.
-func (c *Controller) findShortages() []*shortage {
+// countMachines returns the number of machines that each pool has or will soon have, without those that it offers.
+func (c *Controller) countMachines() map[string]int {
 	have := map[string]int{}
 	for _, m := range c.machines {
 		switch {
@@ -88,11 +89,20 @@
 			have[m.Pool]++
 		}
 	}
+	return have
+}
+
+// findShortages returns the pools that have fewer machines than they want and may have.
+func (c *Controller) findShortages(have map[string]int) []*shortage {
 	var list []*shortage
 	for i := range c.view.Pools {
 		p := &c.view.Pools[i]
-		if missing := p.Report.Want - have[p.Pool]; missing > 0 && !p.Spare {
-			list = append(list, &shortage{p, missing, p.Report.Urgent})
+		target := p.Report.Want
+		if c.shares != nil {
+			target = min(target, c.shares[p.Pool])
+		}
+		if missing := target - have[p.Pool]; missing > 0 && !p.Spare {
+			list = append(list, &shortage{p, target, missing, p.Report.Urgent})
 		}
 	}
 	return list
@@ -115,7 +125,7 @@
 }
 
 // belowMinimum reports whether a pool has fewer machines than its persistent work needs.
-func belowMinimum(s *shortage) bool { return s.pool.Report.Want-s.missing < s.pool.Report.Min }
+func belowMinimum(s *shortage) bool { return s.target-s.missing < s.pool.Report.Min }
 
 // movableMachines returns the machines that may be moved to another pool: offered ones first, then those of the spare
 // pool.
--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -516,16 +516,11 @@
 	// map header, size 1
 	// string "Vacate"
 	o = append(o, 0x81, 0xa6, 0x56, 0x61, 0x63, 0x61, 0x74, 0x65)
-	// map header, size 2
-	// string "v"
-	o = append(o, 0x82, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Vacate.VMs)))
-	for za0001 := range z.Vacate.VMs {
-		o = msgp.AppendString(o, z.Vacate.VMs[za0001])
+	o, err = z.Vacate.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Vacate")
+		return
 	}
-	// string "j"
-	o = append(o, 0xa1, 0x6a)
-	o = msgp.AppendInt64(o, z.Vacate.JoinMs)
 	return
 }
 
@@ -552,61 +547,11 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "Vacate":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			bts, err = z.Vacate.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Vacate")
 				return
 			}
-			if zb0002 > zf88ce922limitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Vacate")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "v":
-					var zb0003 uint32
-					zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Vacate", "VMs")
-						return
-					}
-					if zb0003 > zf88ce922limitArrays {
-						err = msgp.ErrLimitExceeded
-						return
-					}
-					if cap(z.Vacate.VMs) >= int(zb0003) {
-						z.Vacate.VMs = (z.Vacate.VMs)[:zb0003]
-					} else {
-						z.Vacate.VMs = make([]string, zb0003)
-					}
-					for za0001 := range z.Vacate.VMs {
-						z.Vacate.VMs[za0001], bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Vacate", "VMs", za0001)
-							return
-						}
-					}
-				case "j":
-					z.Vacate.JoinMs, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Vacate", "JoinMs")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Vacate")
-						return
-					}
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -621,11 +566,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Directory) Msgsize() (s int) {
-	s = 1 + 7 + 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Vacate.VMs {
-		s += msgp.StringPrefixSize + len(z.Vacate.VMs[za0001])
-	}
-	s += 2 + msgp.Int64Size
+	s = 1 + 7 + z.Vacate.Msgsize()
 	return
 }
 
@@ -1162,6 +1103,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z PoolLimit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "s"
+	o = append(o, 0x82, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt(o, z.VMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PoolLimit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "n":
+			z.VMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "VMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PoolLimit) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Progress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2004,9 +2010,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *VacateRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "v"
-	o = append(o, 0x82, 0xa1, 0x76)
+	o = append(o, 0x83, 0xa1, 0x76)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
 	for za0001 := range z.VMs {
 		o = msgp.AppendString(o, z.VMs[za0001])
@@ -2014,6 +2020,18 @@
 	// string "j"
 	o = append(o, 0xa1, 0x6a)
 	o = msgp.AppendInt64(o, z.JoinMs)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0002 := range z.Limits {
+		// map header, size 2
+		// string "s"
+		o = append(o, 0x82, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.Limits[za0002].Service)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendInt(o, z.Limits[za0002].VMs)
+	}
 	return
 }
 
@@ -2068,6 +2086,62 @@
 				err = msgp.WrapError(err, "JoinMs")
 				return
 			}
+		case "l":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0003) {
+				z.Limits = (z.Limits)[:zb0003]
+			} else {
+				z.Limits = make([]PoolLimit, zb0003)
+			}
+			for za0002 := range z.Limits {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002)
+					return
+				}
+				if zb0004 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Limits", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Limits[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0002, "Service")
+							return
+						}
+					case "n":
+						z.Limits[za0002].VMs, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0002, "VMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Limits", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2086,6 +2160,9 @@
 	for za0001 := range z.VMs {
 		s += msgp.StringPrefixSize + len(z.VMs[za0001])
 	}
-	s += 2 + msgp.Int64Size
+	s += 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Limits {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Limits[za0002].Service) + 2 + msgp.IntSize
+	}
 	return
 }
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -72,10 +72,28 @@
 	return p.Epoch > o.Epoch || p.Epoch == o.Epoch && p.Rev > o.Rev
 }
 
-// VacateRequest is what the machine controller tells the owners: the VMs to vacate, and how long a move takes.
+// VacateRequest is what the machine controller tells the owners: the VMs to vacate, how long a move takes, and which pools
+// have to give machines up.
 type VacateRequest struct {
-	VMs    []string `msg:"v"` // VMs that are due for upkeep and must be vacated
-	JoinMs int64    `msg:"j"` // time from a move order until the machine has a VM in its new pool, 0 if unknown
+	VMs    []string    `msg:"v"` // VMs that are due for upkeep and must be vacated
+	JoinMs int64       `msg:"j"` // time from a move order until the machine has a VM in its new pool, 0 if unknown
+	Limits []PoolLimit `msg:"l"` // pools that have more VMs than their share while there are too few machines
+}
+
+// PoolLimit is the largest number of VMs that a pool should keep.
+type PoolLimit struct {
+	Service string `msg:"s"`
+	VMs     int    `msg:"n"`
+}
+
+// Limit returns the largest number of VMs that the pool of a service should keep, or 0 if there is no limit.
+func (v *VacateRequest) Limit(service string) int {
+	for _, l := range v.Limits {
+		if l.Service == service {
+			return max(l.VMs, 1)
+		}
+	}
+	return 0
 }
 
 // Claim is the ownership record of a shard.
--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -28,6 +28,8 @@
 	trendHalfWeightJobs = 6
 	// backlogDrainMs is the time in which waiting work should be done.
 	backlogDrainMs = 1500
+	// overdueDrainMs is the time in which work of jobs without value should be done.
+	overdueDrainMs = 3000
 	// targetUsePercent is the percentage of the VMs' CPU that placement can use.
 	targetUsePercent = 85
 	// offerDelayMs is how long a lower demand must last before VMs are offered.
@@ -78,6 +80,7 @@
 	heldVMs            int   // lower bound of wantedVMs after a time without confirmation, 0 for none
 	heldUntil          int64 // end of that bound
 	joinMs             int64 // time that a VM takes to join the pool, 0 if unknown
+	limitVMs           int   // VMs that the pool should keep at most, 0 for no limit
 }
 
 // addArrival records the work of a submitted job. The work of all occurrences counts at once, also of those that are
@@ -107,6 +110,9 @@
 // SetJoinMs sets the time in milliseconds from an order for a machine until its VM has joined the pool, 0 if unknown.
 func (e *Engine) SetJoinMs(ms int64) { e.demand.joinMs = ms }
 
+// SetVMLimit sets the number of VMs that the pool should keep at most while other pools lack machines, 0 for no limit.
+func (e *Engine) SetVMLimit(vms int) { e.demand.limitVMs = vms }
+
 // forecastMs returns how far a rise of the demand is extrapolated: VMs that are requested now get work after that time.
 func (e *Engine) forecastMs() int64 {
 	return min(cmp.Or(e.demand.joinMs, defaultJoinMs)+joinDelayMs, maxForecastMs)
@@ -193,14 +199,19 @@
 // measureDemand returns the resources that the jobs of the pool can use, including a forecast for arriving jobs.
 func (e *Engine) measureDemand(now int64) requiredResources {
 	var d requiredResources
-	var waitingWork, requestedCPU int64
+	var waitingWork, requestedCPU, overdueWork, overdueCPU int64
 	for _, j := range e.jobs {
 		switch {
 		case j.state.Final():
 		case j.Persistent():
 			d.addPersistent(j)
 		default:
-			work, cpu := e.outstandingWork(j, now)
+			work, cpu := outstandingWork(j, now)
+			if now > j.arrivedAt+lateFactor*e.objectiveMs(j) {
+				overdueWork += work
+				overdueCPU += cpu
+				continue
+			}
 			waitingWork += work
 			requestedCPU += cpu
 		}
@@ -211,7 +222,8 @@
 	rise := e.demand.addCPUSample(requestedCPU, now) * e.forecastMs() / 1000 * count / (count + trendHalfWeightJobs)
 	maxForecast := requestedCPU*steadyForecastPercent/100 + rise
 	forecast := e.demand.rate.forecast(now, e.forecastMs())
-	d.batchCPU = max(min(waitingWork*1000/backlogDrainMs, requestedCPU), min(forecast, maxForecast))
+	d.batchCPU = max(min(waitingWork*1000/backlogDrainMs, requestedCPU), min(forecast, maxForecast)) +
+		min(overdueWork*1000/overdueDrainMs, overdueCPU)
 	return d
 }
 
@@ -272,12 +284,8 @@
 }
 
 // outstandingWork returns the core-milliseconds left in the items of a job whose predecessors are done, and the
-// thousandths of a core that these items request together. Both are 0 if the job is later than lateFactor times its
-// objective and so has no value left.
-func (e *Engine) outstandingWork(j *job, now int64) (work, cpu int64) {
-	if now > j.arrivedAt+lateFactor*e.objectiveMs(j) {
-		return 0, 0
-	}
+// thousandths of a core that these items request together.
+func outstandingWork(j *job, now int64) (work, cpu int64) {
 	for _, it := range j.orderedItems {
 		if it.done || !j.predecessorsDone(it) {
 			continue
@@ -309,10 +317,11 @@
 	return wanted
 }
 
-// updateOffers offers VMs without runs while the pool has more than it wants, and withdraws offers while it has fewer.
+// updateOffers offers VMs without runs while the pool has more than it wants or may keep, and withdraws offers while it
+// has fewer. VMs beyond the limit that run something are closed for new work, so that they can be offered soon.
 func (e *Engine) updateOffers(floor int, now int64) {
 	notOffered := 0
-	var free, offered []*vm
+	var free, busy, offered []*vm
 	for _, v := range e.vms {
 		switch {
 		case !v.listed || v.Draining || v.missingSince != 0:
@@ -320,12 +329,18 @@
 			offered = append(offered, v)
 		default:
 			notOffered++
-			if len(v.runs) == 0 && v.polled {
+			switch {
+			case len(v.runs) == 0 && v.polled:
 				free = append(free, v)
+			case v.persistentRuns == 0:
+				busy = append(busy, v)
 			}
 		}
 	}
 	needed := max(e.demand.wantedVMs, floor)
+	if e.demand.limitVMs > 0 {
+		needed = max(min(e.demand.wantedVMs, e.demand.limitVMs), floor)
+	}
 	sort.Slice(free, func(a, b int) bool {
 		if free[a].vacate != free[b].vacate {
 			return free[a].vacate
@@ -343,6 +358,32 @@
 		e.addEvent(Event{VM: offered[i].ID, Name: "use offered vm again", N: e.demand.wantedVMs})
 		notOffered++
 	}
+	surplus := 0
+	if e.demand.limitVMs > 0 {
+		surplus = notOffered - needed
+	}
+	e.closeVMs(busy, surplus, now)
+}
+
+// closeVMs closes n of the busy VMs for new work, those that will be empty first, and opens all others.
+func (e *Engine) closeVMs(busy []*vm, n int, now int64) {
+	closed := map[*vm]bool{}
+	if n > 0 {
+		busyMs := make(map[*vm]int64, len(busy))
+		for _, v := range busy {
+			busyMs[v] = v.remainingMs(now)
+		}
+		slices.SortFunc(busy, func(a, b *vm) int { return cmp.Or(cmp.Compare(busyMs[a], busyMs[b]), cmp.Compare(a.ID, b.ID)) })
+		for _, v := range busy[:min(n, len(busy))] {
+			closed[v] = true
+		}
+	}
+	for _, v := range e.vms {
+		if closed[v] && !v.closed {
+			e.addEvent(Event{VM: v.ID, Name: "close vm", Reason: "other pools lack machines", N: len(v.runs)})
+		}
+		v.closed = closed[v]
+	}
 }
 
 // prepareReport updates the demand report if its lists or numbers of VMs have changed. A change of Urgent alone is not
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -36,9 +36,11 @@
 	runs                        map[string]*item
 	usedCPU, usedMemMB, usedGPU int64 // used by attached items; CPU in thousandths of a core
 	freeShare                   int64 // free CPU in thousandths of the VM's CPU, as of the last update of freeIndex
+	persistentRuns              int   // number of attached persistent items
 	vacate                      bool  // the machine controller requests that it be vacated
 	vacateSince                 int64 // since when it is to be vacated, 0 if it is not
 	offered                     bool  // offered to other pools
+	closed                      bool  // gets no new work, so that it can be offered
 	offerWithdrawnAt            int64 // time at which the last offer was withdrawn
 }
 
@@ -72,6 +74,9 @@
 }
 
 func (v *vm) addUsage(it *item, sign int64) {
+	if it.stepDef.Persistent {
+		v.persistentRuns += int(sign)
+	}
 	if !it.stepDef.Fill {
 		v.usedCPU += sign * it.stepDef.CPU
 	}
@@ -99,6 +104,15 @@
 	return 1000 * (v.CPU - v.usedCPU) / v.CPU
 }
 
+// remainingMs returns the time in milliseconds until the runs on the VM should have ended by their estimates.
+func (v *vm) remainingMs(now int64) int64 {
+	var ms int64
+	for _, it := range v.runs {
+		ms = max(ms, it.phaseSince+it.stepDef.EstimateMs-now)
+	}
+	return ms
+}
+
 // leasesExpired reports whether all leases that the VM may hold have certainly expired, also on the slowest clock.
 func (v *vm) leasesExpired(now int64) bool {
 	if now < v.earlierLeaseUntil {
@@ -112,7 +126,7 @@
 
 // usable reports whether the VM may get new work.
 func (v *vm) usable(now int64) bool {
-	return v.listed && v.missingSince == 0 && !v.Draining && !v.vacate && !v.offered && v.polled && !v.silent &&
+	return v.listed && v.missingSince == 0 && !v.Draining && !v.vacate && !v.offered && !v.closed && v.polled && !v.silent &&
 		now-v.lastPollAt < vmSilenceMs+max(v.pollWaitMs-PollWaitMs, 0) && now >= v.suspectUntil && now >= v.noCapacityUntil
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -310,7 +310,7 @@
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
 		Service: service, Registry: n.registry, Catalog: n.catalog.Current,
-		VMsToVacate: n.directory.VMsToVacate, JoinMs: n.directory.JoinMs, ReportDemand: n.reportDemand, Relay: n.relayClient, DirectVMs: n.peers.relaySet.DirectVMs(),
+		VMsToVacate: n.directory.VMsToVacate, JoinMs: n.directory.JoinMs, VMLimit: n.directory.VMLimit, ReportDemand: n.reportDemand, Relay: n.relayClient, DirectVMs: n.peers.relaySet.DirectVMs(),
 		ListMachines: n.cloud.ListMachines, QueryPolicy: n.policy.Query, Stats: n.stats,
 		Engine: shard.Config{
 			StatusRetentionMs: n.cfg.Times.StatusMs + statusMarginMs, MaxEarlyStartMs: n.cfg.Times.EarlyMs,
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -70,8 +70,10 @@
 	VMsToVacate func() []string
 	// JoinMs returns the time in milliseconds that a VM takes to join the pool, 0 if it is unknown.
 	JoinMs func() int64
-	Engine shard.Config
-	Stats  *stats.Stats
+	// VMLimit returns the largest number of VMs that the pool of a service should keep, 0 for no limit.
+	VMLimit func(service string) int
+	Engine  shard.Config
+	Stats   *stats.Stats
 }
 
 // PoolRunner places the jobs of one pool while this process owns its shard.
@@ -346,6 +348,7 @@
 	r.engine.SetCatalog(r.cfg.Catalog())
 	r.engine.SetVMsToVacate(r.cfg.VMsToVacate())
 	r.engine.SetJoinMs(r.cfg.JoinMs())
+	r.engine.SetVMLimit(r.cfg.VMLimit(r.cfg.Service))
 	if list, version := r.cfg.Registry.VMs(); version != r.listVersion || now-r.listedAtMs > relistIntervalMs {
 		r.engine.SetVMs(list, now)
 		r.listVersion, r.listedAtMs = version, now
--- a/io/owner/stop_test.go
+++ b/io/owner/stop_test.go
@@ -49,7 +49,8 @@
 		Service: "s", Registry: registry, Catalog: catalog, Stats: stats.New(),
 		ListMachines: func(time.Time) ([]pools.Machine, error) { return nil, nil },
 		ReportDemand: func(string, jobs.DemandReport) {}, VMsToVacate: func() []string { return nil }, JoinMs: func() int64 { return 0 },
-		Engine: shard.Config{StatusRetentionMs: 1000},
+		VMLimit: func(string) int { return 0 },
+		Engine:  shard.Config{StatusRetentionMs: 1000},
 	}, o)
 	r.writer.store = l
 	return r
--- a/io/tail/directory.go
+++ b/io/tail/directory.go
@@ -94,6 +94,13 @@
 	return d.fold.Vacate.JoinMs
 }
 
+// VMLimit returns the largest number of VMs that the pool of a service should keep, or 0 if there is no limit.
+func (d *Directory) VMLimit(service string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fold.Vacate.Limit(service)
+}
+
 // VMsToVacate returns the VMs that the machine controller wants their owners to vacate.
 func (d *Directory) VMsToVacate() []string {
 	d.mu.Lock()
