shard: Begin a job only while it has slack left for what no estimate includes

Cause: a job counted as on time until its latest start by the estimates. Under overload least slack first starts each just then, and the order of the start, the end that a poll shows, its record and the caller's next query make it late.

Change: a job that has not begun counts as on time only with 250 ms of slack left, at most a sixth of its objective.

TestJobsThatWouldBeLateYield fails with a reserve of 0.

--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -21,11 +21,18 @@
 const (
 	tierPersistent = iota // the job has value as long as it runs
 	tierBegun             // has begun and can be complete within its objective
-	tierOnTime            // can be complete within its objective
+	tierOnTime            // can be complete within its objective, with some slack left
 	tierLate              // can be complete within lateFactor times its objective
 	tierNoValue           // cannot be complete while it has any value
 )
 
+// startReserveMs is the slack that a job must have left when it begins. The order of its start, the end of its last item, the
+// record of that end and the caller's next query each take some time that no estimate includes.
+const startReserveMs = 250
+
+// startReserveDivisor bounds that slack by a fraction of the objective.
+const startReserveDivisor = 6
+
 // lateFactor is how many times its objective a job may take and still have a reduced value.
 const lateFactor = 3
 
@@ -137,11 +144,12 @@
 		dueAt = j.DueMs(ready[0].K) - j.wallOffsetMs
 	}
 	c.slackMs = dueAt + objective - remainingMs - now
-	if c.slackMs >= 0 {
+	switch {
+	case j.begun && c.slackMs >= 0:
+		c.tier = tierBegun
+		return c
+	case c.slackMs >= min(startReserveMs, objective/startReserveDivisor):
 		c.tier = tierOnTime
-		if j.begun {
-			c.tier = tierBegun
-		}
 		return c
 	}
 	c.slackMs = dueAt + lateFactor*objective - remainingMs - now
