shard: Poll a VM soon while a persistent item there gets to work

An item that has started elsewhere is at work after 0.9 s in the mean, but a poll that waits for the end of a run shows it up to 0.7 s later.

Change: while a persistent item on a VM is not at work yet, for 4 s at most, its polls wait 0.1 s.

TestStartingPersistentItemIsPolledSoon fails before (700 ms).

--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -11,10 +11,13 @@
 // longer one delays the detection of a silent VM.
 const PollWaitMs = 700
 
-// Limits for polls of VMs without runs in a large pool.
+// Waits of polls of VMs in particular states.
 const (
-	// idlePollWaitMs is the wait of such a poll. The platform's longest wait is 2,000 ms.
+	// idlePollWaitMs is the wait of a poll of a VM without runs in a large pool. The platform's longest wait is 2,000 ms.
 	idlePollWaitMs = 1800
+	// startupPollWaitMs is the wait of a poll of a VM on which a persistent item is not at work yet. Until it is seen at work,
+	// the budget of its step lets no other item be moved.
+	startupPollWaitMs = 100
 	// largePoolVMs is the number of VMs above which one owner cannot poll all of them as often as in a small pool:
 	// with 0.4 core it handles about 1,000 poll replies a second.
 	largePoolVMs = 400
@@ -38,9 +41,13 @@
 		v.leaseEndMs = max(v.leaseEndMs, c.LeaseEndMs)
 	}
 	if v.ackedSeq >= v.seenSeq {
-		c.WaitMs = PollWaitMs
-		if len(v.runs) == 0 && len(e.vms) > largePoolVMs {
+		switch {
+		case len(v.runs) == 0 && len(e.vms) > largePoolVMs:
 			c.WaitMs = idlePollWaitMs
+		case v.persistentRuns > 0 && v.startsPersistentItem(now):
+			c.WaitMs = startupPollWaitMs
+		default:
+			c.WaitMs = PollWaitMs
 		}
 		v.pollWaitMs = c.WaitMs
 	}
--- a/core/shard/poll_test.go
+++ b/core/shard/poll_test.go
@@ -110,3 +110,27 @@
 	pollAll(1200, true)
 	assert.Equal(t, stops(), 0, "b's run is stopped while a's is away")
 }
+
+// TestStartingPersistentItemIsPolledSoon guards against a wave that ends late: the items of a step with a budget of one are
+// moved one after the other, and each was seen at work up to 0.7 s late. With nine of them the last machine was not due
+// in time.
+func TestStartingPersistentItemIsPolledSoon(t *testing.T) {
+	e := newPolledEngine(1, 1000, 1000)
+	e.MarkOwnershipConfirmed(10)
+	e.Submit(&jobs.StoredJob{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{
+		{Count: 1, CPU: 100, MemMB: 10, Persistent: true, Budget: 1},
+	}}}, 10, 10)
+	e.Advance(10, 10)
+	o := e.TakeOrders()[0]
+	e.HandleOrderReply(o, pools.Reply{Kind: pools.Done}, 12)
+	waitMs := func(now int64) int64 {
+		call, ok := e.NextPoll("a", now)
+		assert.Assert(t, ok)
+		return call.WaitMs
+	}
+	assert.Equal(t, waitMs(20), int64(startupPollWaitMs))
+	replyToPoll(e, 120, 120, pools.RunStatus{Item: o.Item, Run: o.Run, ProgressPercent: 100})
+	assert.Equal(t, waitMs(130), int64(PollWaitMs), "the item is at work")
+	e.vms["a"].runs[o.Item].progressPercent = 0
+	assert.Equal(t, waitMs(12+maxStartupMs), int64(PollWaitMs), "the item does not get to work")
+}
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -113,6 +113,16 @@
 	return ms
 }
 
+// startsPersistentItem reports whether a persistent item on the VM was started recently and is not at work yet.
+func (v *vm) startsPersistentItem(now int64) bool {
+	for _, it := range v.runs {
+		if it.stepDef.Persistent && it.phase == running && it.progressPercent < 100 && now-it.startedAt < maxStartupMs {
+			return true
+		}
+	}
+	return false
+}
+
 // leasesExpired reports whether all leases that the VM may hold have certainly expired, also on the slowest clock.
 func (v *vm) leasesExpired(now int64) bool {
 	if now < v.earlierLeaseUntil {
