review: Show that a job of a removed queue fails without end

Cause: the limit of attempts is looked up in the newest configuration, which no longer has the queue.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-driver removed-route review/5
