--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -40,7 +40,8 @@
 	jobs     map[string][]step // steps of the jobs that clients sent
 	history  map[string][]*run // all runs by work item
 	lives    int
-	addr     string // of the service that moves machines
+	zoneTime time.Duration // to a worker in another zone than the entries and back
+	addr     string        // of the service that moves machines
 }
 
 // newFleet starts machines in pools. counts holds the machines of each pool, spare is the name of the spare pool.
@@ -220,3 +221,13 @@
 	}
 	return n
 }
+
+// crossZones waits for the time that a call to a worker in a zone and its answer take on the way.
+func (f *fleet) crossZones(zone string) {
+	f.mu.Lock()
+	delay := f.zoneTime
+	f.mu.Unlock()
+	if zone != "z1" {
+		time.Sleep(delay)
+	}
+}
--- a/review/driver/worker.go
+++ b/review/driver/worker.go
@@ -181,6 +181,7 @@
 
 // ServeHTTP serves the calls of the entries.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.f.crossZones(w.m.zone)
 	var o order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
