--- a/review/driver/entry.go
+++ b/review/driver/entry.go
@@ -3,10 +3,7 @@
 package main
 
 import (
-	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"sassafrasvalve/fake/ports"
 )
 
 // program is the program of the deploy file, which starts it with the argument entry.
@@ -49,40 +48,11 @@
 	done   chan struct{}
 }
 
-// Ports for the entries lie below those that the kernel gives to outgoing connections.
-const (
-	firstPort = 12_000
-	lastPort  = 30_000
-)
-
-// nextPort is the next port to try. It begins at random, so that two drivers rarely try the same ports.
-var nextPort = firstPort + rand.IntN(lastPort-firstPort)
-
-// freeAddrs returns n free loopback addresses.
-func freeAddrs(n int) ([]string, error) {
-	var list []string
-	for range lastPort - firstPort {
-		if nextPort++; nextPort >= lastPort {
-			nextPort = firstPort
-		}
-		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		if list = append(list, addr); len(list) == n {
-			return list, nil
-		}
-	}
-	return nil, errors.New("no free ports")
-}
-
 var placeholder = regexp.MustCompile(`\{\{[^}]*\}\}`)
 
 // newEntry writes the settings of an entry, from the template of the deploy file and the figures of a small deployment.
 func newEntry(rec *recorder, dir, name, store, cloud, policy string) (*entry, error) {
-	addrs, err := freeAddrs(4)
+	addrs, err := ports.Free(4)
 	if err != nil {
 		return nil, err
 	}
