shard: Poll the VMs of the machine list at a takeover

Cause: a new owner polled the VMs of the VM list at the moment of the takeover before it started items of the earlier owner. Trace: "shard taken over" at 13.14 s knows 5 VMs from records, but has Unasked 1; the item starts 0.3 s later on the one listed VM.

Ruled out: late orders of the killed owner, and two owners at once.

The machine list, which does not expire, now tells which VMs must be polled. It is requested at once after the takeover. Without it, items wait until earlier leases have expired.

The existing tests of takeovers pass the machine list in place of the VM list.

--- a/bench/sim/owner.go
+++ b/bench/sim/owner.go
@@ -66,7 +66,8 @@
 	}
 	s.sendVMList()
 	if !clean {
-		s.engine.RequireInitialPolls(s.listedVMs(), w.now)
+		s.engine.RequireInitialPolls(w.now)
+		s.engine.SetMachines(s.runningMachines(), w.now, w.now)
 	}
 	s.renew()
 	for _, m := range w.machines {
@@ -95,6 +96,17 @@
 	return list
 }
 
+// runningMachines returns the machines of the pool as the platform lists them.
+func (s *service) runningMachines() []pools.Machine {
+	var list []pools.Machine
+	for _, m := range s.w.machines {
+		if m.service == s {
+			list = append(list, pools.Machine{ID: m.vm.Machine, Pool: s.name, VM: m.vm.ID, State: pools.MachineUp})
+		}
+	}
+	return list
+}
+
 // sendVMList sets the list of VMs of the owner.
 func (s *service) sendVMList() { s.engine.SetVMs(s.listedVMs(), s.w.now) }
 
--- a/core/shard/crash_pool_test.go
+++ b/core/shard/crash_pool_test.go
@@ -90,7 +90,7 @@
 		p.e.LoadJob(id, s, p.now, p.now)
 	}
 	if earlier != nil {
-		p.e.RequireInitialPolls(p.list(), p.now)
+		p.e.RequireInitialPolls(p.now)
 	}
 }
 
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -80,22 +80,20 @@
 	storeContactAt   int64   // time of the store's last answer to this owner
 	confirmedAt      int64   // send time of the last append that the store accepted from this owner
 	unrecordedStarts []start // starts that are sent only after they are recorded
-	// unpolled holds the VMs on which an earlier owner may have started items without recording them, and for each the
-	// time until which such runs can live. The key "" stands for any VM.
-	unpolled       map[string]int64
-	events         []Event
-	nextThrottleAt int64
-	nextTickAt     int64
-	policies       map[stepKey]*stepPolicy
-	policyQueries  []PolicyQuery
-	openQueries    int   // policy queries without a reply
-	pollNum        int64 // number of poll replies that were applied
-	nextDemandAt   int64
-	vmsRevision    int64    // revision of the listed VMs and their addresses
-	sortedVMs      []*vm    // all VMs, sorted by ID; nil after a change
-	vmsToVacate    []string // VMs to vacate, as last requested by the machine controller
-	startWindow    startWindow
-	crashes        []vmCrash // crashes of VMs within crashMemoryMs, as of the last one
+	initialPolls     initialPolls
+	events           []Event
+	nextThrottleAt   int64
+	nextTickAt       int64
+	policies         map[stepKey]*stepPolicy
+	policyQueries    []PolicyQuery
+	openQueries      int   // policy queries without a reply
+	pollNum          int64 // number of poll replies that were applied
+	nextDemandAt     int64
+	vmsRevision      int64    // revision of the listed VMs and their addresses
+	sortedVMs        []*vm    // all VMs, sorted by ID; nil after a change
+	vmsToVacate      []string // VMs to vacate, as last requested by the machine controller
+	startWindow      startWindow
+	crashes          []vmCrash // crashes of VMs within crashMemoryMs, as of the last one
 
 	demand demandTracker
 }
@@ -133,36 +131,6 @@
 // MarkOwnershipConfirmed records that the store accepted an append from this owner that was sent at the time at.
 func (e *Engine) MarkOwnershipConfirmed(at int64) { e.confirmedAt = max(e.confirmedAt, at) }
 
-// RequireInitialPolls defers the start of all loaded items until every listed VM was polled, or its earlier leases
-// have expired. It is called unless the earlier owner recorded all its work before it released the shard, as that owner
-// may have started some of these items. A nil list means that the VMs are unknown; all loaded items then wait until the
-// earlier leases have expired.
-func (e *Engine) RequireInitialPolls(listed []pools.VM, now int64) {
-	e.unpolled = map[string]int64{}
-	if listed == nil {
-		e.unpolled[""] = now + earlierLeaseMs // any VM may have such runs
-	}
-	for i := range listed {
-		if listed[i].Service == e.cfg.Service {
-			e.unpolled[listed[i].ID] = now + earlierLeaseMs
-		}
-	}
-	for _, j := range e.jobs {
-		j.inherited = true
-	}
-}
-
-// checkInitialPolls removes from unpolled the VMs that were polled or have no lease of an earlier owner left. It reports
-// whether none remains.
-func (e *Engine) checkInitialPolls(now int64) bool {
-	for id, until := range e.unpolled {
-		if v := e.vms[id]; now >= until || v != nil && v.polled {
-			delete(e.unpolled, id)
-		}
-	}
-	return len(e.unpolled) == 0
-}
-
 // NeedsMachineList reports whether the machine list could show that a VM lifetime has ended: that of a silent VM with
 // runs, or of one that an earlier owner may have used.
 func (e *Engine) NeedsMachineList() bool {
@@ -171,7 +139,7 @@
 			return true
 		}
 	}
-	return len(e.unpolled) > 0
+	return e.initialPolls.pending
 }
 
 // SetMachines applies the platform's machine list, which was requested at requestedAt. The lifetime of a silent VM is
@@ -183,11 +151,10 @@
 		current[machines[i].VM] = true
 		byID[machines[i].ID] = &machines[i]
 	}
-	for id := range e.unpolled {
-		if id != "" && !current[id] {
-			delete(e.unpolled, id)
-		}
-	}
+	e.initialPolls.setMachines(e.cfg.Service, machines, requestedAt, func(id string) bool {
+		v := e.vms[id]
+		return v != nil && v.polled
+	})
 	for id, v := range e.vms {
 		if v.silent && !current[id] && v.knownAt < requestedAt && (len(v.runs) > 0 || v.polled) {
 			e.endLifetime(v, lifetimeEnd{cause: v.causeByMachine(byID[v.Machine], now)}, now)
--- a/core/shard/job_kinds_test.go
+++ b/core/shard/job_kinds_test.go
@@ -225,7 +225,8 @@
 		Rev: 7, State: jobs.Running, Base: 2, Items: []jobs.ItemState{{K: 2, Run: 1, VM: "a", VMBorn: 1}},
 	}}, 0, wall)
 	sim.runs["a"] = map[string]pools.RunStatus{"j.2.0.0": {Item: "j.2.0.0", Run: 1, ProgressPercent: 40}}
-	sim.e.RequireInitialPolls([]pools.VM{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, 0)
+	sim.e.RequireInitialPolls(0)
+	sim.e.SetMachines(machinesOf("a", "b"), 0, 0)
 	sim.pollAll()
 	for sim.now < 3*every {
 		sim.tick(wall)
--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -34,7 +34,7 @@
 
 // endLifetime releases all items on a VM whose lifetime has ended. The VM keeps its ID and is in its next lifetime then.
 func (e *Engine) endLifetime(v *vm, end lifetimeEnd, now int64) {
-	delete(e.unpolled, v.ID)
+	e.initialPolls.remove(v.ID)
 	if v.polled || len(v.runs) > 0 { // the answers of a VM that is gone say so again and again
 		e.addEvent(Event{VM: v.ID, Name: "vm lifetime ended", Reason: endNames[end.cause], N: len(v.runs)})
 	}
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -108,9 +108,8 @@
 // candidates returns the jobs with items that may start now, in the order in which they are placed.
 func (e *Engine) candidates(now int64) []candidate {
 	var list []candidate
-	pollsDone := e.checkInitialPolls(now)
 	for _, j := range e.jobs {
-		if j.state.Final() || j.inherited && !pollsDone {
+		if j.state.Final() || j.inherited && e.initialPolls.pending {
 			continue
 		}
 		ready := j.readyItems(now)
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -37,6 +37,7 @@
 // owner must know how often they were started.
 func (e *Engine) Advance(now, wall int64) {
 	e.tick(now, wall)
+	e.updateInitialPolls(now)
 	for _, s := range e.placeItems(now) {
 		if now-e.confirmedAt < earlyStartConfirmationMs && !s.it.needsRecord() {
 			e.orders = append(e.orders, e.startOrder(s, now))
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -98,6 +98,7 @@
 	}
 	if !v.polled {
 		v.firstPolledAt = now
+		e.initialPolls.remove(id)
 	}
 	v.polled, v.silent, v.silentSince, v.lastPollAt = true, false, 0, now
 	if reply.ClockMs >= v.clockMs {
--- a/core/shard/run_end_test.go
+++ b/core/shard/run_end_test.go
@@ -23,7 +23,8 @@
 		{ID: "a", Service: "s", Addr: "x", CPU: 1000, MemMB: 100}, {ID: "b", Service: "s", Addr: "x", CPU: 1000, MemMB: 100},
 	}
 	e.SetVMs(list, 0)
-	e.RequireInitialPolls(list, 0)
+	e.RequireInitialPolls(0)
+	e.SetMachines(machinesOf("a", "b"), 0, 0)
 	end := func(vm string, seq int64, run int) {
 		e.HandlePollReply(vm, pools.PollReply{Kind: pools.Done, ClockMs: 1, StartedAtMs: 1, Ended: []pools.RunEnd{
 			{Seq: seq, Item: "j.0.0.0", Run: run, Kind: pools.EndFailed},
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -211,10 +211,10 @@
 	c := Counts{
 		Jobs: len(e.jobs), VMs: len(e.vms), Want: e.demand.wantedVMs,
 		Starting: e.startWindow.unanswered, MostStarting: e.startWindow.size,
-		Unasked: len(e.unpolled), Unrecorded: len(e.unrecordedStarts),
+		Unasked: len(e.initialPolls.vms), Unrecorded: len(e.unrecordedStarts),
 	}
 	for _, j := range e.jobs {
-		if j.inherited && c.Unasked > 0 && !j.state.Final() {
+		if j.inherited && e.initialPolls.pending && !j.state.Final() {
 			c.Held++
 		}
 		if j.state == jobs.Queued {
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -214,33 +214,12 @@
 		}
 	})
 	if !r.o.recordsComplete() {
-		r.requirePolls(now)
+		r.engine.RequireInitialPolls(now)
 	}
-	r.log.Info("shard taken over", zap.Any("counts", r.engine.Counts(now)))
+	r.log.Info("shard taken over", zap.String("reason", r.o.reason), zap.Any("counts", r.engine.Counts(now)))
 	return true
 }
 
-const (
-	// listTimeout bounds the wait for the VM list at a takeover.
-	listTimeout = 3 * time.Second
-	// listPollPause is the pause between two reads of the list during that wait.
-	listPollPause = 5 * time.Millisecond
-)
-
-// requirePolls waits for the VM list and makes the engine poll all listed VMs before it starts items of an earlier owner.
-// Such an item may already run on one of them without a record. Without a list the engine waits until all leases of the
-// earlier owner have expired.
-func (r *poolRun) requirePolls(now int64) {
-	for until := time.Now().Add(listTimeout); time.Now().Before(until); wire.Sleep(r.ctx, listPollPause) {
-		if list, version := r.cfg.Registry.VMs(); version >= 0 {
-			r.engine.RequireInitialPolls(list, now)
-			return
-		}
-	}
-	r.log.Warn("VM list not available at takeover: loaded items wait until earlier leases have expired")
-	r.engine.RequireInitialPolls(nil, now)
-}
-
 // loop runs ticks until ctx ends or the shard is lost. It returns true if everything that was decided is recorded.
 //
 // A tick handles all pending events at once, so it may be delayed: the pause behind a long tick bounds the CPU share of a
@@ -318,8 +297,7 @@
 // machineListLoop reads the platform's list of machines while the engine needs it to learn whether a VM's lifetime has
 // ended.
 func (r *poolRun) machineListLoop() {
-	for r.ctx.Err() == nil {
-		wire.Sleep(r.ctx, machineListInterval)
+	for ; r.ctx.Err() == nil; wire.Sleep(r.ctx, machineListInterval) {
 		r.mu.Lock()
 		needed := r.engine.NeedsMachineList()
 		r.mu.Unlock()
