shard: Serve a shard without a configuration

Cause: core/shard used the nil configuration in the demand, in objectives and in the count of failed runs; only the placement checked for it. Evidence: the stack trace of the case, Catalog.Queue <- maxUrgency <- prepareReport <- updateDemand <- tick.

Ruled out as a fix: no election without a configuration. Nobody would renew the leases of the running work then, and it would end after 5 s.

A nil configuration has no queues and pools now, so that an owner polls and records, and starts nothing. Failed runs that were counted meanwhile fail their job once the attempts are known; otherwise an item would start once more than allowed. An entry without a configuration claims later than others and requests no shard.

--- a/core/jobs/catalog.go
+++ b/core/jobs/catalog.go
@@ -50,8 +50,12 @@
 	return best, best != nil
 }
 
-// Queue returns the queue called name, or nil if there is none.
+// Queue returns the queue called name, or nil if there is none. A nil Catalog, of a process that has read no configuration
+// yet, has none.
 func (c *Catalog) Queue(name string) *Queue {
+	if c == nil {
+		return nil
+	}
 	for i := range c.Queues {
 		if c.Queues[i].Name == name {
 			return &c.Queues[i]
@@ -60,8 +64,11 @@
 	return nil
 }
 
-// Pool returns the pool of service, or nil if there is none.
+// Pool returns the pool of service, or nil if there is none. A nil Catalog has none.
 func (c *Catalog) Pool(service string) *Pool {
+	if c == nil {
+		return nil
+	}
 	for i := range c.Pools {
 		if c.Pools[i].Service == service {
 			return &c.Pools[i]
--- a/core/shard/crash.go
+++ b/core/shard/crash.go
@@ -242,7 +242,7 @@
 	lostVMs := len(it.crashedRuns) + len(it.lostRuns)
 	reason := fmt.Sprintf("%s crashes its vms: runs %v, lost for an unknown cause %v", it.name, it.crashedRuns, it.lostRuns)
 	if !it.stepDef.Persistent {
-		e.failJob(j, v, reason, lostVMs, now)
+		e.failJob(j, v.ID, reason, lostVMs, now)
 		return
 	}
 	it.givenUp, j.readyStale = true, true
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		ready := j.readyItems(now)
-		if len(ready) > 0 {
+		if len(ready) > 0 && !e.failExhausted(j, ready, now) {
 			list = append(list, e.rank(j, ready, now))
 		}
 	}
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -382,22 +382,43 @@
 	}
 	it.failedRuns = append(it.failedRuns, run)
 	e.markDirty(j)
+	e.failIfExhausted(j, it, v.ID, now)
+}
+
+// failIfExhausted fails a job if the attempts of its queue are used up for an item, whose last run failed on VM vmID. It
+// returns true if it does. The attempts are not known while no configuration was read.
+func (e *Engine) failIfExhausted(j *job, it *item, vmID string, now int64) bool {
+	q := e.catalog.Queue(j.Queue)
+	if q == nil || q.MaxAttempts <= 0 {
+		return false
+	}
 	failures := 0
 	for _, m := range j.endingTogether(it) {
 		failures += len(m.failedRuns)
 	}
-	q := e.catalog.Queue(j.Queue)
-	if q == nil || q.MaxAttempts <= 0 || failures < q.MaxAttempts {
-		return
+	if failures < q.MaxAttempts {
+		return false
 	}
-	e.failJob(j, v, "all attempts of "+it.name+" failed", failures, now)
+	e.failJob(j, vmID, "all attempts of "+it.name+" failed", failures, now)
+	return true
+}
+
+// failExhausted fails a job if the attempts of its queue are used up for one of its ready items. These attempts failed while
+// this owner or an earlier one had read no configuration. It returns true if it fails the job.
+func (e *Engine) failExhausted(j *job, ready []*item, now int64) bool {
+	for _, it := range ready {
+		if len(it.failedRuns) > 0 && e.failIfExhausted(j, it, "", now) {
+			return true
+		}
+	}
+	return false
 }
 
-// failJob fails a job for a reason that n runs of one item or gang gave, the last of them on VM v.
-func (e *Engine) failJob(j *job, v *vm, reason string, n int, now int64) {
+// failJob fails a job for a reason that n runs of one item or gang gave, the last of them on VM vmID, which may be empty.
+func (e *Engine) failJob(j *job, vmID, reason string, n int, now int64) {
 	j.state = jobs.Failed
 	e.markDirty(j)
-	e.addEvent(Event{JobID: j.ID, VM: v.ID, Name: "job failed", Reason: reason, N: n})
+	e.addEvent(Event{JobID: j.ID, VM: vmID, Name: "job failed", Reason: reason, N: n})
 	e.stopJob(j, now)
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -254,7 +254,7 @@
 	o := owner.New(owner.Config{
 		Member: n.member, Addr: n.cfg.Peer, Peers: n.peers, Service: service, Part: part, Store: n.store, Directory: n.directory,
 		Runner: n.runner(service), OwnedCount: &n.ownedCount, ClaimMu: &n.claimMu, CPUShare: n.cfg.CPUShare, Log: n.log, Stats: n.stats,
-		ClaimDelay: func(owned int64) time.Duration { return claimDelay(n.cfg.CPUShare, owned) },
+		ClaimDelay: n.claimDelay,
 	})
 	n.peers.add(part, o)
 	n.owners.Add(1)
@@ -277,8 +277,20 @@
 	claimDelayUnit = 130 * time.Millisecond
 	// maxClaimDelay bounds the claim delay. It keeps the wait of callers short when only slow entries are left.
 	maxClaimDelay = 900 * time.Millisecond
+	// noConfigDelay is the further claim delay of an entry that has read no configuration, and so starts no items. Entries
+	// that have one claim first.
+	noConfigDelay = 500 * time.Millisecond
 )
 
+// claimDelay returns the delay of a claim by this entry, which owns the given number of shards.
+func (n *Node) claimDelay(owned int64) time.Duration {
+	delay := claimDelay(n.cfg.CPUShare, owned)
+	if n.catalog.Current() == nil {
+		delay += noConfigDelay
+	}
+	return delay
+}
+
 // claimDelay returns the delay of claims by an entry with a share of a core that owns the given number of shards. The
 // entry in which the shard would get the most CPU claims first. An unknown share, 0, counts as fullCPUShare.
 func claimDelay(share float64, owned int64) time.Duration {
--- a/io/node/rebalance.go
+++ b/io/node/rebalance.go
@@ -87,9 +87,9 @@
 }
 
 // overloadedOwners returns the addresses of the owners from which a shard should move to this entry. It returns none if
-// the directory is too old or its last read failed.
+// the directory is too old or its last read failed, and none while this entry has read no configuration.
 func (r *rebalancer) overloadedOwners() []string {
-	if v := r.n.directory.Position(); v.Failed || clock.BootMs()-v.ReadAtMs > maxDirectoryAgeMs {
+	if v := r.n.directory.Position(); v.Failed || clock.BootMs()-v.ReadAtMs > maxDirectoryAgeMs || r.n.catalog.Current() == nil {
 		return nil
 	}
 	owned := map[string]int{}
