jobapi: Store a job of a moved queue in one shard

Cause: Submit, and Cancel without an answer, looked at the shard of the queue's present service only.

Ruled out: asking all shards for each new job, which takes a call to every owner and makes every queue depend on every shard; and deciding by the configuration, of which a new entry knows the newest version only.

The shards of a route are now recorded in the owners' partition before its first job is stored there. A job of a route with several shards is stored once the other shards refuse it; a shard that has it already answers so. A cancel is stored in all of them if an owner does not answer.

--- a/core/jobs/catalog.go
+++ b/core/jobs/catalog.go
@@ -16,6 +16,10 @@
 	PolicyChecked bool // an external policy decides which VMs may run a step
 }
 
+// Route returns the host and path prefix of the queue. They identify the queue to callers, also after the operator has given
+// it another name or service.
+func (q *Queue) Route() string { return q.Host + q.Prefix }
+
 // Pool holds the settings of the VM pool of a service.
 type Pool struct {
 	Service          string
--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -18,14 +18,16 @@
 	keyJob      = 'j'
 	keyProgress = 'p'
 	keyCancel   = 'c'
+	keyExclude  = 'x'
 )
 
-// Key prefixes in the owners' partition. The shard number follows keyClaim and keyDemand.
+// Key prefixes in the owners' partition. The shard number follows keyClaim, keyDemand and keyRoute.
 const (
 	keyClaim  = 'h'
 	keyDemand = 'n'
 	keyVacate = 'v'
 	keyUpkeep = 'u'
+	keyRoute  = 'r'
 )
 
 // ClaimKey returns the key of the claim of a shard.
@@ -57,6 +59,22 @@
 // ProgressKey returns the key of the progress record of a job.
 func ProgressKey(id string) string { return string(keyProgress) + id }
 
+// ExcludeRecord returns the record by which a shard refuses a job unless it has the job already. It is stored before the job
+// is stored in another shard.
+func ExcludeRecord(id string) Record { return Record{Key: ExcludeKey(id), Value: []byte{1}} }
+
+// ExcludeKey returns the key of the exclusion of a job.
+func ExcludeKey(id string) string { return string(keyExclude) + id }
+
+// maxRouteBytes bounds the part of a route that is in a key, which has at most 255 bytes. Routes that differ only after that
+// count as one.
+const maxRouteBytes = 200
+
+// RouteRecord returns the record that jobs of a route may be stored in a shard.
+func RouteRecord(route string, shard int) Record {
+	return Record{Key: string(keyRoute) + strconv.Itoa(shard) + "/" + route[:min(len(route), maxRouteBytes)], Value: []byte{1}}
+}
+
 // CancelKey returns the key of the cancel record of a job.
 func CancelKey(id string) string { return string(keyCancel) + id }
 
--- a/core/jobs/directory.go
+++ b/core/jobs/directory.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
 
 // Shard holds the ownership record of a shard and the newest demand report of its owner, as all entries read them.
 type Shard struct {
@@ -15,11 +19,12 @@
 	Shards  map[int]*Shard
 	Vacate  VacateRequest
 	Upkeeps map[Upkeep]bool // ordered upkeep; the value is true once it is done
+	routes  map[string][]int
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{Shards: map[int]*Shard{}, Upkeeps: map[Upkeep]bool{}}
+	return &Directory{Shards: map[int]*Shard{}, Upkeeps: map[Upkeep]bool{}, routes: map[string][]int{}}
 }
 
 // Apply folds one record. A record that cannot be decoded has no effect and returns an error.
@@ -47,11 +52,30 @@
 		}
 		d.Upkeeps[u] = d.Upkeeps[u] || rec.Value[0] == upkeepDone
 		return nil
+	case keyRoute:
+		return d.applyRoute(rest)
 	default:
 		return fmt.Errorf("unknown record key %q", rec.Key)
 	}
 }
 
+func (d *Directory) applyRoute(key string) error {
+	number, route, _ := strings.Cut(key, "/")
+	shard, err := parseShard(number)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(d.routes[route], shard) {
+		d.routes[route] = append(d.routes[route], shard)
+	}
+	return nil
+}
+
+// RouteShards returns the shards in which jobs of a route may be stored.
+func (d *Directory) RouteShards(route string) []int {
+	return slices.Clone(d.routes[route[:min(len(route), maxRouteBytes)]])
+}
+
 func (d *Directory) applyClaim(shard string, value []byte) error {
 	s, err := d.shard(shard)
 	if err != nil {
--- a/core/jobs/table.go
+++ b/core/jobs/table.go
@@ -7,6 +7,7 @@
 	Job       *Job // nil if only cancel or progress records were read, or if the job record was deleted after the end
 	Progress  Progress
 	Cancelled bool
+	Excluded  bool // the shard refuses the job, because it may be stored in another shard
 }
 
 // State returns the state that is reported to callers. A final state takes precedence over a cancellation.
@@ -39,7 +40,8 @@
 	ID        string
 	Submitted bool
 	Cancelled bool
-	Stale     bool // the record belongs to a job in a final state and should be deleted
+	Stale     bool // the record belongs to a job in a final state or to an excluded one and should be deleted
+	Excluded  bool // the shard refuses the job from now on
 }
 
 // Apply folds one record. A record may be applied twice or, after a reread, after a newer one with the same key.
@@ -66,6 +68,14 @@
 		first := !s.Cancelled
 		s.Cancelled = true
 		return Change{ID: id, Cancelled: first}, nil
+	case keyExclude:
+		s := t.storedJob(id)
+		if s.Job != nil || s.Progress.State.Final() {
+			return Change{}, nil // the shard has the job already, and keeps it
+		}
+		first := !s.Excluded
+		s.Excluded = true
+		return Change{ID: id, Excluded: first}, nil
 	default:
 		return Change{}, fmt.Errorf("unknown record key %q", r.Key)
 	}
@@ -76,7 +86,7 @@
 	switch {
 	case s.Job != nil:
 		return Change{}, nil // the same job was submitted at two entries
-	case s.Progress.State.Final():
+	case s.Progress.State.Final(), s.Excluded:
 		return Change{ID: id, Stale: true}, nil
 	}
 	j := &Job{}
@@ -107,7 +117,7 @@
 }
 
 // deleteRecord applies the deletion of a record. Deleting the job record of a job in a final state keeps its progress.
-// Otherwise deleting the job record or the progress record removes the job.
+// Otherwise deleting the job record or the progress record removes the job. An exclusion lasts until its own record is deleted.
 func (t *JobTable) deleteRecord(kind byte, id string) {
 	s := t.Jobs[id]
 	if s == nil {
@@ -115,13 +125,17 @@
 	}
 	switch kind {
 	case keyJob:
-		if s.Progress.State.Final() {
+		if s.Progress.State.Final() || s.Excluded {
 			s.Job = nil
 		} else {
 			delete(t.Jobs, id)
 		}
 	case keyProgress:
 		delete(t.Jobs, id)
+	case keyExclude:
+		if s.Excluded = false; s.Job == nil && !s.Progress.State.Final() {
+			delete(t.Jobs, id)
+		}
 	}
 }
 
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -65,16 +65,16 @@
 // Engine holds the jobs, items and VMs of one owned shard, and the orders and records that are due. It is not safe for
 // concurrent use.
 type Engine struct {
-	cfg          Config
-	catalog      *jobs.Catalog
-	jobs         map[string]*job
-	vms          map[string]*vm
-	dirty        map[string]*job
-	orders       []pools.Order
-	staleJobs    []string // ended jobs whose job and cancel records have to be deleted
-	expiredJobs  []string // ended jobs whose progress records have to be deleted
-	finishedJobs []finishedJob
-	fenced       bool
+	cfg         Config
+	catalog     *jobs.Catalog
+	jobs        map[string]*job
+	vms         map[string]*vm
+	dirty       map[string]*job
+	orders      []pools.Order
+	staleJobs   []string // ended jobs whose job and cancel records have to be deleted
+	expiredKeys []string // keys of progress records and exclusions that have to be deleted
+	keptRecords []keptRecord
+	fenced      bool
 	// recording is true while a batch is being appended to the log.
 	recording        bool
 	storeContactAt   int64   // time of the store's last answer to this owner
@@ -98,9 +98,9 @@
 	demand demandTracker
 }
 
-// finishedJob is an ended job whose state is kept for callers until deleteAt.
-type finishedJob struct {
-	id       string
+// keptRecord is a record that is kept until deleteAt: the state of an ended job, for callers, or the exclusion of a job.
+type keptRecord struct {
+	key      string
 	deleteAt int64
 }
 
@@ -188,12 +188,15 @@
 // LoadJob adds a job from the log, with its progress. wall is the Unix time in milliseconds.
 func (e *Engine) LoadJob(id string, stored *jobs.StoredJob, now, wall int64) {
 	if stored.Progress.State.Final() {
-		e.finishedJobs = append(e.finishedJobs, finishedJob{id, now + e.cfg.StatusRetentionMs})
+		e.keepRecord(jobs.ProgressKey(id), now)
 		if stored.Job != nil || stored.Cancelled {
 			e.staleJobs = append(e.staleJobs, id)
 		}
 		return
 	}
+	if stored.Excluded {
+		e.Exclude(id, now)
+	}
 	if stored.Job == nil || e.jobs[id] != nil {
 		return
 	}
@@ -260,6 +263,14 @@
 	e.addEvent(Event{JobID: id, Name: "cancel", N: j.activeCount()})
 }
 
+// Exclude keeps the exclusion of a job, which may be stored in another shard, for as long as the state of an ended job.
+func (e *Engine) Exclude(id string, now int64) { e.keepRecord(jobs.ExcludeKey(id), now) }
+
+// keepRecord schedules the deletion of the record with a key for the end of the retention time.
+func (e *Engine) keepRecord(key string, now int64) {
+	e.keptRecords = append(e.keptRecords, keptRecord{key, now + e.cfg.StatusRetentionMs})
+}
+
 // DeleteJobRecords schedules the deletion of the job and cancel records of an ended job.
 func (e *Engine) DeleteJobRecords(id string) { e.staleJobs = append(e.staleJobs, id) }
 
@@ -286,7 +297,7 @@
 	if e.jobs[j.ID] == j {
 		delete(e.jobs, j.ID)
 		e.deletePolicies(j.Job)
-		e.finishedJobs = append(e.finishedJobs, finishedJob{j.ID, now + e.cfg.StatusRetentionMs})
+		e.keepRecord(jobs.ProgressKey(j.ID), now)
 	}
 }
 
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -64,7 +64,7 @@
 // HandleBatchStored must be called before the next call. Jobs beyond maxBatchBytes are left to later batches, with the
 // starts that wait until these jobs are recorded. After an error everything is left to the next call.
 func (e *Engine) NextBatch() (*Batch, error) {
-	if len(e.dirty) == 0 && len(e.expiredJobs) == 0 && len(e.staleJobs) == 0 {
+	if len(e.dirty) == 0 && len(e.expiredKeys) == 0 && len(e.staleJobs) == 0 {
 		return nil, nil
 	}
 	b := &Batch{acks: map[string]int64{}}
@@ -74,13 +74,13 @@
 		}
 		return nil, err
 	}
-	for _, id := range e.expiredJobs {
-		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id)})
+	for _, key := range e.expiredKeys {
+		b.Records = append(b.Records, jobs.Record{Key: key})
 	}
 	for _, id := range e.staleJobs {
 		b.Records = append(b.Records, jobs.Record{Key: jobs.JobKey(id)}, jobs.Record{Key: jobs.CancelKey(id)})
 	}
-	e.expiredJobs, e.staleJobs = nil, nil
+	e.expiredKeys, e.staleJobs = nil, nil
 	if len(e.dirty) == 0 {
 		for id, v := range e.vms {
 			if v.seenSeq > v.ackedSeq {
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -67,15 +67,15 @@
 			e.throttleFill(v, now)
 		}
 	}
-	kept := e.finishedJobs[:0]
-	for _, f := range e.finishedJobs {
+	kept := e.keptRecords[:0]
+	for _, f := range e.keptRecords {
 		if now >= f.deleteAt {
-			e.expiredJobs = append(e.expiredJobs, f.id)
+			e.expiredKeys = append(e.expiredKeys, f.key)
 			continue
 		}
 		kept = append(kept, f)
 	}
-	e.finishedJobs = kept
+	e.keptRecords = kept
 }
 
 // tickVM does the periodic work for the items on one VM.
--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -56,6 +56,13 @@
 	Parts() []int
 }
 
+// Routes knows in which shards jobs of a route may be stored.
+type Routes interface {
+	// OtherShards returns the shards in which jobs of a queue's route may be stored besides part, to which an earlier
+	// configuration sent the route. Afterwards part is one of the route's shards for all entries.
+	OtherShards(ctx context.Context, q *jobs.Queue, part int) ([]int, error)
+}
+
 // Owners calls the owners of shards.
 type Owners interface {
 	// Store sends a record to the owner of a shard to be stored. Field Owner of the result is false if no owner
@@ -64,6 +71,9 @@
 	// JobState asks the owner of a shard for the state of a job. found is false if the owner does not have the job,
 	// authoritative is false if no owner could answer.
 	JobState(ctx context.Context, part int, id string) (s jobs.State, found, authoritative bool)
+	// ExcludeJob makes a shard refuse a job from now on, unless the shard has it. It returns whether the shard has the job,
+	// and false for known if no owner could answer.
+	ExcludeJob(ctx context.Context, part int, id string) (found, known bool)
 	// QueueLength asks the owner of a shard for the number of jobs of a queue that have not started.
 	// authoritative is false if no owner could answer.
 	QueueLength(ctx context.Context, part int, queue string) (n int, authoritative bool)
@@ -75,6 +85,7 @@
 	Store   owner.Store
 	Catalog Catalog
 	Shards  Shards
+	Routes  Routes
 	// ConfigUpdateMs is the time within which a new configuration must be in force, in ms; 0 if it is unknown.
 	ConfigUpdateMs int64
 	Log            *zap.Logger
@@ -142,6 +153,10 @@
 	if err != nil {
 		return err
 	}
+	stored, err := a.storedElsewhere(ctx, q, part, j.ID)
+	if stored || err != nil {
+		return err
+	}
 	j.AcceptedMs = time.Now().UnixMilli()
 	value, err := j.MarshalMsg(nil)
 	if err != nil {
@@ -158,6 +173,29 @@
 	return refusal(verdict)
 }
 
+// storedElsewhere reports whether a job was stored in a shard to which an earlier configuration sent its queue's route, and
+// makes those shards refuse it otherwise. An entry that still uses that configuration may be about to store it there.
+func (a *API) storedElsewhere(ctx context.Context, q *jobs.Queue, part int, id string) (bool, error) {
+	shards, err := a.shardsOf(ctx, q)
+	if err != nil {
+		return false, err
+	}
+	for _, other := range shards {
+		if other == part {
+			continue
+		}
+		found, known := a.cfg.Owners.ExcludeJob(ctx, other, id)
+		if !known {
+			return false, unavailable("the owner of an earlier shard of the queue does not answer at present; nothing was stored")
+		}
+		if found {
+			a.cfg.Log.Info("job handed in again", zap.String("job", id), zap.String("queue", q.Name), zap.Int("shard", other))
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // refusal returns the error that the caller gets for the verdict of storing its record, nil if it is stored.
 func refusal(v retry.Verdict) error {
 	switch v {
@@ -260,28 +298,45 @@
 	return s, err
 }
 
-// Cancel stores the cancellation of a job. It does so also if the job's owner does not answer, since the cancellation of
-// a job that does not exist has no effect.
+// Cancel stores the cancellation of a job. If an owner does not answer, it does so in all shards that may have the job, since
+// the cancellation of a job that does not exist has no effect.
 func (a *API) Cancel(ctx context.Context, q *jobs.Queue, id string) error {
-	first, err := a.part(q)
-	if err != nil {
-		return err
-	}
 	s, part, err := a.find(ctx, q, id)
 	var refused *platform.Refusal
+	parts := []int{part}
 	switch {
 	case err == nil && s.Final():
 		return nil
 	case errors.As(err, &refused) && refused.Status == http.StatusGone:
 		return err
 	case err != nil:
-		part = first
+		if parts, err = a.shardsOf(ctx, q); err != nil {
+			return err
+		}
 	}
-	startedAt := time.Now()
-	verdict := a.store(ctx, part, jobs.Record{Key: jobs.CancelKey(id), Value: []byte{1}})
-	a.cfg.Log.Info("job cancelled", zap.String("job", id), zap.String("queue", q.Name), zap.Int("shard", part),
-		zap.Stringer("stored", verdict), zap.Duration("took", time.Since(startedAt)))
-	return refusal(verdict)
+	for _, part := range parts {
+		startedAt := time.Now()
+		verdict := a.store(ctx, part, jobs.Record{Key: jobs.CancelKey(id), Value: []byte{1}})
+		a.cfg.Log.Info("job cancelled", zap.String("job", id), zap.String("queue", q.Name), zap.Int("shard", part),
+			zap.Stringer("stored", verdict), zap.Duration("took", time.Since(startedAt)))
+		if err := refusal(verdict); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// shardsOf returns all shards in which jobs of a queue's route may be stored.
+func (a *API) shardsOf(ctx context.Context, q *jobs.Queue) ([]int, error) {
+	part, err := a.part(q)
+	if err != nil {
+		return nil, err
+	}
+	others, err := a.cfg.Routes.OtherShards(ctx, q, part)
+	if err != nil {
+		return nil, unavailable("the platform's log cannot be written at present; nothing was stored")
+	}
+	return append(others, part), nil
 }
 
 // QueueLength returns the number of jobs of a queue that have not started, over all shards, since an earlier configuration
--- a/io/jobapi/api_test.go
+++ b/io/jobapi/api_test.go
@@ -45,12 +45,14 @@
 
 func (oneShard) Part(string) (int, bool) { return 0, true }
 
+func (oneShard) OtherShards(context.Context, *jobs.Queue, int) ([]int, error) { return nil, nil }
+
 // TestSubmitNearCallerDeadline guards against status 504 for a caller that retries shortly before its deadline, although
 // nothing was sent or the time was enough to store the job. In the scripted day refused-reads (seed 772178764796) on the
 // deployment kegel-live-grown, 67 of 178 answers were 504.
 func TestSubmitNearCallerDeadline(t *testing.T) {
 	owners := &quickOwners{}
-	api := New(Config{Owners: owners, Store: noStore{}, Shards: oneShard{}, Log: zap.NewNop(), Stats: stats.New()})
+	api := New(Config{Owners: owners, Store: noStore{}, Shards: oneShard{}, Routes: oneShard{}, Log: zap.NewNop(), Stats: stats.New()})
 	submit := func(left time.Duration) int {
 		ctx, cancel := context.WithTimeout(t.Context(), left)
 		defer cancel()
--- /dev/null
+++ b/io/jobapi/moved_test.go
@@ -0,0 +1,116 @@
+package jobapi
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/retry"
+	"sassafrasvalve/io/owner"
+	"sassafrasvalve/io/stats"
+	"sassafrasvalve/platform"
+)
+
+// movedJob is the ID of the job that the cases of testdata/moved.toml hand in or cancel.
+const movedJob = "0000000000000001"
+
+// The shards of those cases: the queue's service has newShard, and an earlier configuration sent the queue to oldShard.
+const (
+	oldShard = 1
+	newShard = 2
+)
+
+// movedCase is one case of testdata/moved.toml.
+type movedCase struct {
+	Name    string
+	Cancel  bool  // the job is cancelled; otherwise it is handed in
+	Has     []int // shards that have the job
+	Silent  []int // shards whose owners do not answer
+	Unknown bool  // the shards of the route cannot be recorded
+	Stored  []int // shards in which a record is stored
+	Exclude []int // shards that refuse the job from then on
+	Status  int   // of the answer
+}
+
+// movedOwners are the owners of the shards in a case.
+type movedOwners struct {
+	c        *movedCase
+	stored   []int
+	excluded []int
+}
+
+func (o *movedOwners) Store(_ context.Context, part int, _ jobs.Record) owner.StoreResult {
+	o.stored = append(o.stored, part)
+	return owner.StoreResult{Owner: true, Verdict: retry.Ran}
+}
+
+func (o *movedOwners) JobState(_ context.Context, part int, _ string) (s jobs.State, found, authoritative bool) {
+	return jobs.Running, slices.Contains(o.c.Has, part), !slices.Contains(o.c.Silent, part)
+}
+
+func (o *movedOwners) ExcludeJob(_ context.Context, part int, _ string) (found, known bool) {
+	if slices.Contains(o.c.Silent, part) {
+		return false, false
+	}
+	if slices.Contains(o.c.Has, part) {
+		return true, true
+	}
+	o.excluded = append(o.excluded, part)
+	return false, true
+}
+
+func (o *movedOwners) QueueLength(context.Context, int, string) (int, bool) { return 0, true }
+
+// Part returns the shard of the queue's present service.
+func (o *movedOwners) Part(string) (int, bool) { return newShard, true }
+
+// Parts returns all shards, with one that the queue never had.
+func (o *movedOwners) Parts() []int { return []int{0, oldShard, newShard} }
+
+// OtherShards returns the queue's earlier shard.
+func (o *movedOwners) OtherShards(context.Context, *jobs.Queue, int) ([]int, error) {
+	if o.c.Unknown {
+		return nil, errors.New("the log does not answer")
+	}
+	return []int{oldShard}, nil
+}
+
+// TestJobsOfAMovedQueue guards against a job that runs twice, as its request is repeated after a configuration has sent its
+// queue to another service, and against a cancel that is acknowledged but reaches only the queue's new shard.
+func TestJobsOfAMovedQueue(t *testing.T) {
+	data, err := os.ReadFile("testdata/moved.toml")
+	assert.NilError(t, err)
+	var script struct{ Case []movedCase }
+	assert.NilError(t, toml.Unmarshal(data, &script))
+	for _, c := range script.Case {
+		t.Run(c.Name, func(t *testing.T) {
+			o := &movedOwners{c: &c}
+			api := New(Config{Owners: o, Store: noStore{}, Shards: o, Routes: o, Log: zap.NewNop(), Stats: stats.New()})
+			q := &jobs.Queue{Name: "q", Service: "s", Host: "h", Prefix: "/p/"}
+			var err error
+			if c.Cancel {
+				err = api.Cancel(t.Context(), q, movedJob)
+			} else {
+				err = api.Submit(t.Context(), q, &jobs.Job{ID: movedJob})
+			}
+			status := http.StatusOK
+			var refused *platform.Refusal
+			if errors.As(err, &refused) {
+				status = refused.Status
+			} else {
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, status, c.Status)
+			assert.DeepEqual(t, o.stored, c.Stored)
+			assert.DeepEqual(t, o.excluded, c.Exclude)
+		})
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -162,7 +162,10 @@
 	go n.peers.relayServer.Run(base)
 	go reb.Run(base)
 	go (&relayOffers{n: n, nextOffer: map[string]time.Time{}}).Run(base)
-	api := jobapi.New(jobapi.Config{Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards, ConfigUpdateMs: n.cfg.Times.ConfigMs, Log: n.log, Stats: n.stats})
+	api := jobapi.New(jobapi.Config{
+		Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards,
+		Routes: &routeShards{store: n.store, directory: n.directory, log: n.log}, ConfigUpdateMs: n.cfg.Times.ConfigMs, Log: n.log, Stats: n.stats,
+	})
 	server := &http.Server{
 		Handler: &platform.Front{JobAPI: api, Log: n.log}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -25,6 +25,7 @@
 	methodState   = "State"
 	methodPost    = "Post"
 	methodWaiting = "Waiting"
+	methodExclude = "Exclude"
 )
 
 // Timeouts of a record that is passed to an owner.
@@ -60,6 +61,9 @@
 // queryTimeout bounds a query to an owner for a job or a queue length.
 const queryTimeout = 500 * time.Millisecond
 
+// excludeTimeout bounds a call that excludes a job from a shard, for which the owner appends to the log and reads it.
+const excludeTimeout = time.Second
+
 // stateRequest asks for the state of a job.
 type stateRequest struct {
 	Part int
@@ -94,6 +98,18 @@
 	N    int
 }
 
+// excludeRequest asks the owner of a shard to refuse a job from now on, unless the shard has it.
+type excludeRequest struct {
+	Part int
+	ID   string
+}
+
+// excludeAnswer is the answer to an excludeRequest.
+type excludeAnswer struct {
+	Known bool // Found is certain, and the shard refuses the job unless it has it
+	Found bool // the shard has the job
+}
+
 // ownsRequest asks whether a process is the owner of a shard.
 type ownsRequest struct {
 	Part int
@@ -153,6 +169,11 @@
 		return struct{}{}
 	})
 	handle(s, methodState, func(ctx context.Context, req stateRequest) any { return o.localJobState(ctx, req.Part, req.ID) })
+	handle(s, methodExclude, func(ctx context.Context, req excludeRequest) any {
+		ctx, cancel := context.WithTimeout(ctx, excludeTimeout)
+		defer cancel()
+		return o.excludeLocal(ctx, req.Part, req.ID)
+	})
 	handle(s, methodWaiting, func(_ context.Context, req waitingRequest) any { return o.localQueueLength(req.Part, req.Queue) })
 	handle(s, relay.MethodOffer, func(_ context.Context, req relay.Offer) any { return o.relaySet.Offer(req) })
 	handle(s, methodOwns, func(_ context.Context, req ownsRequest) any {
@@ -246,6 +267,35 @@
 	return stateAnswer{State: s, Known: found, Sure: authoritative}
 }
 
+// ExcludeJob makes a shard refuse a job from now on, unless the shard has it. known is false if no owner could answer.
+func (o *shardOwners) ExcludeJob(ctx context.Context, part int, id string) (found, known bool) {
+	var a excludeAnswer
+	claim := o.directory.Shard(part).Claim
+	switch claim.Owner {
+	case "":
+	case o.member:
+		a = o.excludeLocal(ctx, part, id)
+	default:
+		ctx, cancel := context.WithTimeout(ctx, excludeTimeout)
+		defer cancel()
+		if err := o.conns.Call(ctx, claim.Addr, methodExclude, excludeRequest{Part: part, ID: id}, &a); err != nil {
+			o.log.Info("call to exclude a job at owner failed", zap.String("job", id), zap.Int("shard", part), zap.Error(err))
+			return false, false
+		}
+	}
+	return a.Found, a.Known
+}
+
+// excludeLocal makes a shard refuse a job if this process owns the shard.
+func (o *shardOwners) excludeLocal(ctx context.Context, part int, id string) excludeAnswer {
+	own := o.find(part)
+	if own == nil {
+		return excludeAnswer{}
+	}
+	found, known := own.ExcludeJob(ctx, id)
+	return excludeAnswer{Known: known, Found: found}
+}
+
 // QueueLength asks the owner of a shard for the number of jobs of a queue that have not started. authoritative is false
 // if no owner could answer.
 func (o *shardOwners) QueueLength(ctx context.Context, part int, queue string) (n int, authoritative bool) {
--- /dev/null
+++ b/io/node/routes.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
+
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/io/tail"
+	"sassafrasvalve/platform"
+)
+
+// routeAppendTimeout bounds the append that records a shard of a route. It is needed once for each service that a route is
+// sent to.
+const routeAppendTimeout = 700 * time.Millisecond
+
+// errRouteNotRecorded is returned while the log does not confirm that a shard is one of a route's.
+var errRouteNotRecorded = errors.New("the shard of the route is not recorded")
+
+// routeShards knows in which shards jobs of a route may be stored. A configuration may send a route to another service, and so
+// to another shard, and a process that starts later reads the newest configuration only. So a shard is recorded in the
+// owners' partition, which all entries follow, before the first job of the route is stored there.
+type routeShards struct {
+	store     *platform.Store
+	directory *tail.Directory
+	log       *zap.Logger
+	records   singleflight.Group
+}
+
+// OtherShards returns the shards in which jobs of a queue's route may be stored besides part, where the next ones are
+// stored. It fails if it cannot record part.
+func (r *routeShards) OtherShards(ctx context.Context, q *jobs.Queue, part int) ([]int, error) {
+	route := q.Route()
+	list := r.directory.RouteShards(route)
+	if !slices.Contains(list, part) {
+		rec := jobs.RouteRecord(route, part)
+		if err := r.recordOnce(ctx, rec); err != nil {
+			r.log.Warn("record of a route's shard not stored", zap.String("queue", q.Name), zap.Int("shard", part), zap.Error(err))
+			return nil, err
+		}
+		if list = r.directory.RouteShards(route); !slices.Contains(list, part) {
+			return nil, errRouteNotRecorded
+		}
+		r.log.Info("shard of a route recorded", zap.String("queue", q.Name), zap.Int("shard", part), zap.Ints("shards", list))
+	}
+	return slices.DeleteFunc(list, func(p int) bool { return p == part }), nil
+}
+
+// recordOnce records a shard of a route. Callers that come at the same time share one append.
+func (r *routeShards) recordOnce(ctx context.Context, rec jobs.Record) error {
+	recorded := r.records.DoChan(rec.Key, func() (any, error) { return nil, r.record(context.WithoutCancel(ctx), rec) })
+	select {
+	case res := <-recorded:
+		return res.Err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// record appends a record of a route's shard and reads the owners' partition to its end, which shows the shards that other
+// entries recorded before.
+func (r *routeShards) record(ctx context.Context, rec jobs.Record) error {
+	res, err := r.store.Append(platform.AppendRequest{
+		Topic: platform.TopicOwners, At: -1, Records: []jobs.Record{rec}, Deadline: time.Now().Add(routeAppendTimeout),
+	})
+	if err != nil {
+		return err
+	}
+	if res.Outcome != platform.Appended {
+		return fmt.Errorf("%w: outcome %d of the append", errRouteNotRecorded, res.Outcome)
+	}
+	return r.directory.CatchUp(ctx)
+}
--- a/io/owner/batch.go
+++ b/io/owner/batch.go
@@ -39,7 +39,13 @@
 			for _, p := range b.pending {
 				r.jobLog.Apply(p.records)
 			}
-			answerAll(b.pending, StoreResult{Owner: true, Verdict: retry.Ran})
+			for _, p := range b.pending {
+				s := StoreResult{Owner: true, Verdict: retry.Ran}
+				if r.excludes(p.records) {
+					s.Verdict = retry.NotRun // the exclusion came first
+				}
+				p.done <- s
+			}
 		} else {
 			answerAll(b.pending, StoreResult{Owner: true, Verdict: retry.MayHaveRun})
 		}
--- a/io/owner/pending.go
+++ b/io/owner/pending.go
@@ -50,8 +50,13 @@
 	if o.lost.Load() || o.health.refusing() || o.health.unavailable() {
 		return StoreResult{Verdict: retry.NotRun} // the store may still accept appends of the calling entry
 	}
-	if r := o.run.Load(); r != nil && r.isStored(records) {
-		return StoreResult{Owner: true, Verdict: retry.Ran}
+	if r := o.run.Load(); r != nil {
+		switch {
+		case r.isStored(records):
+			return StoreResult{Owner: true, Verdict: retry.Ran}
+		case r.excludes(records):
+			return StoreResult{Owner: true, Verdict: retry.NotRun}
+		}
 	}
 	p := &pendingRecords{records: records, done: make(chan StoreResult, 1)}
 	select {
@@ -119,6 +124,28 @@
 	return s, found, o.OwnershipConfirmed()
 }
 
+// ExcludeJob makes the shard refuse a job from now on, unless it has the job already. It returns whether the shard has the
+// job, and false for known if that could not be determined; the shard may refuse the job then all the same.
+func (o *Owner) ExcludeJob(ctx context.Context, id string) (found, known bool) {
+	r := o.run.Load()
+	if r == nil {
+		return false, false
+	}
+	if _, found = r.jobLog.JobState(id); found {
+		return true, o.OwnershipConfirmed()
+	}
+	s := o.AppendRecords(ctx, []jobs.Record{jobs.ExcludeRecord(id)})
+	if s.Verdict != retry.Ran {
+		return false, false
+	}
+	// Another entry may have appended the job directly before the exclusion.
+	if r.jobLog.CatchUp(ctx) != nil {
+		return false, false
+	}
+	_, found = r.jobLog.JobState(id)
+	return found, true
+}
+
 // QueueLength returns the number of jobs of a queue that have not started. It returns false if the answer is not
 // authoritative.
 func (o *Owner) QueueLength(queue string) (int, bool) {
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -167,6 +168,14 @@
 	return found
 }
 
+// excludes reports whether the records submit a job that the shard refuses, because it may be stored in another shard.
+func (r *poolRun) excludes(records []jobs.Record) bool {
+	return slices.ContainsFunc(records, func(rec jobs.Record) bool {
+		id, ok := jobs.ParseJobKey(rec.Key)
+		return ok && r.jobLog.Excluded(id)
+	})
+}
+
 // serve runs until ctx ends or the shard is lost. It returns true if everything that it did is recorded.
 func (r *poolRun) serve(ctx context.Context) bool {
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
@@ -341,6 +350,9 @@
 		if c.Stale {
 			r.engine.DeleteJobRecords(c.ID)
 		}
+		if c.Excluded {
+			r.engine.Exclude(c.ID, now)
+		}
 	})
 	if v := r.jobLog.Position(); !v.Failed {
 		r.engine.MarkStoreReachable(v.ReadAtMs)
--- a/io/tail/directory.go
+++ b/io/tail/directory.go
@@ -108,6 +108,13 @@
 	return d.fold.Vacate.VMs
 }
 
+// RouteShards returns the shards in which jobs of a route may be stored.
+func (d *Directory) RouteShards(route string) []int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fold.RouteShards(route)
+}
+
 // Upkeeps returns the recorded upkeeps; the value is true for those that are done.
 func (d *Directory) Upkeeps() map[jobs.Upkeep]bool {
 	d.mu.Lock()
--- a/io/tail/joblog.go
+++ b/io/tail/joblog.go
@@ -43,7 +43,7 @@
 			l.log.Warn("record skipped", zap.Int("shard", l.cfg.Part), zap.Error(err))
 			continue
 		}
-		if l.subscriber != nil && (c.Submitted || c.Cancelled || c.Stale) {
+		if l.subscriber != nil && (c.Submitted || c.Cancelled || c.Stale || c.Excluded) {
 			l.changes = append(l.changes, c)
 		}
 	}
@@ -84,6 +84,14 @@
 	return l.table.Find(id)
 }
 
+// Excluded reports whether the shard refuses a job, because it may be stored in another shard.
+func (l *JobLog) Excluded(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.table.Jobs[id]
+	return j != nil && j.Excluded
+}
+
 // QueueLength returns the number of jobs of a queue that have not started.
 func (l *JobLog) QueueLength(queue string) int {
 	l.mu.Lock()
