shard: Record the end of each run and look up unlisted VMs

Cause: a run that was stopped, or that ended with its VM, did not mark its job as changed, so the log said that the item was still there. The next owner waited for the leases of that VM, 9.5 s from its takeover, and did not ask the machine list about a VM that is not listed.

Evidence: the record of the case: the run ends as stopped, no progress record follows, and each next owner adopts the run. Ruled out: lack of room (2 free places), and a late notice of the end.

Each release of an item from its VM is recorded now. The lifetime of an unlisted VM with runs ends once no machine has it; one that a machine still has is waited for as before.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -132,18 +132,18 @@
 func (e *Engine) MarkOwnershipConfirmed(at int64) { e.confirmedAt = max(e.confirmedAt, at) }
 
 // NeedsMachineList reports whether the machine list could show that a VM lifetime has ended: that of a silent VM with
-// runs, or of one that an earlier owner may have used.
+// runs, of one with runs that is not listed, or of one that an earlier owner may have used.
 func (e *Engine) NeedsMachineList() bool {
 	for _, v := range e.vms {
-		if v.silent && len(v.runs) > 0 {
+		if (v.silent || !v.listed) && len(v.runs) > 0 {
 			return true
 		}
 	}
 	return e.initialPolls.pending
 }
 
-// SetMachines applies the platform's machine list, which was requested at requestedAt. The lifetime of a silent VM is
-// treated as ended if the VM was known before the request and no listed machine has it any more.
+// SetMachines applies the platform's machine list, which was requested at requestedAt. The lifetime of a VM
+// that is silent or not listed is treated as ended if the VM was known before the request and no machine has it any more.
 func (e *Engine) SetMachines(machines []pools.Machine, requestedAt, now int64) {
 	current := make(map[string]bool, len(machines))
 	byID := make(map[string]*pools.Machine, len(machines))
@@ -156,7 +156,7 @@
 		return v != nil && v.polled
 	})
 	for id, v := range e.vms {
-		if v.silent && !current[id] && v.knownAt < requestedAt && (len(v.runs) > 0 || v.polled) {
+		if (v.silent || !v.listed) && !current[id] && v.knownAt < requestedAt && (len(v.runs) > 0 || v.polled) {
 			e.endLifetime(v, lifetimeEnd{cause: v.causeByMachine(byID[v.Machine], now)}, now)
 			v.silent = true // it must be polled again before use
 		}
@@ -388,10 +388,14 @@
 	return e.sortedVMs
 }
 
-// release detaches an item from its VM, so that it may run elsewhere.
+// release detaches an item from its VM, so that it may run elsewhere. That is recorded also if it cannot start yet: a next
+// owner would wait for a run that has ended until the leases on its VM have expired.
 func (e *Engine) release(it *item, now int64) {
 	if it.vm != nil {
 		it.vm.detach(it)
+		if !it.done && !it.job.state.Final() {
+			e.markDirty(it.job)
+		}
 	}
 	it.phase = idle
 	it.phaseSince = now
