owner: Release a shard as complete only if earlier owners left nothing

Cause: serve reported "nothing was done" for a takeover that ended early, and the end of a run looked at its own records only. The shard was released as complete, so the next owner polled nobody. Evidence: "shard released", reason "released", 0.2 s after "shard claimed" with reason "owner gone".

--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -82,7 +82,8 @@
 
 // Runner does the work of a shard while this process owns it.
 type Runner interface {
-	// Serve runs until ctx ends or the shard is lost. It returns true if everything that it did is recorded.
+	// Serve runs until ctx ends or the shard is lost. It returns true if everything that this owner and earlier ones did is
+	// recorded.
 	Serve(ctx context.Context, o *Owner) bool
 }
 
@@ -197,8 +198,8 @@
 // Reasons of claims that tell the next owner how complete the records are.
 const (
 	reasonFirst      = "no owner yet"
-	reasonReleased   = "released"            // the earlier owner recorded everything that it did
-	reasonIncomplete = "released in haste"   // some of what the earlier owner did is not recorded
+	reasonReleased   = "released"            // everything that earlier owners did is recorded
+	reasonIncomplete = "released in haste"   // some of what the earlier owner, or one before it, did is not recorded
 	reasonSilent     = "owner silent"        // the earlier owner may still be running
 	reasonGone       = "owner gone"          // the earlier owner's process denied the ownership or no longer exists
 	reasonOwn        = "own claim left over" // a claim of this process is in force, but the process does not serve it
@@ -404,7 +405,7 @@
 }
 
 // release appends a claim without an owner, so that other processes may claim the shard. recorded tells whether
-// everything that this process did is recorded. It returns true if the release is stored.
+// everything that this process and earlier owners did is recorded. It returns true if the release is stored.
 func (o *Owner) release(ctx context.Context, recorded bool) bool {
 	reason := reasonReleased
 	if !recorded {
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -85,7 +85,7 @@
 // NewPoolRunner returns the runner of a pool.
 func NewPoolRunner(cfg PoolConfig) *PoolRunner { return &PoolRunner{cfg} }
 
-// Serve runs the pool until ctx ends or the shard is lost. It returns true if everything that it did is recorded.
+// Serve runs the pool until ctx ends or the shard is lost. It returns true if the shard's records are complete.
 func (p *PoolRunner) Serve(ctx context.Context, o *Owner) bool {
 	return newPoolRun(p.cfg, o).serve(ctx)
 }
@@ -176,14 +176,15 @@
 	})
 }
 
-// serve runs until ctx ends or the shard is lost. It returns true if everything that it did is recorded.
+// serve runs until ctx ends or the shard is lost. It returns true if the next owner needs no initial polls: everything that
+// this owner and earlier ones did is recorded.
 func (r *poolRun) serve(ctx context.Context) bool {
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.wg.Wait()
 	defer r.cancel()
 	defer r.cfg.Registry.Watch(r.wake)()
 	if !r.takeOver(ctx) {
-		return true // nothing was done
+		return r.o.recordsComplete() // nothing was done, also about what an earlier owner left unrecorded
 	}
 	go r.jobLog.Run(r.ctx)
 	r.o.run.Store(r)
@@ -297,7 +298,16 @@
 	r.mu.Lock()
 	r.startAppend(calls)
 	r.mu.Unlock()
-	return r.engineBatch == nil || <-appended
+	if r.engineBatch != nil && !<-appended {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.engine.InitialPollsDone() {
+		r.log.Info("shard given up before all vms of the earlier owner were polled")
+		return false
+	}
+	return true
 }
 
 // machineListInterval is the pause between two checks whether the engine needs the list of machines.
