--- a/core/shard/crash_pool_test.go
+++ b/core/shard/crash_pool_test.go
@@ -39,13 +39,16 @@
 	// dropStart is an item whose next start crashes its VM unexecuted, and dropped the number of such starts.
 	dropStart string
 	dropped   int
-	silent    bool           // a crash takes the replies to the starts of poison items with it
-	starts    map[string]int // by item
-	crashes   map[string]int // VMs that crashed under an item, by item
-	after3    map[string]int // starts of an item after three of its VMs had crashed
-	lost      int            // runs of sound items that ended with their VMs
-	ended     map[string]jobs.State
-	endedAt   map[string]int64
+	// killAtStart is the start of a poison item, counted from 1, after which its owner is lost with all that it has not recorded.
+	killAtStart int
+	ownerLost   bool
+	silent      bool           // a crash takes the replies to the starts of poison items with it
+	starts      map[string]int // by item
+	crashes     map[string]int // VMs that crashed under an item, by item
+	after3      map[string]int // starts of an item after three of its VMs had crashed
+	lost        int            // runs of sound items that ended with their VMs
+	ended       map[string]jobs.State
+	endedAt     map[string]int64
 }
 
 // crashMachine is a machine, with the VM that runs on it.
@@ -153,6 +156,11 @@
 		p.e.MarkStoreReachable(p.now)
 		p.e.Advance(p.now, p.now)
 		p.carryOut(p.e.TakeOrders())
+		if p.ownerLost {
+			p.ownerLost = false
+			p.takeOver()
+			continue
+		}
 		p.record()
 	}
 }
@@ -240,6 +248,7 @@
 	if !p.poison[o.Item] {
 		return pools.Done
 	}
+	p.ownerLost = p.starts[o.Item] == p.killAtStart
 	if p.crashes[o.Item] >= 3 {
 		p.after3[o.Item]++
 	}
--- a/core/shard/crash_test.go
+++ b/core/shard/crash_test.go
@@ -88,6 +88,25 @@
 	}
 }
 
+// TestLostOwnerGaveThePoisonStart guards against an item that crashes more VMs than its budget of starts allows, because the
+// owner that gave one of its starts is killed before it has recorded that start.
+func TestLostOwnerGaveThePoisonStart(t *testing.T) {
+	for start := 1; start <= 6; start++ {
+		t.Run(fmt.Sprint("start ", start), func(t *testing.T) {
+			p := newCrashPool(t, 10)
+			p.poison["bad.0.0.0"], p.killAtStart = true, start
+			load := p.load(100, 6000)
+			p.run(40_000, func() {
+				load()
+				if p.now == 600 {
+					p.submit("bad", jobs.Step{Count: 6})
+				}
+			})
+			p.checkGivenUp()
+		})
+	}
+}
+
 // TestSoundJobsSurviveManyCrashes guards against jobs that are failed because VMs crash for other reasons: racks at once and
 // single VMs all the time.
 func TestSoundJobsSurviveManyCrashes(t *testing.T) {
