owner: Append all last records before a shard is released

A stop by plan appended one batch, which holds at most 1 MB of progress, and released the shard as complete. The next owner did not poll the VMs and could start items again whose starts were in no record. A batch that could not be encoded was released as complete, too.

The last records are appended in as many batches as they take, and a rest counts as incomplete.

--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -93,6 +93,9 @@
 	return b, nil
 }
 
+// HasUnrecordedJobs reports whether the progress of a job has changed since the last batch that holds it.
+func (e *Engine) HasUnrecordedJobs() bool { return len(e.dirty) > 0 }
+
 // addProgress adds the progress records of the jobs that have changed, up to maxBatchBytes. It returns the error of the
 // first record that cannot be encoded.
 func (e *Engine) addProgress(b *Batch) error {
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -283,22 +283,26 @@
 	}
 }
 
-// recordRemaining appends what was decided but not recorded yet, so that the next owner's records are complete. It
-// returns false if that fails.
+// recordRemaining appends what was decided but not recorded yet, so that the next owner's records are complete. It returns
+// true if they are. It need not wait for what polls still find, as the VMs list that again to the next owner.
 func (r *poolRun) recordRemaining(calls chan<- *appendCall, appended <-chan bool) bool {
 	if r.o.lost.Load() {
 		return false
 	}
-	if r.engineBatch != nil {
-		if !<-appended {
-			return false
+	unrecorded := true
+	for first := true; first || unrecorded && r.engineBatch != nil; first = false {
+		if r.engineBatch != nil {
+			if !<-appended {
+				return false
+			}
+			r.handleBatchStored()
 		}
-		r.handleBatchStored()
+		r.mu.Lock()
+		r.startAppend(calls)
+		unrecorded = r.engine.HasUnrecordedJobs() // one batch does not hold all jobs
+		r.mu.Unlock()
 	}
-	r.mu.Lock()
-	r.startAppend(calls)
-	r.mu.Unlock()
-	if r.engineBatch != nil && !<-appended {
+	if unrecorded || r.engineBatch != nil && !<-appended {
 		return false
 	}
 	r.mu.Lock()
