--- a/fake/plat/log.go
+++ b/fake/plat/log.go
@@ -39,12 +39,13 @@
 	// Silent leaves the connection of a lost reply open, as a network that drops packets does. Otherwise the
 	// connection is reset.
 	Silent      bool
+	downParts   map[string]bool // partitions that answer with status 503, as TOPIC/PART
 	appendCount int
 }
 
 // NewLog returns an empty log.
 func NewLog() *Log {
-	l := &Log{parts: map[string]*partition{}}
+	l := &Log{parts: map[string]*partition{}, downParts: map[string]bool{}}
 	l.appended = sync.NewCond(&l.mu)
 	return l
 }
@@ -63,6 +64,20 @@
 	l.Down, l.LoseEvery = down, loseEvery
 }
 
+// SetPartDown sets whether all calls to a partition fail with status 503.
+func (l *Log) SetPartDown(topic string, part int, down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.downParts[topic+"/"+strconv.Itoa(part)] = down
+}
+
+// ClearPartsDown ends the faults of single partitions.
+func (l *Log) ClearPartsDown() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.downParts)
+}
+
 func (l *Log) part(topic, part string) *partition {
 	key := topic + "/" + part
 	p := l.parts[key]
@@ -101,8 +116,9 @@
 	mux.HandleFunc("GET /log-read", l.read)
 	mux.HandleFunc("GET /log-newest", l.readNewest)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
 		l.mu.Lock()
-		down := l.Down
+		down := l.Down || l.downParts[q.Get("topic")+"/"+q.Get("part")]
 		l.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/fake/plat/plat.go
+++ b/fake/plat/plat.go
@@ -21,15 +21,22 @@
 	// the VM itself.
 	Route func(addr string) (string, error)
 	Spare int // machines that are switched off at the start
+	// SecondVMs is the number of VMs of SecondService, to which MoveQueue sends the queue; 0 means that there is no such
+	// service.
+	SecondVMs int
+	// UncheckedFences makes the platform carry out orders about machines with any fence number. An order with a lower number
+	// than an earlier one is a violation then.
+	UncheckedFences bool
 }
 
 // Names in the configuration of the fake platform.
 const (
-	Service = "desk"
-	Off     = "off"
-	Queue   = "holds"
-	Host    = "desk.example"
-	Prefix  = "/holds/"
+	Service       = "desk"
+	SecondService = "till"
+	Off           = "off"
+	Queue         = "holds"
+	Host          = "desk.example"
+	Prefix        = "/holds/"
 )
 
 // Capacity of a VM, and intervals of the platform.
@@ -64,6 +71,7 @@
 	poison     map[string]*poisonItem // by name
 	store      string
 	cloud      string
+	version    int // of the configuration
 	stopped    chan struct{}
 	wg         sync.WaitGroup
 }
@@ -76,6 +84,7 @@
 	movingUntilMs int64 // end of the move in progress, or 0
 	crashAtMs     int64 // time at which its VM crashes under a poison item, or 0
 	downUntilMs   int64 // end of the time for which it is down after that, or 0
+	expired       bool  // the entry of its VM has expired and is not renewed
 	fence         int64 // highest fence number of an order
 }
 
@@ -100,19 +109,22 @@
 	if p.cloud, err = p.listen(mux); err != nil {
 		return nil, err
 	}
-	for i := range cfg.VMs + cfg.Spare {
+	for i := range cfg.VMs + cfg.Spare + cfg.SecondVMs {
 		m := &machine{id: fmt.Sprintf("m-%02d", i), pool: Service}
-		if i >= cfg.VMs {
+		switch {
+		case i >= cfg.VMs+cfg.Spare:
+			m.pool = SecondService
+		case i >= cfg.VMs:
 			m.pool = Off
 		}
 		p.machines = append(p.machines, m)
-		if m.pool == Service {
+		if m.pool != Off {
 			if err := p.boot(m); err != nil {
 				return nil, err
 			}
 		}
 	}
-	p.configure()
+	p.configure(Service)
 	p.wg.Add(1)
 	go p.loop()
 	return p, nil
@@ -155,18 +167,56 @@
 
 func (p *Platform) nowMs() int64 { return time.Since(p.startedAt).Milliseconds() + 1 }
 
-// configure appends the operator's configuration to the log.
-func (p *Platform) configure() {
+// MoveQueue appends a configuration that sends the queue to the other service.
+func (p *Platform) MoveQueue() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.configure([]string{Service, SecondService}[p.version%2])
+}
+
+// ExpireEntries removes the entries of all VMs from the log, as an outage does, and stops their reports until RenewEntry is
+// called for each machine.
+func (p *Platform) ExpireEntries() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.machines {
+		if m.vm != nil {
+			m.expired = true
+			p.Log.Put("keyed.servers", m.vm.ID, nil)
+		}
+	}
+}
+
+// MachineCount returns the number of machines.
+func (p *Platform) MachineCount() int { return len(p.machines) }
+
+// RenewEntry adds the entry of machine i's VM again after ExpireEntries.
+func (p *Platform) RenewEntry(i int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.machines[i]
+	if m.expired = false; m.vm != nil {
+		p.announce(m)
+	}
+}
+
+// configure appends the operator's next configuration to the log. It sends the queue to a service.
+func (p *Platform) configure(service string) {
+	p.version++
+	services := []any{
+		map[string]any{"name": Service, "admission_check": true},
+		map[string]any{"name": Off, "admission_check": true, "spare": true},
+	}
+	if p.cfg.SecondVMs > 0 {
+		services = append(services, map[string]any{"name": SecondService, "admission_check": true})
+	}
 	config := map[string]any{
-		"version": 1,
+		"version": p.version,
 		"routes": []any{map[string]any{
-			"name": Queue, "host": Host, "prefix": Prefix, "service": Service, "attempts": 4, "stretch": 1.6, "slo_ms": 600,
+			"name": Queue, "host": Host, "prefix": Prefix, "service": service, "attempts": 4, "stretch": 1.6, "slo_ms": 600,
 		}},
-		"services": []any{
-			map[string]any{"name": Service, "admission_check": true},
-			map[string]any{"name": Off, "admission_check": true, "spare": true},
-		},
-		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 262144},
+		"services": services,
+		"limits":   map[string]any{"header_bytes": 16384, "body_bytes": 262144},
 	}
 	b, err := json.Marshal(config)
 	if err != nil {
@@ -195,7 +245,7 @@
 		}
 	}
 	vm.Addr = addr
-	m.vm, m.server = vm, p.servers[len(p.servers)-1]
+	m.vm, m.server, m.expired = vm, p.servers[len(p.servers)-1], false
 	p.announce(m)
 	return nil
 }
@@ -332,7 +382,7 @@
 				continue
 			}
 			m.vm.Advance(now)
-			if mustReport {
+			if mustReport && !m.expired {
 				p.announce(m)
 			}
 		}
--- a/fake/plat/serve.go
+++ b/fake/plat/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -127,11 +128,15 @@
 		if m.id != b.Machine {
 			continue
 		}
-		if fence < m.fence {
+		switch {
+		case fence >= m.fence:
+		case p.cfg.UncheckedFences:
+			p.violations = append(p.violations, fmt.Sprintf("ONE %s: fence number %d after %d", m.id, fence, m.fence))
+		default:
 			writeJSON(w, http.StatusConflict, map[string]any{"reason": "fence"})
 			return
 		}
-		m.fence = fence
+		m.fence = max(m.fence, fence)
 		if m.downUntilMs > 0 {
 			writeJSON(w, http.StatusConflict, map[string]any{"reason": "busy"})
 			return
--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -26,12 +27,14 @@
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/fake/plat"
 	"sassafrasvalve/fake/ports"
+	"sassafrasvalve/platform"
 )
 
 // Numbers of processes, times and default seeds of a run.
 const (
 	entryCount      = 3
 	vmCount         = 4
+	secondVMCount   = 2 // VMs of the service to which the queue is moved
 	faultTime       = 8 * time.Second
 	completionLimit = 30 * time.Second
 	poisonEvery     = 40 // every poisonEvery-th job has an item that crashes its VMs
@@ -188,12 +191,14 @@
 	t         *testing.T
 	rng       *rand.Rand
 	extraRng  *rand.Rand // for faults that were added later, so that rng still draws the same values for a seed
+	platRng   *rand.Rand // for faults of the platform that were added after those
 	plat      *plat.Platform
 	entries   []*process
 	client    *http.Client
 	mu        sync.Mutex
-	vmProxies []*proxy // one for each VM lifetime, added when the fake platform boots a VM
-	events    []string // the injected faults in order, for failure messages
+	vmProxies []*proxy       // one for each VM lifetime, added when the fake platform boots a VM
+	submitted map[string]any // bodies of the accepted requests, by job
+	events    []string       // the injected faults in order, for failure messages
 }
 
 // listVMProxies returns the proxies of all VM lifetimes until now.
@@ -232,13 +237,27 @@
 	ms := 50 + s.rng.Int64N(600)
 	steps := []jobs.Step{{Count: n, CPU: 2000, MemMB: 1000, EstimateMs: ms}, {Count: 1, CPU: 1000, MemMB: 500, EstimateMs: ms, After: []int{0}}}
 	s.plat.SetSteps(id, steps)
-	status, _ := s.call(s.entries[s.rng.IntN(len(s.entries))], http.MethodPost, plat.Prefix+id, map[string]any{"spec": "x", "steps": []any{
+	body := map[string]any{"spec": "x", "steps": []any{
 		map[string]any{"count": n, "cpu": 2000, "mem_mb": 1000, "estimate_ms": ms},
 		map[string]any{"count": 1, "cpu": 1000, "mem_mb": 500, "estimate_ms": ms, "after": []int{0}},
-	}})
+	}}
+	status, _ := s.call(s.entries[s.rng.IntN(len(s.entries))], http.MethodPost, plat.Prefix+id, body)
+	if status == http.StatusOK {
+		s.submitted[id] = body
+	}
 	return status
 }
 
+// repeatRequest sends the request of an accepted job once more, as a late copy in the network is. It is still one job.
+func (s *soak) repeatRequest() {
+	ids := slices.Sorted(maps.Keys(s.submitted))
+	if len(ids) == 0 {
+		return
+	}
+	id := ids[s.platRng.IntN(len(ids))]
+	s.call(s.entries[s.platRng.IntN(len(s.entries))], http.MethodPost, plat.Prefix+id, s.submitted[id])
+}
+
 // injectFault injects a random fault, and sometimes also sends malformed input.
 func (s *soak) injectFault() {
 	e := s.entries[s.rng.IntN(len(s.entries))]
@@ -248,6 +267,9 @@
 		s.logEvent("malformed input %d to %s of %s", n, addr, e.name)
 		s.sendMalformed(addr, malformed[n])
 	}
+	if s.platRng.IntN(platformFaultEvery) == 0 {
+		s.injectPlatformFault()
+	}
 	switch s.rng.IntN(8) {
 	case 0:
 		s.logEvent("kill %s", e.name)
@@ -284,6 +306,57 @@
 	}
 }
 
+// repeatEvery is the mean number of requests per repeated one.
+const repeatEvery = 10
+
+// platformFaultEvery is the mean number of faults per fault of the platform that injectPlatformFault adds.
+const platformFaultEvery = 4
+
+// injectPlatformFault takes a partition of the log away, moves the queue to another service, or lets the entries of the VMs
+// expire in an outage in which entries are killed.
+func (s *soak) injectPlatformFault() {
+	switch s.platRng.IntN(3) {
+	case 0:
+		topic, part := platform.TopicJobs, s.platRng.IntN(3)
+		if s.platRng.IntN(3) == 0 {
+			topic, part = platform.TopicOperator, 0
+		}
+		s.logEvent("partition %d of %s down", part, topic)
+		s.plat.Log.SetPartDown(topic, part, true)
+		time.AfterFunc(time.Duration(1000+s.platRng.IntN(4000))*time.Millisecond, func() { s.plat.Log.SetPartDown(topic, part, false) })
+	case 1:
+		s.logEvent("queue moved")
+		s.plat.MoveQueue()
+	case 2:
+		s.expireInOutage()
+	}
+}
+
+// expireInOutage takes the log away for some seconds and lets the entries of the VMs expire meanwhile. Shortly before its end it
+// kills some of the entries of the system. The VMs are listed again within 2 s.
+func (s *soak) expireInOutage() {
+	s.plat.Log.SetFaults(true, 0)
+	time.Sleep(300 * time.Millisecond) // owners start items without a record meanwhile
+	s.plat.ExpireEntries()
+	time.Sleep(time.Duration(500+s.platRng.IntN(2500)) * time.Millisecond)
+	var killed []string
+	for _, e := range s.entries {
+		if s.platRng.IntN(3) > 0 {
+			killed = append(killed, e.name)
+			go e.replace(syscall.SIGKILL)
+		}
+	}
+	s.logEvent("entries of the VMs expired in an outage of the log; kill %s", strings.Join(killed, ", "))
+	time.Sleep(time.Duration(s.platRng.IntN(400)) * time.Millisecond)
+	s.plat.Log.SetFaults(false, 0)
+	for i := range s.plat.MachineCount() {
+		time.AfterFunc(time.Duration(s.platRng.IntN(maxListingMs))*time.Millisecond, func() { s.plat.RenewEntry(i) })
+	}
+}
+
+// maxListingMs is the time in ms after an outage of the log within which the VMs are listed again.
+const maxListingMs = 2000
+
 // malformedEvery is the mean number of faults per malformed input.
 const malformedEvery = 4
 
@@ -310,6 +383,10 @@
 // clearFaults ends all faults.
 func (s *soak) clearFaults() {
 	s.plat.Log.SetFaults(false, 0)
+	s.plat.Log.ClearPartsDown()
+	for i := range s.plat.MachineCount() {
+		s.plat.RenewEntry(i)
+	}
 	for _, e := range s.entries {
 		e.signal(syscall.SIGCONT)
 		e.store.fault.Store(int32(healthy))
@@ -325,10 +402,11 @@
 // accepted jobs complete and that no refused job has run.
 func run(t *testing.T, bin string, seed uint64) {
 	s := &soak{
-		t: t, rng: rand.New(rand.NewPCG(seed, 7)), extraRng: rand.New(rand.NewPCG(seed, 11)),
-		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), extraRng: rand.New(rand.NewPCG(seed, 11)), platRng: rand.New(rand.NewPCG(seed, 13)),
+		submitted: map[string]any{},
+		client:    &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
-	p, err := plat.Start(plat.Config{VMs: vmCount, Spare: 2, Route: func(addr string) (string, error) {
+	p, err := plat.Start(plat.Config{VMs: vmCount, Spare: 2, SecondVMs: secondVMCount, UncheckedFences: seed%2 == 0, Route: func(addr string) (string, error) {
 		v, err := newProxy(addr)
 		if err != nil {
 			return "", err
@@ -386,6 +464,9 @@
 			s.plat.SetPoison(id)
 			expected = poison
 		}
+		if s.platRng.IntN(repeatEvery) == 0 {
+			s.repeatRequest()
+		}
 		switch s.submit(id) {
 		case http.StatusOK:
 			expected[id] = true
