plat: Let a VM that has ended carry nothing out

A call to a VM of the fake platform that waited for the lock while the VM was removed was carried out afterwards. The soak counted such a start as a run that goes on, and the next start as TWICE.

Trace: the poison item of job starts on vm-m-02-9 at 5.965 s with seven other starts, the VM crashes 10 ms later, the machine list shows the machine as down, and the owner releases the runs 0.2 s after that ("run lost", "was sent for 22 ms"). No owner is at fault, so the check stays as it is and the stand-in is mended.

--- a/fake/plat/serve.go
+++ b/fake/plat/serve.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"sassafrasvalve/core/pools"
@@ -48,6 +49,10 @@
 		return
 	}
 	p.mu.Lock()
+	if !p.exists(vm) {
+		p.mu.Unlock()
+		panic(http.ErrAbortHandler) // the VM ended while the call waited, and carries nothing out
+	}
 	res := vm.Do(pools.Order{Kind: kind, Item: b.Task, Run: b.Run, Spec: b.Spec, Ref: b.Ref, DeadlineMs: b.Deadline, Fence: b.Fence}, p.nowMs())
 	p.mu.Unlock()
 	if reason, refused := reasons[res.Kind]; refused {
@@ -57,6 +62,11 @@
 	writeJSON(w, http.StatusOK, map[string]any{"clock_ms": res.ClockMs})
 }
 
+// exists reports whether a VM still runs on a machine. The caller holds mu.
+func (p *Platform) exists(vm *pool.VM) bool {
+	return slices.ContainsFunc(p.machines, func(m *machine) bool { return m.vm == vm })
+}
+
 // poll returns the running and ended runs of a VM. It waits up to the requested time for an end to report.
 func (p *Platform) poll(vm *pool.VM, w http.ResponseWriter, r *http.Request) {
 	b, ok := bodyFor(vm, w, r)
@@ -66,14 +76,23 @@
 	until := time.Now().Add(time.Duration(b.WaitMs) * time.Millisecond)
 	p.mu.Lock()
 	// The lease is renewed when the call arrives; the lists are as of the reply.
-	l := vm.Poll(pools.PollRequest{Fence: b.Fence, AckedSeq: b.Acked, LeaseEndMs: b.Deadline}, p.nowMs())
-	for l.Kind == pools.Done && !vm.Pending(b.Acked) && time.Now().Before(until) && r.Context().Err() == nil {
+	call := pools.PollRequest{Fence: b.Fence, AckedSeq: b.Acked, LeaseEndMs: b.Deadline}
+	var l pools.PollReply
+	for p.exists(vm) {
+		l = vm.Poll(call, p.nowMs())
+		if l.Kind != pools.Done || vm.Pending(b.Acked) || !time.Now().Before(until) || r.Context().Err() != nil {
+			break
+		}
 		p.mu.Unlock()
 		time.Sleep(tickMs * time.Millisecond)
 		p.mu.Lock()
-		l = vm.Poll(pools.PollRequest{Fence: b.Fence, AckedSeq: b.Acked}, p.nowMs())
+		call.LeaseEndMs = 0
 	}
+	exists := p.exists(vm)
 	p.mu.Unlock()
+	if !exists {
+		panic(http.ErrAbortHandler) // the VM ended while the call waited
+	}
 	if l.Kind != pools.Done {
 		writeJSON(w, http.StatusConflict, map[string]any{"clock_ms": l.ClockMs, "reason": reasons[l.Kind]})
 		return
