shard: Keep the limits of a job whose queue is removed

Cause: the attempts, and whether a policy decides on VMs, were looked up in the newest configuration only. The job's record keeps both now as of its submission.

Ruled out: keeping removed queues in the owner's memory, which a next owner does not have.

--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -181,9 +181,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "ID"
-	o = append(o, 0x84, 0xa2, 0x49, 0x44)
+	o = append(o, 0x85, 0xa2, 0x49, 0x44)
 	o = msgp.AppendString(o, z.ID)
 	// string "Submitted"
 	o = append(o, 0xa9, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
@@ -194,6 +194,9 @@
 	// string "Stale"
 	o = append(o, 0xa5, 0x53, 0x74, 0x61, 0x6c, 0x65)
 	o = msgp.AppendBool(o, z.Stale)
+	// string "Excluded"
+	o = append(o, 0xa8, 0x45, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Excluded)
 	return
 }
 
@@ -243,6 +246,12 @@
 				err = msgp.WrapError(err, "Stale")
 				return
 			}
+		case "Excluded":
+			z.Excluded, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Excluded")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -257,7 +266,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Change) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 10 + msgp.BoolSize + 10 + msgp.BoolSize + 6 + msgp.BoolSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 10 + msgp.BoolSize + 10 + msgp.BoolSize + 6 + msgp.BoolSize + 9 + msgp.BoolSize
 	return
 }
 
@@ -857,9 +866,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Job) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 11
 	// string "i"
-	o = append(o, 0x89, 0xa1, 0x69)
+	o = append(o, 0x8b, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
 	// string "q"
 	o = append(o, 0xa1, 0x71)
@@ -892,6 +901,12 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendInt64(o, z.AcceptedMs)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt(o, z.MaxAttempts)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendBool(o, z.PolicyChecked)
 	return
 }
 
@@ -988,6 +1003,18 @@
 				err = msgp.WrapError(err, "AcceptedMs")
 				return
 			}
+		case "m":
+			z.MaxAttempts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxAttempts")
+				return
+			}
+		case "c":
+			z.PolicyChecked, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PolicyChecked")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1006,7 +1033,7 @@
 	for za0001 := range z.Steps {
 		s += z.Steps[za0001].Msgsize()
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	s += 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -1985,9 +2012,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StoredJob) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "Job"
-	o = append(o, 0x83, 0xa3, 0x4a, 0x6f, 0x62)
+	o = append(o, 0x84, 0xa3, 0x4a, 0x6f, 0x62)
 	if z.Job == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -2007,6 +2034,9 @@
 	// string "Cancelled"
 	o = append(o, 0xa9, 0x43, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Cancelled)
+	// string "Excluded"
+	o = append(o, 0xa8, 0x45, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Excluded)
 	return
 }
 
@@ -2061,6 +2091,12 @@
 				err = msgp.WrapError(err, "Cancelled")
 				return
 			}
+		case "Excluded":
+			z.Excluded, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Excluded")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2081,7 +2117,7 @@
 	} else {
 		s += z.Job.Msgsize()
 	}
-	s += 9 + z.Progress.Msgsize() + 10 + msgp.BoolSize
+	s += 9 + z.Progress.Msgsize() + 10 + msgp.BoolSize + 9 + msgp.BoolSize
 	return
 }
 
--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -18,6 +18,10 @@
 	FirstMs    int64  `msg:"f"` // due time of occurrence 0 in Unix milliseconds
 	EveryMs    int64  `msg:"e"` // interval between occurrences in milliseconds
 	AcceptedMs int64  `msg:"a"` // Unix milliseconds on the clock of the entry that accepted it
+	// MaxAttempts and PolicyChecked are those of the queue at submission. They apply once the queue has been removed. Records of
+	// earlier versions have neither.
+	MaxAttempts   int  `msg:"m"`
+	PolicyChecked bool `msg:"c"`
 }
 
 // Step is a set of identical work items of a job.
--- a/core/shard/policy.go
+++ b/core/shard/policy.go
@@ -81,8 +81,11 @@
 // policyTokens reports whether a step of a job needs tokens, and returns the valid ones by VM ID. If there are none,
 // it queues a query.
 func (e *Engine) policyTokens(j *job, it *item, now int64) (tokens map[string]string, needed bool) {
-	q := e.catalog.Queue(j.Queue)
-	if q == nil || !q.PolicyChecked {
+	checked := j.PolicyChecked
+	if q := e.catalog.Queue(j.Queue); q != nil {
+		checked = q.PolicyChecked
+	}
+	if !checked {
 		return nil, false
 	}
 	key := stepKey{j.ID, it.K, it.Step}
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -386,17 +386,20 @@
 }
 
 // failIfExhausted fails a job if the attempts of its queue are used up for an item, whose last run failed on VM vmID. It
-// returns true if it does. The attempts are not known while no configuration was read.
+// returns true if it does. The attempts are those of its submission while no configuration was read or the queue is removed.
 func (e *Engine) failIfExhausted(j *job, it *item, vmID string, now int64) bool {
-	q := e.catalog.Queue(j.Queue)
-	if q == nil || q.MaxAttempts <= 0 {
+	maxAttempts := j.MaxAttempts
+	if q := e.catalog.Queue(j.Queue); q != nil {
+		maxAttempts = q.MaxAttempts
+	}
+	if maxAttempts <= 0 {
 		return false
 	}
 	failures := 0
 	for _, m := range j.endingTogether(it) {
 		failures += len(m.failedRuns)
 	}
-	if failures < q.MaxAttempts {
+	if failures < maxAttempts {
 		return false
 	}
 	e.failJob(j, vmID, "all attempts of "+it.name+" failed", failures, now)
--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -157,7 +157,7 @@
 	if stored || err != nil {
 		return err
 	}
-	j.AcceptedMs = time.Now().UnixMilli()
+	j.AcceptedMs, j.MaxAttempts, j.PolicyChecked = time.Now().UnixMilli(), q.MaxAttempts, q.PolicyChecked
 	value, err := j.MarshalMsg(nil)
 	if err != nil {
 		return &platform.Refusal{Status: http.StatusBadRequest, Reason: err.Error()}
