--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -49,6 +49,8 @@
 	10: "the fake platform booted a second VM on a machine that crashed while it was moving; the list of machines named " +
 		"only one of them, so the owner considered the other one dead and started its items again; later, an entry that " +
 		"was killed while it was being replaced was waited for and restarted twice",
+	13: "a repeated request of a job ran again on the service to which its queue had moved",
+	27: "as seed 13; the items ran on the new service after they had ended on the other one",
 }
 
 // process is an entry whose program can be killed and restarted.
