--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -289,8 +289,7 @@
 	if r.o.lost.Load() {
 		return false
 	}
-	unrecorded := true
-	for first := true; first || unrecorded && r.engineBatch != nil; first = false {
+	for {
 		if r.engineBatch != nil {
 			if !<-appended {
 				return false
@@ -299,10 +298,16 @@
 		}
 		r.mu.Lock()
 		r.startAppend(calls)
-		unrecorded = r.engine.HasUnrecordedJobs() // one batch does not hold all jobs
+		unrecorded := r.engine.HasUnrecordedJobs()
 		r.mu.Unlock()
+		if !unrecorded {
+			break
+		}
+		if r.engineBatch == nil {
+			return false // a record could not be encoded
+		}
 	}
-	if unrecorded || r.engineBatch != nil && !<-appended {
+	if r.engineBatch != nil && !<-appended {
 		return false
 	}
 	r.mu.Lock()
