daemon: Serve under a guest lease while the Join is folded

Callers saw: an entry that was restarted while the log was down, and served as a guest, answered 503 not-run ("the view lease has lapsed") for a moment when the log was back.

Cause: a new member waits until routing uses a state that includes its Join. A guest has no such bound, so the bound begins with the fold of the Join, before the view loop has passed the state on.

TestGuestServesWhileItsJoinIsFolded fails before.

Change: a valid guest lease allows work by any view, as before the Join. The sponsor writes no Ack while it runs, so no VM changes pool. A member without a guest lease still waits for routing (TestNewMemberWaitsForRouting).

--- a/io/daemon/group.go
+++ b/io/daemon/group.go
@@ -81,8 +81,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// Until routing uses a state that includes the Join, it may send work to VMs that changed pool while
-	// this process was not a member.
-	if g.leaving || !g.leaseValid(now) || g.cfg.RoutedOffset() < g.joinOffset {
+	// this process was not a member. Under a guest lease none can: the sponsor writes no Ack while it runs. So a guest
+	// serves on while its Join is folded.
+	oldest := g.joinOffset
+	if g.guestLease.Valid(now) {
+		oldest = 0
+	}
+	if g.leaving || !g.leaseValid(now) || g.cfg.RoutedOffset() < oldest {
 		return errNoLease
 	}
 	return nil
