peer: Start no call once Run waits for the calls in progress

Cause: the library reports a connection as closed while its reader may still handle the last message. That message adds a call to the WaitGroup of the server, whose count may be zero while Run waits, or after it has returned.

Change: calls start under the lock of the server and are refused as not executed once Run waits.

--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -77,7 +77,8 @@
 	mu    sync.Mutex
 	ln    net.Listener
 	conns map[*serverConn]struct{}
-	wg    sync.WaitGroup
+	ended bool           // Run waits for the calls in progress; no further one starts
+	wg    sync.WaitGroup // calls and open connections
 }
 
 // NewServer returns a server without handlers.
@@ -132,7 +133,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.ln.Close() })
 	defer stop()
-	defer s.wg.Wait()
+	defer s.wait()
 	for {
 		conn, err := s.ln.Accept()
 		if ctx.Err() != nil {
@@ -153,6 +154,26 @@
 	}
 }
 
+// wait waits for the calls in progress and refuses further ones.
+func (s *Server) wait() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// startCall runs f in its own goroutine, or returns false once Run waits for the calls in progress: the last message of a
+// connection may be handled after the connection has closed.
+func (s *Server) startCall(f func()) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return false
+	}
+	s.wg.Go(f)
+	return true
+}
+
 // acceptPause is the pause after a failed accept.
 const acceptPause = 50 * time.Millisecond
 
@@ -293,7 +314,7 @@
 		return
 	}
 	from := c.from
-	c.server.wg.Go(func() {
+	started := c.server.startCall(func() {
 		defer func() { <-c.calls }()
 		ctx, cancel := context.WithTimeout(ctx, handlerTimeout)
 		defer cancel()
@@ -302,6 +323,10 @@
 			c.respond(ctx, conn, req, result, err)
 		}
 	})
+	if !started {
+		<-c.calls
+		c.refuse(ctx, conn, req, CodeBusy, "server is stopping")
+	}
 }
 
 // run calls a handler. A panic fails only the call, since a message that causes a panic would stop all entries that
