node: Call shard owners through one function

JobState, ExcludeJob and QueueLength of shardOwners repeated the same steps: look the claim up, answer locally, else call with a deadline and log a failure. askOwner has them once.

No change of behaviour otherwise: the zero answer, a queued job that is neither known nor sure, is what a failed query returned before. Tests of io/node and io/jobapi pass with the race detector.

--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -238,22 +238,42 @@
 	return owner.StoreResult{Verdict: retry.NotRun}
 }
 
-// JobState asks the owner of a shard for the state of a job. authoritative is false if no owner could answer.
-func (o *shardOwners) JobState(ctx context.Context, part int, id string) (s jobs.State, found, authoritative bool) {
-	var a stateAnswer
-	claim := o.directory.Shard(part).Claim
+// ownerCall is a call of the owner of a shard.
+type ownerCall struct {
+	Part     int
+	Method   string
+	Params   any
+	Deadline time.Time // of a call to another process
+	Subject  zap.Field // what the call is about, for the log
+}
+
+// askOwner returns the answer of a shard's owner: that of local if this process has claimed the shard. The answer is zero
+// if no owner could answer.
+func askOwner[A any](ctx context.Context, o *shardOwners, c ownerCall, local func() A) A {
+	var a, none A
+	claim := o.directory.Shard(c.Part).Claim
 	switch claim.Owner {
 	case "":
+		return none
 	case o.member:
-		a = o.localJobState(ctx, part, id)
-	default:
-		ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-		defer cancel()
-		if err := o.conns.Call(ctx, claim.Addr, methodState, stateRequest{Part: part, ID: id}, &a); err != nil {
-			o.log.Info("query of job state at owner failed", zap.String("job", id), zap.Int("shard", part), zap.Error(err))
-			return jobs.Queued, false, false
-		}
+		return local()
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	if err := o.conns.Call(ctx, claim.Addr, c.Method, c.Params, &a); err != nil {
+		o.log.Info("call of owner failed", zap.String("method", c.Method), c.Subject, zap.Int("shard", c.Part),
+			zap.String("owner", claim.Owner), zap.Error(err))
+		return none
 	}
+	return a
+}
+
+// JobState asks the owner of a shard for the state of a job. authoritative is false if no owner could answer.
+func (o *shardOwners) JobState(ctx context.Context, part int, id string) (s jobs.State, found, authoritative bool) {
+	a := askOwner(ctx, o, ownerCall{
+		Part: part, Method: methodState, Params: stateRequest{Part: part, ID: id},
+		Deadline: time.Now().Add(queryTimeout), Subject: zap.String("job", id),
+	}, func() stateAnswer { return o.localJobState(ctx, part, id) })
 	return a.State, a.Known, a.Sure
 }
 
@@ -269,20 +289,10 @@
 
 // ExcludeJob makes a shard refuse a job from now on, unless the shard has it. known is false if no owner could answer.
 func (o *shardOwners) ExcludeJob(ctx context.Context, part int, id string) (found, known bool) {
-	var a excludeAnswer
-	claim := o.directory.Shard(part).Claim
-	switch claim.Owner {
-	case "":
-	case o.member:
-		a = o.excludeLocal(ctx, part, id)
-	default:
-		ctx, cancel := context.WithTimeout(ctx, excludeTimeout)
-		defer cancel()
-		if err := o.conns.Call(ctx, claim.Addr, methodExclude, excludeRequest{Part: part, ID: id}, &a); err != nil {
-			o.log.Info("call to exclude a job at owner failed", zap.String("job", id), zap.Int("shard", part), zap.Error(err))
-			return false, false
-		}
-	}
+	a := askOwner(ctx, o, ownerCall{
+		Part: part, Method: methodExclude, Params: excludeRequest{Part: part, ID: id},
+		Deadline: time.Now().Add(excludeTimeout), Subject: zap.String("job", id),
+	}, func() excludeAnswer { return o.excludeLocal(ctx, part, id) })
 	return a.Found, a.Known
 }
 
@@ -299,20 +309,10 @@
 // QueueLength asks the owner of a shard for the number of jobs of a queue that have not started. authoritative is false
 // if no owner could answer.
 func (o *shardOwners) QueueLength(ctx context.Context, part int, queue string) (n int, authoritative bool) {
-	var a waitingAnswer
-	claim := o.directory.Shard(part).Claim
-	switch claim.Owner {
-	case "":
-	case o.member:
-		a = o.localQueueLength(part, queue)
-	default:
-		ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-		defer cancel()
-		if err := o.conns.Call(ctx, claim.Addr, methodWaiting, waitingRequest{Part: part, Queue: queue}, &a); err != nil {
-			o.log.Info("query of queue length at owner failed", zap.String("queue", queue), zap.Int("shard", part), zap.Error(err))
-			return 0, false
-		}
-	}
+	a := askOwner(ctx, o, ownerCall{
+		Part: part, Method: methodWaiting, Params: waitingRequest{Part: part, Queue: queue},
+		Deadline: time.Now().Add(queryTimeout), Subject: zap.String("queue", queue),
+	}, func() waitingAnswer { return o.localQueueLength(part, queue) })
 	return a.N, a.Sure
 }
 
