jobapi: Name the shards of a route as the directory does

Routes.OtherShards took the present shard out of the list of a route, and shardsOf put it back. RouteShards returns the list as it is; Submit passes over the present shard, which it did before as well. No change of behaviour; the tests of io/jobapi and io/node pass.

--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -58,9 +58,9 @@
 
 // Routes knows in which shards jobs of a route may be stored.
 type Routes interface {
-	// OtherShards returns the shards in which jobs of a queue's route may be stored besides part, to which an earlier
+	// RouteShards returns the shards in which jobs of a queue's route may be stored: part, and those to which an earlier
 	// configuration sent the route. Afterwards part is one of the route's shards for all entries.
-	OtherShards(ctx context.Context, q *jobs.Queue, part int) ([]int, error)
+	RouteShards(ctx context.Context, q *jobs.Queue, part int) ([]int, error)
 }
 
 // Owners calls the owners of shards.
@@ -332,11 +332,11 @@
 	if err != nil {
 		return nil, err
 	}
-	others, err := a.cfg.Routes.OtherShards(ctx, q, part)
+	shards, err := a.cfg.Routes.RouteShards(ctx, q, part)
 	if err != nil {
 		return nil, unavailable("the platform's log cannot be written at present; nothing was stored")
 	}
-	return append(others, part), nil
+	return shards, nil
 }
 
 // QueueLength returns the number of jobs of a queue that have not started, over all shards, since an earlier configuration
--- a/io/jobapi/api_test.go
+++ b/io/jobapi/api_test.go
@@ -45,7 +45,9 @@
 
 func (oneShard) Part(string) (int, bool) { return 0, true }
 
-func (oneShard) OtherShards(context.Context, *jobs.Queue, int) ([]int, error) { return nil, nil }
+func (oneShard) RouteShards(_ context.Context, _ *jobs.Queue, part int) ([]int, error) {
+	return []int{part}, nil
+}
 
 // TestSubmitNearCallerDeadline guards against status 504 for a caller that retries shortly before its deadline, although
 // nothing was sent or the time was enough to store the job. In the scripted day refused-reads (seed 772178764796) on the
--- a/io/jobapi/moved_test.go
+++ b/io/jobapi/moved_test.go
@@ -75,12 +75,12 @@
 // Parts returns all shards, with one that the queue never had.
 func (o *movedOwners) Parts() []int { return []int{0, oldShard, newShard} }
 
-// OtherShards returns the queue's earlier shard.
-func (o *movedOwners) OtherShards(context.Context, *jobs.Queue, int) ([]int, error) {
+// RouteShards returns the queue's earlier shard and the present one.
+func (o *movedOwners) RouteShards(context.Context, *jobs.Queue, int) ([]int, error) {
 	if o.c.Unknown {
 		return nil, errors.New("the log does not answer")
 	}
-	return []int{oldShard}, nil
+	return []int{oldShard, newShard}, nil
 }
 
 // TestJobsOfAMovedQueue guards against a job that runs twice, as its request is repeated after a configuration has sent its
--- a/io/node/routes.go
+++ b/io/node/routes.go
@@ -32,9 +32,9 @@
 	records   singleflight.Group
 }
 
-// OtherShards returns the shards in which jobs of a queue's route may be stored besides part, where the next ones are
-// stored. It fails if it cannot record part.
-func (r *routeShards) OtherShards(ctx context.Context, q *jobs.Queue, part int) ([]int, error) {
+// RouteShards returns the shards in which jobs of a queue's route may be stored, with part, where the next ones are stored. It
+// fails if it cannot record part.
+func (r *routeShards) RouteShards(ctx context.Context, q *jobs.Queue, part int) ([]int, error) {
 	route := q.Route()
 	list := r.directory.RouteShards(route)
 	if !slices.Contains(list, part) {
@@ -48,7 +48,7 @@
 		}
 		r.log.Info("shard of a route recorded", zap.String("queue", q.Name), zap.Int("shard", part), zap.Ints("shards", list))
 	}
-	return slices.DeleteFunc(list, func(p int) bool { return p == part }), nil
+	return list, nil
 }
 
 // recordOnce records a shard of a route. Callers that come at the same time share one append.
