system: Tell the replaced entry by its member ID

TestEntryReplacedInAnOutageServes waited for a member of the VM whose Join is behind offset 12, a number of records that the start of three entries mostly writes. The output of the failed run has "Offset":12 for the new member of entry-3, which serves.

--- a/system/replace_test.go
+++ b/system/replace_test.go
@@ -15,8 +15,18 @@
 // because a process that is not a member has no slots.
 func TestEntryReplacedInAnOutageServes(t *testing.T) {
 	w := smallWorld(t, 3)
-	w.fault(cloud.Fault{Outage: cloud.OutageRefuse})
 	e := w.entries[2]
+	earlier := ""
+	w.eventually("the entry is a member", 10*time.Second, func() error {
+		for _, m := range w.state().Members {
+			if m.VM == e.vm {
+				earlier = m.ID
+				return nil
+			}
+		}
+		return fmt.Errorf("no member runs on %s yet", e.vm)
+	})
+	w.fault(cloud.Fault{Outage: cloud.OutageRefuse})
 	e.kill()
 	e.start()
 	w.eventually("the replaced entry serves", 20*time.Second, func() error {
@@ -29,7 +39,7 @@
 	w.fault(cloud.Fault{Clear: true})
 	w.eventually("the replaced entry is a member and serves", 20*time.Second, func() error {
 		for _, m := range w.state().Members {
-			if m.VM == e.vm && m.Joined > 12 {
+			if m.VM == e.vm && m.ID != earlier {
 				a, err := e.send(request{Method: "POST", Body: "lane 4"})
 				assert.Check(t, err != nil || a.Status == http.StatusOK, a.Body)
 				return err
