member: Grant a guest lease only for a recent view

A guest, a process that starts while it cannot reach the log, got a lease from any member, whatever view its routing used. The sponsor writes no Ack while the lease runs, but it may have written one before, and the VM of that drain may have its new pool. A guest that took its state from a peer that is cut off and its lease from another one would send work for the old pool until it has caught up by a heartbeat, 500 ms or more later.

Change: the request names the number of records in the guest's view. A member grants a lease only if that view includes its own Join and its newest Ack. Programs that do not name it get leases as before.

--- a/core/chaos/entry_test.go
+++ b/core/chaos/entry_test.go
@@ -305,13 +305,13 @@
 
 // sponsor mirrors links.sponsor.
 func (e *entry) sponsor() {
-	if e.group.joined() || e.st.Offset < 0 {
+	if e.group.joined() || e.pushedOffset < 0 {
 		return
 	}
 	for _, to := range e.addresses() {
-		sent, self := e.w.now, e.group.self.ID
+		sent, self, view := e.w.now, e.group.self.ID, e.pushedOffset
 		e.w.call(e, to, time.Second, func(p *entry) any {
-			term, _ := p.group.core.Sponsor(self, &p.group.lease, p.w.now)
+			term, _ := p.group.core.Sponsor(self, view, p.st, &p.group.lease, p.w.now)
 			return term.Truncate(time.Millisecond)
 		}, func(r any) {
 			if term := r.(time.Duration); term > 0 {
--- a/core/chaos/group_test.go
+++ b/core/chaos/group_test.go
@@ -169,6 +169,7 @@
 	if !st.AckDue(g.self.ID) && len(a.VMs) == 0 {
 		return fleet.Record{}, false
 	}
+	g.core.RecordAck(a.Through)
 	return fleet.Record{Kind: fleet.KindAck, Writer: a.Member, Ack: &a}, true
 }
 
--- a/core/member/group.go
+++ b/core/member/group.go
@@ -27,6 +27,7 @@
 	suspectMarks      map[string]suspectMark
 	evictions         map[string]eviction
 	guests            map[string]time.Time // by guest: end of its lease
+	ackedThrough      int64                // newest offset that this entry has acknowledged
 	suspectsCheckedAt time.Time            // last call of DueSuspects
 }
 
--- a/core/member/lease_test.go
+++ b/core/member/lease_test.go
@@ -46,13 +46,14 @@
 // TestGuestLeaseBlocksAck guards against a VM that changes its pool while a guest of this entry may still send to it.
 func TestGuestLeaseBlocksAck(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
+	st := twoVoters(t)
 	g := NewGroup(GroupConfig{Self: "a#1", Region: "eu", StartedAt: start})
 	var own Lease
-	_, ok := g.Sponsor("g", &own, start)
+	_, ok := g.Sponsor("g", st.Offset, st, &own, start)
 	assert.Assert(t, !ok, "an entry without a lease must not sponsor a guest")
 	own.Renew(start)
 	at := start.Add(time.Second)
-	term, ok := g.Sponsor("g", &own, at)
+	term, ok := g.Sponsor("g", st.Offset, st, &own, at)
 	assert.Assert(t, ok)
 	var guest GuestLease
 	guest.Renew(at, term)
@@ -61,6 +62,25 @@
 	assert.Assert(t, !g.MayAck(end.Add(-1)) && g.MayAck(end))
 }
 
+// TestGuestWithAnOldViewGetsNoLease guards against a guest that sends work to a VM for the pool that it has left: the guest's
+// view is older than its sponsor's Join or than a drain that the sponsor has acknowledged.
+func TestGuestWithAnOldViewGetsNoLease(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	st := twoVoters(t)
+	joined := st.Members["b#1"].Joined
+	g := NewGroup(GroupConfig{Self: "b#1", Region: "eu", StartedAt: start})
+	var own Lease
+	own.Renew(start)
+	sponsors := func(viewOffset int64) bool {
+		_, ok := g.Sponsor("g", viewOffset, st, &own, start)
+		return ok
+	}
+	assert.Assert(t, !sponsors(joined-1) && sponsors(joined))
+	g.RecordAck(st.Offset + 5)
+	assert.Assert(t, !sponsors(st.Offset+4) && g.MayAck(start.Add(LeaseTerm)))
+	assert.Assert(t, sponsors(st.Offset+5))
+}
+
 // twoVoters returns a state in which the members a#1 and b#1 have votes.
 func twoVoters(t *testing.T) *fleet.State {
 	t.Helper()
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -264,6 +264,7 @@
 
 func (d *Daemon) runLoops(ctx context.Context) {
 	d.reader = oplog.NewReader(oplog.ReaderConfig{Client: d.client, Sink: logSink{d}, Clock: d.cfg.Clock, From: d.store.Offset() + 1})
+	d.pushViews() // the first request for a guest lease names the view of routing
 	for _, loop := range []func(context.Context){
 		d.reader.Run, d.writer.Run, d.links.loop, d.links.heartbeater.Run, d.sched.Run,
 		d.viewLoop, d.memberLoop, d.leaveLoop, d.snapshotLoop, d.jobs.loop,
--- a/io/daemon/group.go
+++ b/io/daemon/group.go
@@ -229,12 +229,13 @@
 	}
 }
 
-// Sponsor returns the term of the lease that it grants to guest, 0 if this entry has no lease itself.
-func (g *group) Sponsor(guest string) time.Duration {
+// Sponsor returns the term of the lease that it grants to guest, whose routing uses the view at viewOffset. It returns 0
+// if this entry has no lease itself, or if VMs may have changed pool since that view.
+func (g *group) Sponsor(guest string, viewOffset int64) (term time.Duration) {
 	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	term, _ := g.protocol.Sponsor(guest, &g.lease, now)
+	g.cfg.Store.View(func(st *fleet.State) { term, _ = g.protocol.Sponsor(guest, viewOffset, st, &g.lease, now) })
 	return term
 }
 
@@ -325,6 +326,9 @@
 			g.noAckOffset = st.Offset
 		}
 		a.VMs = slices.DeleteFunc(waiting, func(v fleet.VMGen) bool { return v.Gen > a.Through })
+		if due || len(a.VMs) > 0 {
+			g.protocol.RecordAck(a.Through)
+		}
 	})
 	return a, due
 }
--- a/io/daemon/links.go
+++ b/io/daemon/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -105,7 +106,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return SponsorReply{TermMS: l.d.group.Sponsor(q.Guest).Milliseconds()}, nil
+	viewOffset := q.Records - 1
+	if q.Records == 0 {
+		viewOffset = math.MaxInt64
+	}
+	return SponsorReply{TermMS: l.d.group.Sponsor(q.Guest, viewOffset).Milliseconds()}, nil
 }
 
 // Exchange sends slot reports to the entry that owns the pools and returns its replies.
@@ -230,22 +235,24 @@
 	}
 }
 
-// sponsor requests a guest lease from all peers unless this process is a member or has no state yet. With a guest lease
-// it can start work although its Join is not in the log yet, as while the log is down.
+// sponsor requests a guest lease from all peers unless this process is a member or routing has no view yet. With a guest
+// lease it can start work although its Join is not in the log yet, as while the log is down.
 func (l *links) sponsor(ctx context.Context) {
-	if l.d.group.Joined() || l.d.store.Offset() < 0 {
+	view := l.d.routedOffset.Load()
+	if l.d.group.Joined() || view < 0 {
 		return
 	}
 	for _, addr := range l.d.addrs.All() {
-		s := &sponsorship{l: l, addr: addr}
+		s := &sponsorship{l: l, addr: addr, viewOffset: view}
 		go s.run(ctx)
 	}
 }
 
 // sponsorship is one request for a guest lease.
 type sponsorship struct {
-	l    *links
-	addr string
+	l          *links
+	addr       string
+	viewOffset int64 // of the view that routing uses
 }
 
 func (s *sponsorship) run(ctx context.Context) {
@@ -253,7 +260,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	var reply SponsorReply
-	err := s.l.pool.Call(ctx, s.addr, methodSponsor, SponsorRequest{Guest: s.l.d.group.Self()}, &reply)
+	err := s.l.pool.Call(ctx, s.addr, methodSponsor, SponsorRequest{Guest: s.l.d.group.Self(), Records: s.viewOffset + 1}, &reply)
 	if err != nil || reply.TermMS <= 0 {
 		return
 	}
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -53,7 +53,8 @@
 
 // SponsorRequest asks for a lease for Guest, a process that is not a member.
 type SponsorRequest struct {
-	Guest string
+	Guest   string
+	Records int64 // number of log records in the view that the guest uses; 0 from programs that do not tell it
 }
 
 // SponsorReply grants a lease of TermMS milliseconds from the sending of the request; 0 refuses it.
