owner: Send a new owner's records at the pace of the store

Cause: the store appends to a partition one call at a time, 0.36 s each while its answers take 72 times as long. A new owner announces its epoch with a first copy after 120 ms, and three copies wait before its own next call. The first attempt ends after 0.7 s, and the next one queues again.

Change: the claim, in another partition, tells how long the store takes. The first append of the pool's run and of the machine controller allows for that.

--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -72,6 +72,7 @@
 		seq: rand.Int64N(maxFirstSeq), timeout: appendTimeout, health: &o.health, log: r.log, stats: c.cfg.Stats,
 		observe: c.cfg.Stats.Timer(metricAppend, nil),
 	}
+	r.writer.setAnswerTime(o.claimAnswerTime)
 	start := clock.BootMs()
 	if o.reason == reasonSilent {
 		start += c.cfg.SettleMs
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -124,13 +124,15 @@
 	directoryRead <-chan struct{} // signalled after each read of the owners' partition
 	claims        writer          // appends claims, renewals and demand reports
 	reason        string          // reason of the current claim
-	health        storeHealth
-	owning        atomic.Bool                       // from the claim until the shard is released or lost
-	lost          atomic.Bool                       // another process owns the shard
-	inbox         chan *pendingRecords              // records that this and other entries submitted
-	run           atomic.Pointer[poolRun]           // nil while this process does not run the shard's pool
-	demand        atomic.Pointer[jobs.DemandReport] // newest report, written with the next renewal
-	ownership     atomic.Pointer[ownership]         // nil while this process does not own the shard
+	// claimAnswerTime is how long the store took to answer the current claim.
+	claimAnswerTime time.Duration
+	health          storeHealth
+	owning          atomic.Bool                       // from the claim until the shard is released or lost
+	lost            atomic.Bool                       // another process owns the shard
+	inbox           chan *pendingRecords              // records that this and other entries submitted
+	run             atomic.Pointer[poolRun]           // nil while this process does not run the shard's pool
+	demand          atomic.Pointer[jobs.DemandReport] // newest report, written with the next renewal
+	ownership       atomic.Pointer[ownership]         // nil while this process does not own the shard
 	// claimRequest is signalled when another process released the shard for this one. Its capacity is 1.
 	claimRequest chan struct{}
 	claimAfter   time.Time // earliest time of the next claim, so that other processes claim first
@@ -345,7 +347,7 @@
 			return false
 		}
 		sentAtMs := clock.BootMs()
-		res, _, err := Hedge(o.cfg.Store, platform.AppendRequest{
+		res, took, err := Hedge(o.cfg.Store, platform.AppendRequest{
 			Topic: w.topic, Records: []jobs.Record{rec}, At: at,
 			Producer: w.producer, Epoch: w.epoch, Seq: w.seq, Deadline: time.Now().Add(appendTimeout),
 		}, 0)
@@ -354,7 +356,8 @@
 			o.log.Warn("append of claim failed", zap.Int64("epoch", w.epoch), zap.Error(err))
 			return false
 		case res.Outcome == platform.Appended:
-			o.claims, o.reason = w, reason
+			w.setAnswerTime(took)
+			o.claims, o.reason, o.claimAnswerTime = w, reason, took
 			o.health.failingSinceMs.Store(0)
 			o.health.confirmedAtMs.Store(sentAtMs)
 			o.log.Info("shard claimed", zap.Int64("epoch", w.epoch), zap.String("reason", reason),
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -135,7 +135,7 @@
 // newPoolRun returns a run of a pool for the current epoch of o.
 func newPoolRun(cfg PoolConfig, o *Owner) *poolRun {
 	log := o.log.With(zap.Int64("epoch", o.Epoch()))
-	return &poolRun{
+	r := &poolRun{
 		cfg: cfg, o: o, log: log, sessions: map[string]*vmSession{}, wake: make(chan struct{}, 1),
 		timeStart: cfg.Stats.Timer("sassafrasvalve_start_seconds", nil), policyQueries: make(chan shard.PolicyQuery, maxPolicyQueries),
 		jobLog: tail.NewJobLog(o.cfg.Store, o.cfg.Part, log),
@@ -145,6 +145,8 @@
 			observe: cfg.Stats.Timer(metricAppend, nil),
 		},
 	}
+	r.writer.setAnswerTime(o.claimAnswerTime)
+	return r
 }
 
 // signal makes the loop run a tick soon.
--- a/io/owner/writer.go
+++ b/io/owner/writer.go
@@ -74,6 +74,13 @@
 	observe    func(time.Duration) // observes the duration of each append
 }
 
+// setAnswerTime sets the times of the next append by how long the store took for the last answer, so that a slow store does
+// not get needless copies.
+func (w *writer) setAnswerTime(took time.Duration) {
+	w.hedgePause = answerTimeFactor * took
+	w.timeout = min(max(appendTimeout, w.hedgePause), slowAppendTimeout)
+}
+
 // write appends records and repeats the append until its outcome is known. It returns false if ctx ends or the outcome is
 // not Appended, mostly because the store has seen a higher epoch. If the store refuses a call and no earlier attempt may
 // have stored the records, write calls refused, if not nil, once and continues with the records that it returns. Without
@@ -90,9 +97,7 @@
 			Producer: w.producer, Epoch: w.epoch, Seq: w.seq, Deadline: sentAt.Add(timeout),
 		}, w.hedgePause)
 		if err == nil {
-			// The next append allows for a similar answer time, so that a slow store does not get needless copies.
-			w.hedgePause = answerTimeFactor * took
-			w.timeout = min(max(appendTimeout, w.hedgePause), slowAppendTimeout)
+			w.setAnswerTime(took)
 			return w.handleResult(res, startedAt, startedAtMs, len(records), maybeStored || time.Since(sentAt) > took+hedgeAfter)
 		}
 		w.health.failingSinceMs.CompareAndSwap(0, startedAtMs)
