jobapi: Append jobs of a shard without an owner together

While it has none, each entry appends the jobs itself, each job with three copies, again and again until its caller's time is over.

Cause: at 0.36 s an append the partition takes 2.8 calls a second, and some hundred jobs came in 5 s. Its queue stayed at the 2 s above which it refuses, and the announcement of the new owner waited behind it. As that owner got no answer for 1.5 s, it sent callers away to append directly as well.

Change: an entry has one such append to a shard in progress, with all records that wait for it.

Answers keep their meaning: a record that no append included is withdrawn and has not run, one in progress may have (TestDirectAppendVerdicts).

--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"sassafrasvalve/io/stats"
@@ -95,10 +96,13 @@
 // API submits and cancels jobs and answers queries about them.
 type API struct {
 	cfg Config
+
+	mu     sync.Mutex
+	direct map[int]*directWriter // by shard
 }
 
 // New returns a job API.
-func New(cfg Config) *API { return &API{cfg: cfg} }
+func New(cfg Config) *API { return &API{cfg: cfg, direct: map[int]*directWriter{}} }
 
 // MaxConfigAgeMs returns the age in ms above which a configuration must no longer be used, given the time in ms within
 // which a new one must be in force. Zero or less means the default of that time.
@@ -235,30 +239,22 @@
 	if s.Owner {
 		verdict = retry.MayHaveRun
 	}
-	return a.appendDirectly(ctx, part, rec, limit, verdict)
+	if ctx.Err() != nil {
+		return verdict
+	}
+	return a.directWriter(part).Append(ctx, rec, verdict)
 }
 
-// appendDirectly appends a record without the owner. verdict is the verdict of the earlier attempts.
-func (a *API) appendDirectly(ctx context.Context, part int, rec jobs.Record, limit time.Time, verdict retry.Verdict) retry.Verdict {
-	for time.Now().Before(limit) && ctx.Err() == nil {
-		deadline := time.Now().Add(appendTimeout)
-		if deadline.After(limit) {
-			deadline = limit
-		}
-		res, _, err := owner.Hedge(a.cfg.Store, platform.AppendRequest{
-			Topic: platform.TopicJobs, Part: part, Records: []jobs.Record{rec}, At: -1, Deadline: deadline,
-		}, 0)
-		if err == nil && res.Outcome == platform.Appended {
-			return retry.Ran
-		}
-		if err != nil && platform.VerdictOf(err) != retry.NotRun {
-			verdict = retry.MayHaveRun
-		} else if verdict == retry.NotRun {
-			return verdict // the append was refused; the caller gets the refusal without further attempts
-		}
-		time.Sleep(appendRetryInterval)
+// directWriter returns the writer of records to a shard whose owner does not answer.
+func (a *API) directWriter(part int) *directWriter {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w := a.direct[part]
+	if w == nil {
+		w = newDirectWriter(a.cfg.Store, part)
+		a.direct[part] = w
 	}
-	return verdict
+	return w
 }
 
 // find asks the owners for a job and returns its state and shard. It asks the owner of the queue's service first, then
