jobapi: Bound the pause behind a direct append

A writer paused three times as long as its append took, without a bound. An append that is answered just before its deadline of 1.5 s would be followed by a pause of 4.5 s, in which all callers of the shard run out of time although the store may serve again.

Change: the pause is 1 s at most, of the 2.5 s for which a caller waits. The tests of io/jobapi pass with the race detector.

--- a/io/jobapi/direct.go
+++ b/io/jobapi/direct.go
@@ -16,8 +16,10 @@
 	// maxDirectBytes bounds the records of one append. A larger record is appended alone.
 	maxDirectBytes = 256 << 10
 	// answerTimeFactor is the time without an answer, as a multiple of the last answer time, after which an append is sent
-	// again. It is also the pause behind an append, as a multiple of the time that it took.
+	// again. It is also the pause behind an append, as a multiple of the time that it took, up to maxDirectPause.
 	answerTimeFactor = 3
+	// maxDirectPause leaves the callers that wait in the pause, for maxStoreTime at most, the time for another append.
+	maxDirectPause = time.Second
 	// firstHedgePause is the time without an answer after which the first append of a writer is sent again. It allows for a
 	// slow store, in which the copies of all entries would wait before the appends of a new owner.
 	firstHedgePause = 500 * time.Millisecond
@@ -101,7 +103,7 @@
 		case err == nil && res.Outcome == platform.Appended:
 			w.hedgePause = answerTimeFactor * took
 			w.finish(batch, retry.Ran)
-			time.Sleep(answerTimeFactor * time.Since(startedAt))
+			time.Sleep(min(answerTimeFactor*time.Since(startedAt), maxDirectPause))
 		case err != nil && platform.VerdictOf(err) != retry.NotRun:
 			w.finish(batch, retry.MayHaveRun)
 			time.Sleep(appendRetryInterval)
