--- a/io/jobapi/direct_test.go
+++ b/io/jobapi/direct_test.go
@@ -84,7 +84,7 @@
 
 // TestNewOwnerGetsThroughBesideDirectAppends guards against a shard that stays without an owner for as long as the store is
 // slow: the entries append the jobs of many callers themselves, each with copies, and the append by which a new owner
-// announces itself waits behind them. On semillero-plata, trouble-2 with seed 104, that took 3.0 to 4.8 s.
+// announces itself waits behind them. That took 3.0 to 4.8 s (docs/incidents/2026-12-05-takeover-slow-store.md).
 func TestNewOwnerGetsThroughBesideDirectAppends(t *testing.T) {
 	const entries, callers = 4, 25
 	store := newSerialStore(50 * time.Millisecond)
