--- a/review/cases2/platform.go
+++ b/review/cases2/platform.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -223,20 +224,22 @@
 	writeJSON(w, http.StatusOK, map[string]any{"machines": rows, "next_token": ""})
 }
 
-// freePorts returns n free loopback ports.
+// freePorts returns n free loopback ports. They are below the range from which the kernel takes the ports of outgoing
+// connections, so that no such connection has one when an entry listens on it.
 func freePorts(n int) ([]int, error) {
+	const low, high = 12_000, 32_000
 	var ports []int
-	var open []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	for port, tries := low+rand.IntN(high-low), 0; len(ports) < n; port, tries = port+1, tries+1 {
+		if port >= high {
+			port = low
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err == nil {
+			_ = l.Close()
+			ports = append(ports, port)
+		} else if tries > high-low {
 			return nil, err
 		}
-		open = append(open, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	for _, l := range open {
-		_ = l.Close()
 	}
 	return ports, nil
 }
