--- a/review/cases2/platform.go
+++ b/review/cases2/platform.go
@@ -108,7 +108,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Acked++
-	if e.how != "done" {
+	if e.how != "done" || e.lapsed {
 		return
 	}
 	l.noted[e.task] = true
--- a/review/cases2/worker.go
+++ b/review/cases2/worker.go
@@ -41,6 +41,8 @@
 	run  int
 	how  string
 	ref  string
+	// lapsed is set if the lease lapsed after the end, which then doesn't count as taken note of.
+	lapsed bool
 }
 
 // Worker is a stand-in of one worker on one machine. A new lifetime may have the same id.
@@ -164,6 +166,11 @@
 // advance ends the runs that are due. The caller holds mu.
 func (w *Worker) advance() {
 	now := steadyMs()
+	if w.clock() > w.lease {
+		for i := range w.ends {
+			w.ends[i].lapsed = true
+		}
+	}
 	for _, r := range w.runs {
 		switch {
 		case w.clock() > w.lease:
@@ -180,7 +187,7 @@
 	delete(w.runs, r.task)
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.seq++
-	w.ends = append(w.ends, runEnd{w.seq, r.task, r.run, how, ""})
+	w.ends = append(w.ends, runEnd{seq: w.seq, task: r.task, run: r.run, how: how})
 	close(w.ended)
 	w.ended = make(chan struct{})
 	w.p.log.runEnded(w, r, how)
