review: Show accepted jobs that no worker with their label gets to run

Cause: in a lull the pool offers all VMs but two, and withdraws an offer only when the processor time in demand rises. The labels that waiting items require don't count.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -28,6 +28,7 @@
 	"wide-job":     {9, wideJob},
 	"early-cancel": {9, earlyCancel},
 	"many-ends":    {9, manyEnds},
+	"label-lull":   {9, labelLull},
 }
 
 func main() { os.Exit(run1()) }
--- a/review/cases2/platform.go
+++ b/review/cases2/platform.go
@@ -26,6 +26,12 @@
 	prefix      = "/riga-quote/"
 )
 
+// startAgain is a start of a work item of which an earlier run has ended done.
+type startAgain struct {
+	run  int
+	text string
+}
+
 // Record writes record.txt and keeps what the checks need.
 type Record struct {
 	mu      sync.Mutex
@@ -33,7 +39,7 @@
 	running map[string]map[*Worker]*run // by work item
 	done    map[string]bool             // work items of which a run has ended done
 	noted   map[string]bool             // those whose end done was taken note of
-	again   map[string]string           // starts after an end done that was not taken note of yet
+	again   map[string]startAgain       // starts after an end done that was not taken note of yet
 	Starts  map[string]int              // by job
 	LastRun map[string]int64            // by job: steady ms of the last start
 	Ends    int
@@ -83,7 +89,7 @@
 		if l.noted[r.task] {
 			l.breakf("%s was taken note of before", text)
 		} else {
-			l.again[r.task] = text
+			l.again[r.task] = startAgain{r.run, text}
 		}
 	}
 	l.running[r.task][w] = r
@@ -112,9 +118,9 @@
 		return
 	}
 	l.noted[e.task] = true
-	if text, ok := l.again[e.task]; ok {
+	if a, ok := l.again[e.task]; ok && e.run < a.run {
 		delete(l.again, e.task)
-		l.breakf("%s is taken note of later", text)
+		l.breakf("%s, of run %d, is taken note of later", a.text, e.run)
 	}
 }
 
@@ -162,7 +168,7 @@
 	p := &Platform{
 		store: NewStore(), dir: dir, steps: map[string][]Step{}, workerDelay: time.Millisecond,
 		log: &Record{
-			f: f, running: map[string]map[*Worker]*run{}, done: map[string]bool{}, noted: map[string]bool{}, again: map[string]string{}, Starts: map[string]int{}, LastRun: map[string]int64{},
+			f: f, running: map[string]map[*Worker]*run{}, done: map[string]bool{}, noted: map[string]bool{}, again: map[string]startAgain{}, Starts: map[string]int{}, LastRun: map[string]int64{},
 		},
 	}
 	if p.storeAddr, err = listen(p.store); err != nil {
@@ -353,19 +359,20 @@
 
 // wireStep is a step as clients send it.
 type wireStep struct {
-	Count      int   `json:"count"`
-	CPU        int64 `json:"cpu"`
-	MemMB      int64 `json:"mem_mb"`
-	EstimateMs int64 `json:"estimate_ms"`
-	Checkpoint bool  `json:"checkpoint,omitempty"`
-	After      []int `json:"after,omitempty"`
+	Count      int    `json:"count"`
+	CPU        int64  `json:"cpu"`
+	MemMB      int64  `json:"mem_mb"`
+	EstimateMs int64  `json:"estimate_ms"`
+	Checkpoint bool   `json:"checkpoint,omitempty"`
+	After      []int  `json:"after,omitempty"`
+	Label      string `json:"required_label,omitempty"`
 }
 
 // submit hands a job in, and again after no answer, 503 or 504, until within has passed.
 func (p *Platform) submit(entry int, id string, steps []wireStep, workMs int64, within time.Duration) bool {
 	p.mu.Lock()
 	for _, s := range steps {
-		p.steps[id] = append(p.steps[id], Step{CPU: s.CPU, MemMB: s.MemMB, WorkMs: workMs, Checkpoint: s.Checkpoint})
+		p.steps[id] = append(p.steps[id], Step{CPU: s.CPU, MemMB: s.MemMB, WorkMs: workMs, Checkpoint: s.Checkpoint, Label: s.Label})
 	}
 	p.mu.Unlock()
 	for until := time.Now().Add(within); time.Now().Before(until); entry++ {
--- a/review/cases2/worker.go
+++ b/review/cases2/worker.go
@@ -24,6 +24,7 @@
 type Step struct {
 	CPU, MemMB, WorkMs int64
 	Checkpoint         bool
+	Label              string // required_label
 }
 
 type run struct {
@@ -51,22 +52,24 @@
 	Machine    string
 	ID         string
 	Service    string
+	Kind       string // first label; a new lifetime may have another one
 	addr       string
 	CPU, MemMB int64
 
-	mu      sync.Mutex
-	life    int   // number of the lifetime
-	dark    bool  // down without a word
-	born    int64 // Unix ms
-	bootAt  int64 // steady ms at which the clock showed clock0
-	fence   int64
-	lease   int64 // by the worker's clock
-	runs    map[string]*run
-	ends    []runEnd
-	seq     int64
-	highest map[string]int // highest run that was stopped or ended
-	conns   map[net.Conn]bool
-	ended   chan struct{} // closed and replaced when a run ends
+	mu       sync.Mutex
+	reportAt int64 // steady ms of the first report of this lifetime
+	life     int   // number of the lifetime
+	dark     bool  // down without a word
+	born     int64 // Unix ms
+	bootAt   int64 // steady ms at which the clock showed clock0
+	fence    int64
+	lease    int64 // by the worker's clock
+	runs     map[string]*run
+	ends     []runEnd
+	seq      int64
+	highest  map[string]int // highest run that was stopped or ended
+	conns    map[net.Conn]bool
+	ended    chan struct{} // closed and replaced when a run ends
 }
 
 // clock0 is the worker's clock at the start of a lifetime.
@@ -74,7 +77,7 @@
 
 func newWorker(p *Platform, n int, service string, cpu, mem int64) (*Worker, error) {
 	w := &Worker{
-		p: p, Machine: fmt.Sprintf("m-%05d", n), ID: fmt.Sprintf("i-%010d", n), Service: service, CPU: cpu, MemMB: mem,
+		p: p, Machine: fmt.Sprintf("m-%05d", n), ID: fmt.Sprintf("i-%010d", n), Service: service, Kind: "a", CPU: cpu, MemMB: mem,
 		conns: map[net.Conn]bool{},
 	}
 	w.boot()
@@ -118,9 +121,15 @@
 	w.dark, w.runs = true, map[string]*run{}
 }
 
-// Restart begins the next lifetime under the same id and address. The channels of the last one are reset.
+// Restart begins the next lifetime under the same id and address, and reports it. The channels of the last one are reset.
 func (w *Worker) Restart() {
+	w.RestartAs(w.Kind, 0)
+}
+
+// RestartAs begins the next lifetime as a worker of the given kind, which reports itself reportAfter later.
+func (w *Worker) RestartAs(kind string, reportAfter time.Duration) {
 	w.mu.Lock()
+	w.Kind, w.reportAt = kind, steadyMs()+reportAfter.Milliseconds()
 	for c := range w.conns {
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
@@ -129,19 +138,21 @@
 	}
 	w.boot()
 	w.mu.Unlock()
-	w.report()
+	if reportAfter == 0 {
+		w.report()
+	}
 }
 
 // report writes the worker's entry to the store.
 func (w *Worker) report() {
 	w.mu.Lock()
-	if w.dark {
+	if w.dark || steadyMs() < w.reportAt {
 		w.mu.Unlock()
 		return
 	}
 	b, _ := json.Marshal(map[string]any{
 		"service": w.Service, "addr": w.addr, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"seq": time.Now().UnixMilli(), "born": w.born, "machine": w.Machine, "labels": []string{"a", "r1-1"},
+		"seq": time.Now().UnixMilli(), "born": w.born, "machine": w.Machine, "labels": []string{w.Kind, "r1-1"},
 		"capacity": map[string]any{"cpu": w.CPU, "mem_mb": w.MemMB, "gpu": 0},
 	})
 	w.mu.Unlock()
@@ -150,13 +161,17 @@
 
 func (w *Worker) loop() {
 	w.report()
-	next := steadyMs() + heartbeatMs
+	next, reported := steadyMs()+heartbeatMs, int64(0)
 	for {
 		time.Sleep(tickMs * time.Millisecond)
 		w.mu.Lock()
 		w.advance()
+		first := w.reportAt > reported && steadyMs() >= w.reportAt
+		if first {
+			reported = w.reportAt
+		}
 		w.mu.Unlock()
-		if now := steadyMs(); now >= next {
+		if now := steadyMs(); now >= next || first {
 			next = now + heartbeatMs
 			w.report()
 		}
@@ -283,6 +298,9 @@
 		w.refuse(rw, "room")
 		return
 	}
+	if step.Label != "" && step.Label != w.Kind {
+		w.p.log.Break("ROUTE: %s, which requires the label %s, starts as run %d on %s, whose kind is %s", b.Task, step.Label, b.Run, w.ID, w.Kind)
+	}
 	x := &run{task: b.Task, run: b.Run, step: step, startedAt: steadyMs()}
 	w.runs[b.Task] = x
 	w.p.log.runStarted(w, x, b)
