--- a/review/cases2/case_wide_job.go
+++ b/review/cases2/case_wide_job.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// wideItems is the number of work items of the wide job. Its body has 100 bytes.
-	wideItems = 9500
+	// wideItems is the number of work items of the wide job. Its body has some 120 bytes.
+	wideItems = 6000
 	// finishTime is the time after the end of the traffic after which jobs are asked for (finish_s).
 	finishTime = 14 * time.Second
 	// answerWithin is the time in which a job's state has to be answered, over tries at all entries.
@@ -48,7 +48,7 @@
 	}
 	for n := range 60 {
 		if n == 12 {
-			step := wireStep{Count: wideItems, CPU: 20, MemMB: 10, EstimateMs: 8000}
+			step := wireStep{Count: wideItems, CPU: 20, MemMB: 10, EstimateMs: 8000, Checkpoint: true}
 			if !trouble {
 				step.Count = 500
 			}
--- a/review/cases2/worker.go
+++ b/review/cases2/worker.go
@@ -14,10 +14,12 @@
 
 // Limits of a worker, in milliseconds.
 const (
-	holdMaxMs   = 10_000
-	stopMs      = 100 // a stop takes at most 400
-	tickMs      = 5
-	heartbeatMs = 1500
+	holdMaxMs = 10_000
+	stopMs    = 100 // a stop takes at most 400
+	tickMs    = 5
+	// checkpointMs is checkpoint_interval_s.
+	checkpointMs = 500
+	heartbeatMs  = 1500
 )
 
 // Step is what the client asked for a step's items; WorkMs is how long an item really takes.
@@ -202,7 +204,7 @@
 	delete(w.runs, r.task)
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.seq++
-	w.ends = append(w.ends, runEnd{seq: w.seq, task: r.task, run: r.run, how: how})
+	w.ends = append(w.ends, runEnd{seq: w.seq, task: r.task, run: r.run, how: how, ref: r.ref})
 	close(w.ended)
 	w.ended = make(chan struct{})
 	w.p.log.runEnded(w, r, how)
@@ -339,8 +341,11 @@
 	}
 	running, ends := [][]any{}, [][]any{}
 	for _, x := range w.runs {
+		if ran := steadyMs() - x.startedAt; x.step.Checkpoint && ran >= checkpointMs {
+			x.ref = fmt.Sprintf("%08x%08x", x.startedAt, ran/checkpointMs)
+		}
 		percent := 100 * (steadyMs() - x.startedAt) / max(x.step.WorkMs, 1)
-		running = append(running, []any{x.task, x.run, "", min(percent, 99), x.step.CPU})
+		running = append(running, []any{x.task, x.run, x.ref, min(percent, 99), x.step.CPU})
 	}
 	for _, e := range w.ends[:min(len(w.ends), 500)] {
 		ends = append(ends, []any{e.seq, e.task, e.run, e.how, e.ref})
