owner: Send only orders that the engine still wants

Cause: the queue of a VM's session outlives the VM's lifetime. Starts that waited behind unanswered ones were sent to the next lifetime, long after their items had been released and had started elsewhere. The ID, the fence number and a deadline by the old clock refuse nothing there.

Change: the session asks the engine immediately before it sends an order. A start whose item was released, whose VM is silent or whose deadline has passed counts as not executed, so its item is free to start elsewhere at once.

--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -165,6 +165,26 @@
 	return orders
 }
 
+// StillDue reports whether an order that waited in the queue of its VM is still to be sent. The item of a start may have been
+// released meanwhile and run elsewhere, and a VM that starts again under its ID would execute the start: its clock begins
+// anew, so that the deadline of the order lies far ahead.
+func (e *Engine) StillDue(o pools.Order, now int64) bool {
+	v := e.vms[o.VM]
+	if v == nil {
+		return false
+	}
+	it := v.runs[o.Item]
+	current := it != nil && it.run == o.Run
+	switch o.Kind {
+	case pools.Start:
+		return current && it.phase == sent && !v.silent && v.estimateClock(now) <= o.DeadlineMs
+	case pools.Stop:
+		return !current || it.phase == stopping // a run that belongs to no item is stopped, too
+	default:
+		return current && it.phase == running
+	}
+}
+
 // HandleOrderReply applies the reply to an order.
 func (e *Engine) HandleOrderReply(o pools.Order, r pools.Reply, now int64) {
 	v := e.vms[o.VM]
--- a/io/owner/session.go
+++ b/io/owner/session.go
@@ -97,16 +97,30 @@
 		case <-s.pollRequest:
 			s.pollNow()
 		case o := <-s.orders:
-			if async != nil && s.sendAsync(async, o) {
-				continue
-			}
-			if s.handleReply(o, s.sendOrder(o)) {
+			switch {
+			case s.dropIfObsolete(o):
+			case async != nil && s.sendAsync(async, o):
+			case s.handleReply(o, s.sendOrder(o)):
 				s.pollNow()
 			}
 		}
 	}
 }
 
+// dropIfObsolete reports an order to the engine as not executed if it is no longer to be sent, and returns whether it did.
+// Orders may wait for seconds behind those to a silent VM, or while this process is suspended.
+func (s *vmSession) dropIfObsolete(o pools.Order) bool {
+	now := clock.BootMs()
+	s.r.mu.Lock()
+	defer s.r.mu.Unlock()
+	if s.r.engine.StillDue(o, now) {
+		return false
+	}
+	s.r.engine.HandleOrderReply(o, pools.Reply{Kind: pools.NotExecuted}, now)
+	s.r.signal()
+	return true
+}
+
 // sendAsync sends an order without waiting for its reply. It returns false if the client does not accept the order.
 func (s *vmSession) sendAsync(c asyncClient, o pools.Order) bool {
 	sentAt := time.Now()
