shard: Wait for the ends that a VM has not listed yet

Cause: a VM lists 500 ends at a time. A run that is neither running nor among them counted as missing, and its item was released and started again.

The tests without the two conditions: TestEndsBeyondThePageAreNotMissing: 100 (int) != 0 (int): no item starts again TestNewOwnerWaitsForFurtherEnds: 1 (int) != 0 (int)

Change: a reply with a full list of ends says that more may follow. By such a reply no run is missing, no unanswered start is unseen, no run is stalled, and a new owner does not count the VM as known. The stand-in of VMs lists 500 ends at a time as well.

--- a/core/pools/pools.go
+++ b/core/pools/pools.go
@@ -96,6 +96,7 @@
 	StartedAtMs int64 // start of the VM's lifetime, Unix milliseconds; 0 if unknown
 	Running     []RunStatus
 	Ended       []RunEnd
+	MoreEnds    bool // Ended may lack the newest ends, which follow once the listed ones are acknowledged
 }
 
 // RunStatus is the state of a run on a VM.
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -153,7 +153,7 @@
 	}
 	e.initialPolls.setMachines(e.cfg.Service, machines, requestedAt, func(id string) bool {
 		v := e.vms[id]
-		return v != nil && v.polled
+		return v != nil && v.allEndsListed
 	})
 	for id, v := range e.vms {
 		if (v.silent || !v.listed) && !current[id] && v.knownAt < requestedAt && (len(v.runs) > 0 || v.polled) {
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -98,6 +98,9 @@
 	}
 	if !v.polled {
 		v.firstPolledAt = now
+	}
+	if v.moreEnds = reply.MoreEnds; !v.moreEnds {
+		v.allEndsListed = true
 		e.initialPolls.remove(id)
 	}
 	v.polled, v.silent, v.silentSince, v.lastPollAt = true, false, 0, now
@@ -110,7 +113,7 @@
 			e.handleRunEnd(v, end, now)
 		}
 	}
-	e.reconcileRuns(v, reply.Running, sentAt, now)
+	e.reconcileRuns(v, &reply, sentAt, now)
 	e.ackIfClean(v)
 	return changed || len(v.runs) != runsBefore || len(e.orders) > 0
 }
@@ -140,12 +143,12 @@
 }
 
 // reconcileRuns compares the runs that a VM listed with the items assigned to it. Unknown runs are adopted or stopped;
-// items whose run is missing for certain are released.
-func (e *Engine) reconcileRuns(v *vm, runs []pools.RunStatus, sentAt, now int64) {
+// items whose run is missing for certain are released. While the VM has further ends to list, none is: the run may be among them.
+func (e *Engine) reconcileRuns(v *vm, reply *pools.PollReply, sentAt, now int64) {
 	e.pollNum++
 	v.unknownRuns = 0
-	for i := range runs {
-		r := &runs[i]
+	for i := range reply.Running {
+		r := &reply.Running[i]
 		it := v.runs[r.Item]
 		if it == nil || it.run < r.Run {
 			it = e.adoptRun(v, r, now)
@@ -158,6 +161,9 @@
 		it.seenInPoll, it.seenRunning = e.pollNum, true
 		e.updateRun(it, r, now)
 	}
+	if reply.MoreEnds {
+		return
+	}
 	for _, it := range v.runs {
 		if it.seenInPoll == e.pollNum {
 			continue
--- a/core/shard/poll_test.go
+++ b/core/shard/poll_test.go
@@ -134,3 +134,79 @@
 	e.vms["a"].runs[o.Item].progressPercent = 0
 	assert.Equal(t, waitMs(12+maxStartupMs), int64(PollWaitMs), "the item does not get to work")
 }
+
+// longPageEngine returns an engine on whose VM "a" n items of a job have been started at time 10, with the names of the items.
+func longPageEngine(t *testing.T, n int) (e *Engine, items []string) {
+	t.Helper()
+	e = newPolledEngine(1, int64(n), int64(n))
+	e.Submit(&jobs.StoredJob{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{{Count: n, CPU: 1, MemMB: 1, EstimateMs: 600}}}}, 10, 10)
+	for len(items) < n {
+		e.MarkOwnershipConfirmed(10)
+		e.Advance(10, 10)
+		orders := e.TakeOrders()
+		assert.Assert(t, len(orders) > 0)
+		for _, o := range orders {
+			e.HandleOrderReply(o, pools.Reply{Kind: pools.Done}, 11)
+			items = append(items, o.Item)
+		}
+	}
+	return e, items
+}
+
+// endsOf returns the ends as done of the first runs of items, the first of which has the sequence number first.
+func endsOf(items []string, first int) []pools.RunEnd {
+	ends := make([]pools.RunEnd, len(items))
+	for i, item := range items {
+		ends[i] = pools.RunEnd{Seq: int64(first + i), Item: item, Run: 1, Kind: pools.EndDone}
+	}
+	return ends
+}
+
+// TestEndsBeyondThePageAreNotMissing guards against an item that starts again after it has ended as done. A VM lists 500 ends at
+// a time, and in an outage of the store none is acknowledged. The runs whose ends were not listed yet counted as missing.
+func TestEndsBeyondThePageAreNotMissing(t *testing.T) {
+	const n, page = 600, 500
+	e, items := longPageEngine(t, n)
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 700, StartedAtMs: 1, Ended: endsOf(items[:page], 1), MoreEnds: true}, 700, 700)
+	e.Advance(710, 710)
+	assert.Equal(t, len(e.TakeOrders()), 0, "no item starts again")
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 2200, StartedAtMs: 1, Ended: endsOf(items[:page], 1), MoreEnds: true}, 2200, 2200)
+	e.Advance(2210, 2210)
+	assert.Equal(t, len(e.TakeOrders()), 0, "no run counts as stalled")
+	b, err := e.NextBatch()
+	assert.NilError(t, err)
+	e.HandleBatchStored(b, 720)
+	req, ok := e.NextPoll("a", 730)
+	assert.Assert(t, ok)
+	assert.Equal(t, req.AckedSeq, int64(page))
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 730, StartedAtMs: 1, Ended: endsOf(items[page:], page+1)}, 730, 730)
+	assert.Equal(t, e.jobs["j"].state, jobs.Complete)
+}
+
+// TestNewOwnerWaitsForFurtherEnds guards against the same at a takeover: an item of which no start is recorded started again,
+// although its end was among those that the VM had not listed yet.
+func TestNewOwnerWaitsForFurtherEnds(t *testing.T) {
+	const takenOverAt = 100_000
+	e := New(Config{Service: "s", Epoch: 2, StatusRetentionMs: 1000}, &jobs.Catalog{}, takenOverAt)
+	e.LoadJob("j", &jobs.StoredJob{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{{Count: 1, CPU: 100, MemMB: 10, EstimateMs: 600}}}}, takenOverAt, takenOverAt)
+	e.RequireInitialPolls(takenOverAt)
+	e.SetVMs([]pools.VM{{ID: "a", Service: "s", Addr: "x", CPU: 1000, MemMB: 1000}}, takenOverAt)
+	e.SetMachines(machinesOf("a"), takenOverAt, takenOverAt+1)
+	advance := func(now int64) []pools.Order {
+		e.MarkOwnershipConfirmed(now)
+		e.MarkStoreReachable(now)
+		e.Advance(now, now)
+		return e.TakeOrders()
+	}
+	e.HandlePollReply("a", pools.PollReply{
+		Kind: pools.Done, ClockMs: 1, StartedAtMs: 1, Ended: endsOf([]string{"other.0.0.0"}, 1), MoreEnds: true,
+	}, takenOverAt+2, takenOverAt+3)
+	assert.Equal(t, len(advance(takenOverAt+50)), 0)
+	e.SetMachines(machinesOf("a"), takenOverAt+60, takenOverAt+61)
+	assert.Equal(t, len(advance(takenOverAt+100)), 0, "a later list of the machines doesn't end the wait")
+	e.HandlePollReply("a", pools.PollReply{
+		Kind: pools.Done, ClockMs: 1, StartedAtMs: 1, Ended: endsOf([]string{"j.0.0.0"}, 2),
+	}, takenOverAt+110, takenOverAt+111)
+	assert.Equal(t, len(advance(takenOverAt+150)), 0)
+	assert.Equal(t, e.jobs["j"].state, jobs.Complete)
+}
--- a/core/shard/takeover.go
+++ b/core/shard/takeover.go
@@ -19,7 +19,7 @@
 	return initialPolls{requiredAt: now, leasesEndAt: now + earlierLeaseMs, pending: true}
 }
 
-// setMachines applies the machine list, which was requested at requestedAt. polled reports whether a VM was polled. A VM
+// setMachines applies the machine list, which was requested at requestedAt. polled reports whether a VM has listed all its ends. A VM
 // that is not on a running machine of the pool has ended together with its runs.
 func (p *initialPolls) setMachines(service string, machines []pools.Machine, requestedAt int64, polled func(id string) bool) {
 	if !p.pending || requestedAt < p.requiredAt {
@@ -38,7 +38,7 @@
 	p.vms = vms
 }
 
-// remove marks a VM as polled or ended.
+// remove marks a VM as ended, or as polled with all its ends.
 func (p *initialPolls) remove(id string) { delete(p.vms, id) }
 
 // update sets pending to whether polls are still missing, and returns it.
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -122,8 +122,8 @@
 
 // stalled reports whether a run makes no progress.
 func (e *Engine) stalled(it *item, now int64) bool {
-	if now-it.vm.lastPollAt > maxPollAgeMs {
-		return false // the last reply is too old
+	if now-it.vm.lastPollAt > maxPollAgeMs || it.vm.moreEnds {
+		return false // the last reply is too old, or the end of the run may not be listed yet
 	}
 	// Only the time between polls counts. Without a poll, the process, the connection or the VM may merely have been
 	// late.
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -17,6 +17,8 @@
 
 	polled        bool  // it replied to a poll of this owner, which raised its fence number
 	firstPolledAt int64 // time of the first such reply; orders that it accepted from an earlier owner may take effect later
+	allEndsListed bool  // such a reply has listed all ends of the lifetime, so that every run there is known
+	moreEnds      bool  // the last one has not
 	clockMs       int64 // the VM's clock at its last reply
 	clockReadAt   int64 // local time of that reply
 	leaseEndMs    int64 // latest end of a lease that was sent, by the VM's clock
@@ -95,7 +97,7 @@
 // startLifetime resets the state that belongs to the lifetime that ended.
 func (v *vm) startLifetime(startedAtMs int64) {
 	v.startedAtMs = startedAtMs
-	v.polled, v.silent, v.silentSince = false, false, 0
+	v.polled, v.allEndsListed, v.moreEnds, v.silent, v.silentSince = false, false, false, false, 0
 	v.clockMs, v.clockReadAt, v.leaseEndMs, v.earlierLeaseUntil = 0, 0, 0, 0
 	v.seenSeq, v.ackedSeq, v.lastPollAt, v.suspectUntil, v.noCapacityUntil, v.unknownRuns = 0, 0, 0, 0, 0, 0
 	v.recentFailures = [8]bool{}
--- a/fake/pool/vm.go
+++ b/fake/pool/vm.go
@@ -176,6 +176,9 @@
 	return len(v.ended) > 0 && v.ended[len(v.ended)-1].Seq > acked
 }
 
+// maxListedEnds is the number of ends that a VM lists at a time.
+const maxListedEnds = 500
+
 // Poll returns the reply to a poll at now. It renews the lease and removes the ends that the owner has recorded.
 func (v *VM) Poll(c pools.PollRequest, now int64) pools.PollReply {
 	v.Advance(now)
@@ -190,7 +193,10 @@
 		}
 		v.ended = v.ended[1:]
 	}
-	l := pools.PollReply{Kind: pools.Done, ClockMs: v.clockMs(now), StartedAtMs: v.BootedAtMs, Ended: append([]pools.RunEnd(nil), v.ended...)}
+	l := pools.PollReply{
+		Kind: pools.Done, ClockMs: v.clockMs(now), StartedAtMs: v.BootedAtMs,
+		Ended: append([]pools.RunEnd(nil), v.ended[:min(len(v.ended), maxListedEnds)]...), MoreEnds: len(v.ended) >= maxListedEnds,
+	}
 	names := make([]string, 0, len(v.Runs))
 	for n := range v.Runs {
 		names = append(names, n)
--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -67,7 +67,9 @@
 
 // pollReply decodes the poll reply of an answer.
 func (a *Answer) pollReply() pools.PollReply {
-	reply := pools.PollReply{Kind: pools.ReplyKind(a.Kind), ClockMs: a.ClockMs, StartedAtMs: a.Born}
+	reply := pools.PollReply{
+		Kind: pools.ReplyKind(a.Kind), ClockMs: a.ClockMs, StartedAtMs: a.Born, MoreEnds: len(a.Ended) >= platform.MaxListedEnds,
+	}
 	for _, r := range a.Running {
 		reply.Running = append(reply.Running, pools.RunStatus{Item: r.Item, Run: r.Run, Ref: r.Ref, ProgressPercent: r.Percent, Load: r.Load})
 	}
