jobapi: Make shards refuse a job before its cancel is answered with 410

A client left before its job was stored and cancelled it at another entry.

Cause: the answer 410 only meant that no shard had the job yet. The job was in the owner's inbox or in an append without an answer, and was stored afterwards.

Change: the shards of the route exclude the job before the answer. A shard that has stored it meanwhile gets the cancellation.

--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -295,7 +295,8 @@
 }
 
 // Cancel stores the cancellation of a job. If an owner does not answer, it does so in all shards that may have the job, since
-// the cancellation of a job that does not exist has no effect.
+// the cancellation of a job that does not exist has no effect. A job that no shard has may still be on its way into the log: it
+// is refused with status 410 Gone only once its shards refuse to take it.
 func (a *API) Cancel(ctx context.Context, q *jobs.Queue, id string) error {
 	s, part, err := a.find(ctx, q, id)
 	var refused *platform.Refusal
@@ -304,7 +305,13 @@
 	case err == nil && s.Final():
 		return nil
 	case errors.As(err, &refused) && refused.Status == http.StatusGone:
-		return err
+		var excludeErr error
+		if parts, excludeErr = a.exclude(ctx, q, id); excludeErr != nil {
+			return excludeErr
+		}
+		if len(parts) == 0 {
+			return err
+		}
 	case err != nil:
 		if parts, err = a.shardsOf(ctx, q); err != nil {
 			return err
@@ -322,6 +329,27 @@
 	return nil
 }
 
+// exclude makes the shards in which jobs of a queue's route may be stored refuse a job from now on, and returns those that have
+// stored it meanwhile.
+func (a *API) exclude(ctx context.Context, q *jobs.Queue, id string) (have []int, err error) {
+	shards, err := a.shardsOf(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	for _, part := range shards {
+		found, known := a.cfg.Owners.ExcludeJob(ctx, part, id)
+		if !known {
+			return nil, unavailable("the owner of the job's shard does not answer at present")
+		}
+		if found {
+			have = append(have, part)
+		}
+	}
+	a.cfg.Log.Info("unknown job cancelled", zap.String("job", id), zap.String("queue", q.Name), zap.Ints("shards", shards),
+		zap.Ints("storedMeanwhile", have))
+	return have, nil
+}
+
 // shardsOf returns all shards in which jobs of a queue's route may be stored.
 func (a *API) shardsOf(ctx context.Context, q *jobs.Queue) ([]int, error) {
 	part, err := a.part(q)
--- a/io/jobapi/moved_test.go
+++ b/io/jobapi/moved_test.go
@@ -30,14 +30,16 @@
 
 // movedCase is one case of testdata/moved.toml.
 type movedCase struct {
-	Name    string
-	Cancel  bool  // the job is cancelled; otherwise it is handed in
-	Has     []int // shards that have the job
-	Silent  []int // shards whose owners do not answer
-	Unknown bool  // the shards of the route cannot be recorded
-	Stored  []int // shards in which a record is stored
-	Exclude []int // shards that refuse the job from then on
-	Status  int   // of the answer
+	Name     string
+	Cancel   bool  // the job is cancelled; otherwise it is handed in
+	Has      []int // shards that have the job
+	Arriving []int // shards that store it between the query for it and its exclusion
+	Silent   []int // shards whose owners do not answer
+	Full     []int // shards whose owners answer but cannot append
+	Unknown  bool  // the shards of the route cannot be recorded
+	Stored   []int // shards in which a record is stored
+	Exclude  []int // shards that refuse the job from then on
+	Status   int   // of the answer
 }
 
 // movedOwners are the owners of the shards in a case.
@@ -57,10 +59,10 @@
 }
 
 func (o *movedOwners) ExcludeJob(_ context.Context, part int, _ string) (found, known bool) {
-	if slices.Contains(o.c.Silent, part) {
+	if slices.Contains(o.c.Silent, part) || slices.Contains(o.c.Full, part) {
 		return false, false
 	}
-	if slices.Contains(o.c.Has, part) {
+	if slices.Contains(o.c.Has, part) || slices.Contains(o.c.Arriving, part) {
 		return true, true
 	}
 	o.excluded = append(o.excluded, part)
@@ -84,7 +86,8 @@
 }
 
 // TestJobsOfAMovedQueue guards against a job that runs twice, as its request is repeated after a configuration has sent its
-// queue to another service, and against a cancel that is acknowledged but reaches only the queue's new shard.
+// queue to another service, against a cancel that is acknowledged but reaches only the queue's new shard, and against a job that
+// runs although its cancel was answered with 410, because it was on its way into the log.
 func TestJobsOfAMovedQueue(t *testing.T) {
 	data, err := os.ReadFile("testdata/moved.toml")
 	assert.NilError(t, err)
