shard: Delete the cancellations of jobs that never come

What callers saw: nothing. The log and the memory of owners grew with each cancel of an unknown job that came while an owner did not answer: the cancellation is stored in all shards of the route then, and only the end of its job deleted it.

Change: a cancellation without a job is deleted after the retention time of ended jobs, also by an owner that loads it, and the table of jobs forgets it then. One whose job came stays in force.

--- a/core/jobs/exclude_test.go
+++ b/core/jobs/exclude_test.go
@@ -11,15 +11,18 @@
 
 // excludeCase is one case of testdata/exclude.toml.
 type excludeCase struct {
-	Name     string
-	Records  []string
-	Found    bool // the shard has the job
-	Excluded bool // the shard refuses the job
-	Stale    bool // the last record has to be deleted
+	Name      string
+	Records   []string
+	Found     bool // the shard has the job
+	Cancelled bool // it is shown as cancelled
+	Excluded  bool // the shard refuses the job
+	Stale     bool // the last record has to be deleted
+	Empty     bool // nothing is left of it
 }
 
 // TestExcludedJobIsRefused guards against a job that runs in two shards: an entry that still uses an earlier configuration
-// stores it in its queue's earlier shard after another entry has stored it in the present one.
+// stores it in its queue's earlier shard after another entry has stored it in the present one. It also guards against a
+// cancellation that comes before its job and is forgotten, and against one of a job that never comes and is kept for good.
 func TestExcludedJobIsRefused(t *testing.T) {
 	data, err := os.ReadFile("testdata/exclude.toml")
 	assert.NilError(t, err)
@@ -32,6 +35,7 @@
 	assert.NilError(t, err)
 	records := map[string]Record{
 		"job": {Key: JobKey(id), Value: job}, "final": {Key: ProgressKey(id), Value: final}, "exclude": ExcludeRecord(id),
+		"cancel": {Key: CancelKey(id), Value: []byte{1}},
 	}
 	for _, c := range script.Case {
 		t.Run(c.Name, func(t *testing.T) {
@@ -46,9 +50,11 @@
 				last, err = table.Apply(rec)
 				assert.NilError(t, err)
 			}
-			_, found := table.Find(id)
+			state, found := table.Find(id)
 			assert.Equal(t, found, c.Found)
-			assert.Equal(t, table.Jobs[id].Excluded, c.Excluded)
+			assert.Equal(t, found && state == Cancelled, c.Cancelled)
+			assert.Equal(t, len(table.Jobs) == 0, c.Empty)
+			assert.Equal(t, !c.Empty && table.Jobs[id].Excluded, c.Excluded)
 			assert.Equal(t, last.Stale, c.Stale)
 		})
 	}
--- a/core/jobs/table.go
+++ b/core/jobs/table.go
@@ -117,7 +117,8 @@
 }
 
 // deleteRecord applies the deletion of a record. Deleting the job record of a job in a final state keeps its progress.
-// Otherwise deleting the job record or the progress record removes the job. An exclusion lasts until its own record is deleted.
+// Otherwise deleting the job record or the progress record removes the job. An exclusion, or the cancellation of a job that the
+// shard does not have, lasts until its own record is deleted.
 func (t *JobTable) deleteRecord(kind byte, id string) {
 	s := t.Jobs[id]
 	if s == nil {
@@ -132,6 +133,12 @@
 		}
 	case keyProgress:
 		delete(t.Jobs, id)
+	case keyCancel:
+		if s.Job == nil && !s.Progress.State.Final() { // otherwise the job is cancelled, and its own end deletes it
+			if s.Cancelled = false; !s.Excluded {
+				delete(t.Jobs, id)
+			}
+		}
 	case keyExclude:
 		if s.Excluded = false; s.Job == nil && !s.Progress.State.Final() {
 			delete(t.Jobs, id)
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -98,7 +98,8 @@
 	demand demandTracker
 }
 
-// keptRecord is a record that is kept until deleteAt: the state of an ended job, for callers, or the exclusion of a job.
+// keptRecord is a record that is kept until deleteAt: the state of an ended job, for callers, the exclusion of a job, or the
+// cancellation of a job that the shard does not have.
 type keptRecord struct {
 	key      string
 	deleteAt int64
@@ -197,6 +198,9 @@
 	if stored.Excluded {
 		e.Exclude(id, now)
 	}
+	if stored.Job == nil && stored.Cancelled {
+		e.Cancel(id, now)
+	}
 	if stored.Job == nil || e.jobs[id] != nil {
 		return
 	}
@@ -254,7 +258,11 @@
 // Cancel cancels a job: its runs are stopped, and no item starts any more.
 func (e *Engine) Cancel(id string, now int64) {
 	j := e.jobs[id]
-	if j == nil || j.state.Final() {
+	if j == nil {
+		e.keepRecord(jobs.CancelKey(id), now) // the job may still come, or never existed
+		return
+	}
+	if j.state.Final() {
 		return
 	}
 	j.state = jobs.Cancelled
