shard: Record the progress of wide jobs in parts

Cause: the progress of a job was one record. With some 5,500 started items it is larger than the log's largest record, and the append of all jobs of the shard was refused and repeated.

The size check of TestWideJobIsRecordedInParts on, with checkpoints of 16 bytes: record p0000000000000001 has 369524 bytes. The other tests need the new records and can't run there.

Change: a job with more than 512 items keeps their states in part records of 512 items. A batch holds the parts that changed, and may leave some to the next batch, as the states of items don't depend on each other; acknowledging ends and recorded starts still wait for all. Checkpoints above 256 bytes are ignored, so that a part fits also at the end of the job's life. Parts go with their occurrences and with the job. Records of earlier versions are read and split.

--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -13,10 +13,11 @@
 	"strings"
 )
 
-// Key prefixes in a shard's partition. The job ID follows the prefix.
+// Key prefixes in a shard's partition. The job ID follows the prefix, and the number of the part follows that of keyPart.
 const (
 	keyJob      = 'j'
 	keyProgress = 'p'
+	keyPart     = 'q'
 	keyCancel   = 'c'
 	keyExclude  = 'x'
 )
@@ -59,6 +60,18 @@
 // ProgressKey returns the key of the progress record of a job.
 func ProgressKey(id string) string { return string(keyProgress) + id }
 
+// PartKey returns the key of a part record of a job, whose number is above 0.
+func PartKey(id string, part int) string { return string(keyPart) + id + "/" + strconv.Itoa(part) }
+
+// parsePart parses the key of a part record without its prefix.
+func parsePart(s string) (id string, part int, err error) {
+	id, number, _ := strings.Cut(s, "/")
+	if part, err = strconv.Atoi(number); err != nil || part < 1 {
+		return "", 0, fmt.Errorf("invalid part %q of the progress of a job", s)
+	}
+	return id, part, nil
+}
+
 // ExcludeRecord returns the record by which a shard refuses a job unless it has the job already. It is stored before the job
 // is stored in another shard.
 func ExcludeRecord(id string) Record { return Record{Key: ExcludeKey(id), Value: []byte{1}} }
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -33,7 +33,16 @@
 	}
 }
 
+// ItemsPerRecord is the number of work items whose states one record holds. A state takes some 100 bytes, and a checkpoint up to
+// MaxRefBytes, so that a record stays below the platform's largest one of 262,144 bytes.
+const ItemsPerRecord = 512
+
+// MaxRefBytes is the largest size of a checkpoint that is recorded.
+const MaxRefBytes = 256
+
 // Progress is the progress record of a job, written by the owner of its shard. The one with the highest Rev is in force.
+// That of a job with more than ItemsPerRecord items holds no items. They are in part records, which are of the same type and
+// hold Rev, Items and Crashes only.
 type Progress struct {
 	Rev   int64       `msg:"r"` // increases with each record of the job
 	State State       `msg:"s"`
--- a/core/jobs/table.go
+++ b/core/jobs/table.go
@@ -1,11 +1,16 @@
 package jobs
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
 
 // StoredJob is the state of one job, folded from its records.
 type StoredJob struct {
 	Job       *Job // nil if only cancel or progress records were read, or if the job record was deleted after the end
 	Progress  Progress
+	Parts     map[int]*Progress // part records by number, nil for a job without any
 	Cancelled bool
 	Excluded  bool // the shard refuses the job, because it may be stored in another shard
 }
@@ -21,6 +26,21 @@
 	return s.Progress.State
 }
 
+// FullProgress returns the progress with the items of all part records, and the highest Rev of all records.
+func (s *StoredJob) FullProgress() Progress {
+	p := s.Progress
+	if len(s.Parts) == 0 {
+		return p
+	}
+	p.Items, p.Crashes = slices.Clone(p.Items), slices.Clone(p.Crashes)
+	for _, n := range slices.Sorted(maps.Keys(s.Parts)) {
+		part := s.Parts[n]
+		p.Rev = max(p.Rev, part.Rev)
+		p.Items, p.Crashes = append(p.Items, part.Items...), append(p.Crashes, part.Crashes...)
+	}
+	return p
+}
+
 // Record is one keyed record of a partition. A nil value deletes the key.
 type Record struct {
 	Key   string
@@ -51,6 +71,9 @@
 		return Change{}, fmt.Errorf("unknown record key %q", r.Key)
 	}
 	id := r.Key[1:]
+	if r.Key[0] == keyPart {
+		return Change{}, t.applyPart(id, r.Value)
+	}
 	if len(r.Value) == 0 {
 		t.deleteRecord(r.Key[0], id)
 		return Change{}, nil
@@ -116,6 +139,33 @@
 	return Change{}, nil
 }
 
+// applyPart applies a part record with the key part after its prefix, or its deletion if value is empty.
+func (t *JobTable) applyPart(key string, value []byte) error {
+	id, n, err := parsePart(key)
+	if err != nil {
+		return err
+	}
+	if len(value) == 0 {
+		if s := t.Jobs[id]; s != nil {
+			delete(s.Parts, n)
+		}
+		return nil
+	}
+	var p Progress
+	if _, err := p.UnmarshalMsg(value); err != nil {
+		return fmt.Errorf("decode part %d of the progress of job %s: %w", n, id, err)
+	}
+	s := t.storedJob(id)
+	if last := s.Parts[n]; last != nil && p.Rev < last.Rev {
+		return nil
+	}
+	if s.Parts == nil {
+		s.Parts = map[int]*Progress{}
+	}
+	s.Parts[n] = &p
+	return nil
+}
+
 // deleteRecord applies the deletion of a record. Deleting the job record of a job in a final state keeps its progress.
 // Otherwise deleting the job record or the progress record removes the job. An exclusion, or the cancellation of a job that the
 // shard does not have, lasts until its own record is deleted.
--- a/core/shard/crash.go
+++ b/core/shard/crash.go
@@ -367,18 +367,12 @@
 	return false
 }
 
-// crashRecords returns the recorded form of the suspicions of a job's items.
-func (j *job) crashRecords() []jobs.ItemCrashes {
-	var list []jobs.ItemCrashes
-	for _, it := range j.orderedItems {
-		if it.suspected() && !it.done {
-			list = append(list, jobs.ItemCrashes{
-				K: it.K, Step: it.Step, Index: it.Index, GivenUp: it.givenUp,
-				Crashed: slices.Clone(it.crashedRuns), Lost: slices.Clone(it.lostRuns),
-			})
-		}
+// crashRecord returns the recorded form of the suspicions against an item.
+func (it *item) crashRecord() jobs.ItemCrashes {
+	return jobs.ItemCrashes{
+		K: it.K, Step: it.Step, Index: it.Index, GivenUp: it.givenUp,
+		Crashed: slices.Clone(it.crashedRuns), Lost: slices.Clone(it.lostRuns),
 	}
-	return list
 }
 
 // restoreCrashes restores the suspicions that an earlier owner recorded.
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -190,6 +190,9 @@
 func (e *Engine) LoadJob(id string, stored *jobs.StoredJob, now, wall int64) {
 	if stored.Progress.State.Final() {
 		e.keepRecord(jobs.ProgressKey(id), now)
+		for n := range stored.Parts {
+			e.expiredKeys = append(e.expiredKeys, jobs.PartKey(id, n))
+		}
 		if stored.Job != nil || stored.Cancelled {
 			e.staleJobs = append(e.staleJobs, id)
 		}
@@ -208,14 +211,18 @@
 	if !j.Persistent() && now-j.arrivedAt < rateWindowMs {
 		e.demand.addArrival(stored.Job, now)
 	}
-	j.rev, j.base = stored.Progress.Rev, stored.Progress.Base
-	j.state, j.storedState = stored.Progress.State, stored.Progress.State
+	progress := stored.FullProgress()
+	j.rev, j.base = progress.Rev, progress.Base
+	j.state, j.storedState = progress.State, progress.State
+	for n := range stored.Parts {
+		j.parts[n] = nil
+	}
 	e.jobs[id] = j
 	j.openDueOccurrences(wall, e.cfg.MaxEarlyStartMs)
-	for _, s := range stored.Progress.Items {
+	for _, s := range progress.Items {
 		e.restoreItem(j, s, now)
 	}
-	j.restoreCrashes(stored.Progress.Crashes)
+	j.restoreCrashes(progress.Crashes)
 	j.recountRemaining()
 	if stored.Cancelled {
 		e.Cancel(id, now)
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -28,6 +28,8 @@
 	failedRuns []int // numbers of the runs that failed; unused for persistent items
 	done       bool
 	checkpoint string
+	// checkpointTooLarge is set once a VM has listed a checkpoint above jobs.MaxRefBytes.
+	checkpointTooLarge bool
 
 	phase           phase
 	vm              *vm
@@ -77,6 +79,8 @@
 type job struct {
 	*jobs.Job
 	rev          int64
+	parts        map[int][]byte // part records in the log by number: the encoded states, nil if unknown
+	stepOffsets  []int          // as returned by stepOffsets
 	state        jobs.State
 	storedState  jobs.State // state in the last stored record
 	base         int        // occurrences below it have ended and are deleted
@@ -121,9 +125,10 @@
 func newJob(j *jobs.Job, now, wall int64) *job {
 	age := min(max(wall-j.AcceptedMs, 0), maxClockAgeMs)
 	n := &job{
-		Job: j, items: map[jobs.Item]*item{}, remaining: map[[2]int]int{}, readyStale: true,
+		Job: j, items: map[jobs.Item]*item{}, remaining: map[[2]int]int{}, readyStale: true, parts: map[int][]byte{},
 		arrivedAt: now - age, wallOffsetMs: wall - now,
 	}
+	n.stepOffsets = stepOffsets(j)
 	n.tailMs = chainTails(j.Steps)
 	for _, t := range n.tailMs {
 		n.chainMs = max(n.chainMs, t)
@@ -222,28 +227,6 @@
 	return n
 }
 
-// progress returns the progress record of the job. For an ended job it holds the state only.
-func (j *job) progress() jobs.Progress {
-	p := jobs.Progress{Rev: j.rev, State: j.state, Base: j.base}
-	if j.state.Final() {
-		return p
-	}
-	p.Crashes = j.crashRecords()
-	for _, it := range j.orderedItems {
-		if it.run == 0 && !it.done {
-			continue
-		}
-		s := jobs.ItemState{
-			K: it.K, Step: it.Step, Index: it.Index, Run: it.run, Failed: it.failedRuns, Done: it.done, Ref: it.checkpoint,
-		}
-		if it.vm != nil && !it.done {
-			s.VM, s.VMBorn = it.vm.ID, it.vm.startedAtMs
-		}
-		p.Items = append(p.Items, s)
-	}
-	return p
-}
-
 // trimOccurrences deletes the items of the leading occurrences that are done, to keep records small.
 func (j *job) trimOccurrences() {
 	if j.Times <= 1 {
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -72,6 +72,9 @@
 		for _, r := range b.jobStates {
 			e.markDirty(r.job)
 		}
+		for _, j := range e.dirty {
+			j.forgetParts()
+		}
 		return nil, err
 	}
 	for _, key := range e.expiredKeys {
@@ -96,32 +99,6 @@
 // HasUnrecordedJobs reports whether the progress of a job has changed since the last batch that holds it.
 func (e *Engine) HasUnrecordedJobs() bool { return len(e.dirty) > 0 }
 
-// addProgress adds the progress records of the jobs that have changed, up to maxBatchBytes. It returns the error of the
-// first record that cannot be encoded.
-func (e *Engine) addProgress(b *Batch) error {
-	size := 0
-	for id, j := range e.dirty {
-		if size > maxBatchBytes {
-			return nil
-		}
-		j.rev++
-		p := j.progress()
-		value, err := p.MarshalMsg(nil)
-		if err != nil {
-			return err
-		}
-		size += len(value)
-		b.Records = append(b.Records, jobs.Record{Key: jobs.ProgressKey(id), Value: value})
-		if j.state.Final() {
-			// Only the state of an ended job is kept.
-			b.Records = append(b.Records, jobs.Record{Key: jobs.JobKey(id)}, jobs.Record{Key: jobs.CancelKey(id)})
-		}
-		b.jobStates = append(b.jobStates, recordedJob{j, j.state})
-		delete(e.dirty, id)
-	}
-	return nil
-}
-
 // takeRecordedStarts moves the starts that wait to be recorded into a batch, except those of jobs that the batch does not
 // hold.
 func (e *Engine) takeRecordedStarts(b *Batch) {
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -261,8 +261,18 @@
 		it.progressPercent, it.progressChangedAt = r.ProgressPercent, now
 	}
 	it.tailLatencyMs = r.Load
-	if r.Ref != "" {
-		it.checkpoint = r.Ref
+	e.setCheckpoint(it, it.vm, r.Ref)
+}
+
+// setCheckpoint sets the newest checkpoint of an item as a VM listed it, unless there is none or it is too large to be recorded.
+func (e *Engine) setCheckpoint(it *item, v *vm, ref string) {
+	switch {
+	case ref == "":
+	case len(ref) <= jobs.MaxRefBytes:
+		it.checkpoint = ref
+	case !it.checkpointTooLarge:
+		it.checkpointTooLarge = true // logged once
+		e.addEvent(Event{JobID: it.job.ID, VM: v.ID, Name: "checkpoint ignored", Reason: "bytes, above the limit", N: len(ref)})
 	}
 }
 
@@ -299,8 +309,8 @@
 	}
 	e.markStarted(j, v, now)
 	it.forgetLostVM(end.Run)
-	if end.Ref != "" && !it.done {
-		it.checkpoint = end.Ref
+	if !it.done {
+		e.setCheckpoint(it, v, end.Ref)
 	}
 	if current && it.vm != nil {
 		e.release(it, now)
--- a/io/dump/view.go
+++ b/io/dump/view.go
@@ -114,7 +114,7 @@
 	for part, table := range f.jobTables {
 		for id, j := range table.Jobs {
 			v.Jobs = append(v.Jobs, Job{
-				ID: id, Part: part, State: j.State().String(), Cancelled: j.Cancelled, Job: j.Job, Progress: j.Progress,
+				ID: id, Part: part, State: j.State().String(), Cancelled: j.Cancelled, Job: j.Job, Progress: j.FullProgress(),
 			})
 		}
 	}
