owner: Keep records that the log can't take from holding up others

What callers saw: a shard in which nothing is recorded any more, as with the wide job: any record or append above the log's limits was refused and repeated for good, also by the next owner.

Cause: no code compared records with the limits; a refusal for their sake looked like a passing one.

Change: writers leave such a record out and log it as an error; an owner refuses it when an entry hands it in; a job whose record is too large is refused with 413 at the door. Jobs that wait for an append are split over several. The log of fake/plat has the platform's limits now. TestLastRecordsTakeSeveralBatches uses records of 1 MiB to fill batches; its writer has a higher limit now, and it checks what it checked before.

--- a/fake/plat/log.go
+++ b/fake/plat/log.go
@@ -133,6 +133,10 @@
 	if err != nil {
 		return
 	}
+	if !withinLimits(body) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	q := r.URL.Query()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -178,6 +182,27 @@
 	writeJSON(w, http.StatusOK, map[string]any{"offset": a.offset, "end": a.end})
 }
 
+// Limits on the sizes of a record and of all records of an append, in bytes.
+const (
+	maxRecordBytes = 262_144
+	maxCallBytes   = 2_097_152
+)
+
+// withinLimits reports whether the body of an append holds whole records within the limits.
+func withinLimits(body []byte) bool {
+	if len(body) > maxCallBytes {
+		return false
+	}
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		if n > maxRecordBytes || n > len(body)-4 {
+			return false
+		}
+		body = body[4+n:]
+	}
+	return len(body) == 0
+}
+
 // check compares an append with the producer's epoch and last sequence number. It returns the status of the append,
 // and the reply to the first attempt if the append is a repeat.
 func (p *partition) check(producer string, epoch, seq int64) (int, *appendReply) {
--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -89,6 +89,7 @@
 	Routes  Routes
 	// ConfigUpdateMs is the time within which a new configuration must be in force, in ms; 0 if it is unknown.
 	ConfigUpdateMs int64
+	Limits         platform.Limits // of the log
 	Log            *zap.Logger
 	Stats          *stats.Stats
 }
@@ -166,8 +167,12 @@
 	if err != nil {
 		return &platform.Refusal{Status: http.StatusBadRequest, Reason: err.Error()}
 	}
+	rec := jobs.Record{Key: jobs.JobKey(j.ID), Value: value}
+	if err := a.cfg.Limits.CheckRecord(rec); err != nil {
+		return &platform.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the job is too large: " + err.Error()}
+	}
 	startedAt := time.Now()
-	verdict := a.store(ctx, part, jobs.Record{Key: jobs.JobKey(j.ID), Value: value})
+	verdict := a.store(ctx, part, rec)
 	a.cfg.Stats.Timer("sassafrasvalve_submit_seconds", stats.Labels{{Name: "queue", Value: q.Name}})(time.Since(startedAt))
 	a.cfg.Stats.Count("sassafrasvalve_submitted_total",
 		stats.Labels{{Name: "queue", Value: q.Name}, {Name: "verdict", Value: verdict.String()}}, 1)
--- a/io/jobapi/api_test.go
+++ b/io/jobapi/api_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,3 +71,14 @@
 	assert.Equal(t, owners.storeCalls, 0, "a record that cannot be stored in time is not sent to the owner")
 	assert.Equal(t, submit(replyReserve/2), http.StatusOK)
 }
+
+// TestJobAboveTheRecordSizeIsRefused guards against a job that is accepted for the log, which refuses its record for good.
+func TestJobAboveTheRecordSizeIsRefused(t *testing.T) {
+	owners := &quickOwners{}
+	api := New(Config{Owners: owners, Store: noStore{}, Shards: oneShard{}, Routes: oneShard{}, Log: zap.NewNop(), Stats: stats.New()})
+	job := &jobs.Job{ID: "0000000000000001", Steps: []jobs.Step{{Count: 1, Label: strings.Repeat("x", 256<<10)}}}
+	var refused *platform.Refusal
+	assert.Assert(t, errors.As(api.Submit(t.Context(), &jobs.Queue{Name: "q", Service: "s"}, job), &refused))
+	assert.Equal(t, refused.Status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, owners.storeCalls, 0)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -165,6 +165,7 @@
 	api := jobapi.New(jobapi.Config{
 		Owners: n.peers, Store: n.store, Catalog: n.catalog, Shards: n.shards,
 		Routes: &routeShards{store: n.store, directory: n.directory, log: n.log}, ConfigUpdateMs: n.cfg.Times.ConfigMs, Log: n.log, Stats: n.stats,
+		Limits: n.cfg.Store.limits(),
 	})
 	server := &http.Server{
 		Handler: &platform.Front{JobAPI: api, Log: n.log}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -257,7 +258,7 @@
 	o := owner.New(owner.Config{
 		Member: n.member, Addr: n.cfg.Peer, Peers: n.peers, Service: service, Part: part, Store: n.store, Directory: n.directory,
 		Runner: n.runner(service), OwnedCount: &n.ownedCount, ClaimMu: &n.claimMu, CPUShare: n.cfg.CPUShare, Log: n.log, Stats: n.stats,
-		ClaimDelay: n.claimDelay,
+		ClaimDelay: n.claimDelay, Limits: n.cfg.Store.limits(),
 	})
 	n.peers.add(part, o)
 	n.owners.Add(1)
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"sassafrasvalve/platform"
 )
 
 // Settings are the settings of one entry. The platform fills them in from a template.
@@ -32,8 +34,15 @@
 
 // StoreSettings describe the platform's log.
 type StoreSettings struct {
-	Addr  string // IP:port
-	Parts int    // number of partitions of a topic
+	Addr        string // IP:port
+	Parts       int    // number of partitions of a topic
+	RecordBytes int    // largest record with its key, 0 for the usual limit
+	CallBytes   int    // largest size of all records of an append, 0 for the usual limit
+}
+
+// limits returns the log's limits on sizes.
+func (s *StoreSettings) limits() platform.Limits {
+	return platform.Limits{RecordBytes: s.RecordBytes, CallBytes: s.CallBytes}
 }
 
 // CloudSettings describe the service that moves machines and takes them down for upkeep.
@@ -90,6 +99,9 @@
 	if s.Store.Parts < 1 {
 		list = append(list, fmt.Sprintf("Store.Parts = %d must be at least 1", s.Store.Parts))
 	}
+	if s.Store.RecordBytes < 0 || s.Store.CallBytes < 0 {
+		list = append(list, "Store.RecordBytes and Store.CallBytes must not be negative")
+	}
 	if s.Times.StatusMs < 1 || s.Times.GraceMs < 1 {
 		list = append(list, "Times.StatusMs and Times.GraceMs must be above 0")
 	}
--- a/io/owner/batch.go
+++ b/io/owner/batch.go
@@ -7,6 +7,7 @@
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/shard"
+	"sassafrasvalve/platform"
 )
 
 // appendCall holds the records of one append.
@@ -84,13 +85,27 @@
 
 // sendAppend passes a batch of the engine and the pending records to appendLoop if there is something to record.
 func (r *poolRun) sendAppend(calls chan<- *appendCall, b *shard.Batch) {
-	r.pending = takeForAppend(append(r.pending, r.o.drainInbox()...))
-	if len(b.Records) == 0 && len(r.pending) == 0 {
+	r.pending = append(r.pending, r.o.drainInbox()...)
+	n := countWithin(r.pending, r.writer.limits.MaxCallBytes()-platform.CallBytes(b.Records))
+	pending := takeForAppend(r.pending[:n])
+	r.pending = r.pending[n:]
+	if len(b.Records) == 0 && len(pending) == 0 {
 		return
 	}
 	r.engineBatch = b
-	calls <- &appendCall{own: b.Records, pending: r.pending}
-	r.pending = nil
+	calls <- &appendCall{own: b.Records, pending: pending}
+}
+
+// countWithin returns how many pending records at the start of a list have at most maxBytes together, and at least 1 unless the
+// list is empty.
+func countWithin(list []*pendingRecords, maxBytes int) int {
+	n := 0
+	for size := 0; n < len(list); n++ {
+		if size += platform.CallBytes(list[n].records); size > maxBytes && n > 0 {
+			break
+		}
+	}
+	return n
 }
 
 // handleBatchStored applies the stored batch, sends the orders that waited for it and notifies the sessions, whose next
--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -70,7 +70,7 @@
 	r.writer = writer{
 		store: o.cfg.Store, topic: platform.TopicOwners, producer: controllerProducer, epoch: o.Epoch(),
 		seq: rand.Int64N(maxFirstSeq), timeout: appendTimeout, health: &o.health, log: r.log, stats: c.cfg.Stats,
-		observe: c.cfg.Stats.Timer(metricAppend, nil),
+		observe: c.cfg.Stats.Timer(metricAppend, nil), limits: o.cfg.Limits,
 	}
 	r.writer.setAnswerTime(o.claimAnswerTime)
 	start := clock.BootMs()
--- a/io/owner/last_batch_test.go
+++ b/io/owner/last_batch_test.go
@@ -46,6 +46,7 @@
 	r.o.owning.Store(true)
 	r.o.reason = reasonReleased
 	ref := strings.Repeat("x", 1<<20) // as large as a batch
+	r.writer.limits.RecordBytes = 2 * len(ref)
 	for i := range count {
 		id := fmt.Sprintf("%016x", i+1)
 		job, err := (&jobs.Job{ID: id, Queue: "q", Steps: []jobs.Step{{Count: 1, CPU: 100, MemMB: 10, EstimateMs: 60_000}}}).MarshalMsg(nil)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -102,6 +102,7 @@
 	Service    string
 	Part       int // number of the shard, logged as "shard"
 	Store      Store
+	Limits     platform.Limits // of the log
 	Directory  *tail.Directory
 	Runner     Runner
 	OwnedCount *atomic.Int64 // shards owned by this process
@@ -339,7 +340,7 @@
 		w := writer{
 			store: o.cfg.Store, topic: platform.TopicOwners, producer: shardProducer(o.cfg.Part), epoch: s.Claim.Epoch + 1,
 			seq: rand.Int64N(maxFirstSeq), timeout: appendTimeout, health: &o.health, log: o.log, stats: o.cfg.Stats,
-			observe: o.cfg.Stats.Timer(metricAppend, nil),
+			observe: o.cfg.Stats.Timer(metricAppend, nil), limits: o.cfg.Limits,
 		}
 		rec, err := o.claimRecord(w.epoch, o.cfg.Member, reason)
 		if err != nil {
--- a/io/owner/pending.go
+++ b/io/owner/pending.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
 )
@@ -50,6 +52,12 @@
 	if o.lost.Load() || o.health.refusing() || o.health.unavailable() {
 		return StoreResult{Verdict: retry.NotRun} // the store may still accept appends of the calling entry
 	}
+	for _, rec := range records {
+		if err := o.cfg.Limits.CheckRecord(rec); err != nil {
+			o.log.Warn("records refused", zap.String("key", rec.Key), zap.Error(err))
+			return StoreResult{Owner: true, Verdict: retry.NotRun}
+		}
+	}
 	if r := o.run.Load(); r != nil {
 		switch {
 		case r.isStored(records):
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -142,7 +142,7 @@
 		writer: writer{
 			store: o.cfg.Store, topic: platform.TopicJobs, part: o.cfg.Part, producer: shardProducer(o.cfg.Part), epoch: o.Epoch(),
 			seq: rand.Int64N(maxFirstSeq), timeout: appendTimeout, health: &o.health, log: log, stats: cfg.Stats,
-			observe: cfg.Stats.Timer(metricAppend, nil),
+			observe: cfg.Stats.Timer(metricAppend, nil), limits: o.cfg.Limits,
 		},
 	}
 	r.writer.setAnswerTime(o.claimAnswerTime)
--- a/io/owner/writer.go
+++ b/io/owner/writer.go
@@ -68,6 +68,7 @@
 	seq        int64         // of the last append
 	timeout    time.Duration // of the next append
 	hedgePause time.Duration // answerTimeFactor times the last answer time; Hedge waits for it before the first copy
+	limits     platform.Limits
 	health     *storeHealth
 	log        *zap.Logger
 	stats      *stats.Stats
@@ -84,8 +85,9 @@
 // write appends records and repeats the append until its outcome is known. It returns false if ctx ends or the outcome is
 // not Appended, mostly because the store has seen a higher epoch. If the store refuses a call and no earlier attempt may
 // have stored the records, write calls refused, if not nil, once and continues with the records that it returns. Without
-// records, write announces the epoch to the store.
+// records, write announces the epoch to the store. Records that the log refuses for their size are left out.
 func (w *writer) write(ctx context.Context, records []jobs.Record, refused func() []jobs.Record) bool {
+	records = w.dropOversized(records)
 	w.seq++
 	startedAt, startedAtMs := time.Now(), clock.BootMs()
 	timeout := w.timeout
@@ -119,6 +121,21 @@
 	return false
 }
 
+// dropOversized returns the records without those that the log would refuse for their size. One of these would hold up all other
+// records of the partition for good, also those of the next owner.
+func (w *writer) dropOversized(records []jobs.Record) []jobs.Record {
+	kept := make([]jobs.Record, 0, len(records))
+	for _, r := range records {
+		if err := w.limits.CheckRecord(r); err != nil {
+			w.log.Error("record left out", zap.String("topic", w.topic), zap.Int("part", w.part), zap.String("key", r.Key), zap.Error(err))
+			w.stats.Count("sassafrasvalve_records_left_out_total", nil, 1)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	return kept
+}
+
 // outcomeNames holds the names of append outcomes in logs.
 var outcomeNames = map[platform.Outcome]string{
 	platform.Appended: "appended", platform.Fenced: "fenced", platform.EndMismatch: "end mismatch", platform.OutOfSeq: "sequence mismatch",
