shard: Make VMs refuse the calls of their last lifetime

Cause: at the end of a lifetime the owner released all items, but the next lifetime may have executed their starts, also confirmed ones: replies to orders name no lifetime. And nothing refused further calls of the last lifetime, as the VM forgets its fence number and the owner had only one.

Change: a VM's fence number is raised when it falls silent or turns out to have restarted. Nothing is released before a reply to a poll with that number; what it lists stays. A start without a reply on a VM that stays silent is held until its run can't hold a lease in an unseen lifetime either. A reply to an earlier poll tells nothing any more, and a refused call with a lower number is not another owner's. A clock that begins anew in the reply to an order shows a restart.

--- a/core/shard/crash.go
+++ b/core/shard/crash.go
@@ -182,6 +182,7 @@
 	for _, it := range v.runs {
 		switch {
 		case it.phase == planned, it.job.state.Final(), it.done: // not started, or no longer wanted
+		case it.inNextLifetime:
 		case it.phase == sent && v.silentSince > 0 && it.sentAt > v.silentSince: // the VM was lost before
 		case it.ageAtContact(now) > maxCauseAgeMs:
 		default:
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -77,6 +77,7 @@
 	fenced      bool
 	// recording is true while a batch is being appended to the log.
 	recording        bool
+	lastFence        int64   // highest fence number that a VM has got
 	storeContactAt   int64   // time of the store's last answer to this owner
 	confirmedAt      int64   // send time of the last append that the store accepted from this owner
 	unrecordedStarts []start // starts that are sent only after they are recorded
@@ -121,7 +122,7 @@
 func New(cfg Config, catalog *jobs.Catalog, now int64) *Engine {
 	return &Engine{
 		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
-		dirty: map[string]*job{}, storeContactAt: now, policies: map[stepKey]*stepPolicy{},
+		dirty: map[string]*job{}, lastFence: cfg.Epoch * fenceNumbersPerEpoch, storeContactAt: now, policies: map[stepKey]*stepPolicy{},
 		startWindow: startWindow{size: initialWindow},
 	}
 }
@@ -159,7 +160,6 @@
 	for id, v := range e.vms {
 		if (v.silent || !v.listed) && !current[id] && v.knownAt < requestedAt && (len(v.runs) > 0 || v.polled) {
 			e.endLifetime(v, lifetimeEnd{cause: v.causeByMachine(byID[v.Machine], now)}, now)
-			v.silent = true // it must be polled again before use
 		}
 	}
 }
@@ -331,7 +331,7 @@
 func (e *Engine) sendStop(it *item, now int64) {
 	it.stopSentAt = now
 	e.orders = append(e.orders, pools.Order{
-		Kind: pools.Stop, VM: it.vm.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Fence: e.cfg.Epoch,
+		Kind: pools.Stop, VM: it.vm.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Fence: it.vm.fence,
 	})
 }
 
@@ -389,6 +389,7 @@
 	v := e.vms[id]
 	if v == nil {
 		v = &vm{VM: pools.VM{ID: id}, runs: map[string]*item{}, knownAt: now}
+		e.raiseFence(v, now-1) // it may have been known before
 		e.vms[id] = v
 		e.sortedVMs = nil
 	}
--- /dev/null
+++ b/core/shard/fence.go
@@ -0,0 +1,43 @@
+package shard
+
+// fenceNumbersPerEpoch is how many fence numbers an owner has. Those of a later owner are higher than all of an earlier one.
+const fenceNumbersPerEpoch = 1 << 28
+
+// Bounds on what calls of an earlier lifetime of a VM can do in the next one.
+const (
+	// maxLeaseMs is the longest lease that a VM grants, whatever the deadline in the call.
+	maxLeaseMs = 10_000
+	// maxSlowLeaseMs is the same by a local clock, if the VM's clock is slow.
+	maxSlowLeaseMs = maxLeaseMs*100/98 + 1
+	// lateCallMs is how late the network may deliver a call without a reply.
+	lateCallMs = 12_000
+	// openStartMs is how long after a start without a reply its run may hold a lease, if the VM has restarted unseen: the call
+	// is given up before orderTimeoutMs is over.
+	openStartMs    = orderTimeoutMs + maxSlowLeaseMs
+	orderTimeoutMs = 500
+	// maxClockLagMs is how far the clock in the reply to an order may be behind that in the reply to a later poll.
+	maxClockLagMs = 3000
+)
+
+// raiseFence gives a VM a fence number that is higher than all earlier ones, so that it refuses all earlier calls from its reply
+// to the next poll on. A VM that starts again under its ID has forgotten the fence numbers and can't tell calls that were meant
+// for its last lifetime. They would start what runs elsewhere by now, refuse later starts, or set a lease by a clock that is over.
+func (e *Engine) raiseFence(v *vm, now int64) {
+	e.lastFence++
+	v.fence, v.fenceRaisedAt = e.lastFence, now
+}
+
+// fencedBy reports whether a poll that was sent at sentAt has the VM's present fence number.
+func (v *vm) fencedBy(sentAt int64) bool { return sentAt > v.fenceRaisedAt }
+
+// startOpen reports whether the start of an item's run may not be executed yet.
+func (it *item) startOpen() bool {
+	switch it.phase {
+	case sent:
+		return true
+	case stopping:
+		return it.startedAt < it.sentAt && !it.seenRunning
+	default:
+		return false
+	}
+}
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -38,6 +38,7 @@
 	startUnknown    bool  // an earlier owner ordered the present run
 	startedAt       int64 // time at which the start was confirmed
 	startDeadlineMs int64 // DeadlineMs of the start order, by the VM's clock; the VM refuses the start afterwards
+	startFence      int64 // fence number of the start order, 0 if an earlier owner sent it
 	unansweredAt    int64 // time at which the start order turned out to have no reply, 0 otherwise
 	stopSentAt      int64
 	stopAckedAt     int64
@@ -48,6 +49,7 @@
 	progressChangedAt int64    // time of the last change of progressPercent
 	throttlePercent   int      // percentage of full speed that was ordered last
 	throttleSentAt    int64    // time of the last throttle order, 0 if none was sent or it failed
+	inNextLifetime    bool     // at the last end of a lifetime of its VM: the next one has executed the start of the present run
 	seenRunning       bool     // a poll reply has listed the present run
 	seenInPoll        int64    // pollNum of the newest poll that listed it
 	token             string   // policy token for the chosen VM
--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"sassafrasvalve/core/pools"
 )
@@ -28,25 +29,56 @@
 
 // lifetimeEnd describes the end of a VM lifetime.
 type lifetimeEnd struct {
-	cause           endCause
-	nextStartedAtMs int64 // start of the VM's next lifetime under the same ID, Unix milliseconds; 0 if unknown
+	cause endCause
+	// next is the reply of the VM's next lifetime under the same ID to a poll by which it refuses all earlier calls. It is nil if
+	// no such reply is known.
+	next *pools.PollReply
 }
 
-// endLifetime releases all items on a VM whose lifetime has ended. The VM keeps its ID and is in its next lifetime then.
+// suspectRestart makes the next poll tell what runs on a VM that has restarted under its ID. Until then nothing on it is
+// released: calls that were meant for the last lifetime may have been executed in this one, and further ones may arrive.
+func (e *Engine) suspectRestart(v *vm, now int64) {
+	e.addEvent(Event{VM: v.ID, Name: "vm restarted", N: len(v.runs)})
+	v.silent, v.silentSince, v.restartSuspected = true, now, true
+	v.earlierLeaseUntil = now + lateCallMs + maxSlowLeaseMs
+	e.raiseFence(v, now)
+}
+
+// listedIn reports whether a reply lists the present run of an item, or may do so with the ends that follow.
+func (it *item) listedIn(reply *pools.PollReply) bool {
+	return reply.MoreEnds ||
+		slices.ContainsFunc(reply.Running, func(r pools.RunStatus) bool { return r.Item == it.name && r.Run == it.run }) ||
+		slices.ContainsFunc(reply.Ended, func(r pools.RunEnd) bool { return r.Item == it.name && r.Run == it.run })
+}
+
+// endLifetime releases the items on a VM whose lifetime has ended. The VM keeps its ID and is in its next lifetime then. Items
+// whose start was executed there stay.
 func (e *Engine) endLifetime(v *vm, end lifetimeEnd, now int64) {
 	e.initialPolls.remove(v.ID)
 	if v.polled || len(v.runs) > 0 { // the answers of a VM that is gone say so again and again
 		e.addEvent(Event{VM: v.ID, Name: "vm lifetime ended", Reason: endNames[end.cause], N: len(v.runs)})
 	}
+	for _, it := range v.runs {
+		it.inNextLifetime = end.next != nil && it.listedIn(end.next)
+	}
 	poison := e.recordLostVM(v, end.cause, now)
 	for _, it := range v.runs {
+		if it.inNextLifetime {
+			continue
+		}
 		e.reportLostRun(it, end.cause, now)
 		e.release(it, now)
 	}
 	for _, it := range poison {
 		e.giveUp(it, v, now)
 	}
-	v.startLifetime(end.nextStartedAtMs)
+	if end.next != nil {
+		v.startLifetime(end.next.StartedAtMs)
+		return
+	}
+	v.startLifetime(0)
+	e.raiseFence(v, now)
+	v.silent = true // it must be polled again before use
 }
 
 // reportLostRun logs that a run ended with its VM.
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -53,10 +53,10 @@
 	it.phase, it.phaseSince, it.sentAt, it.startUnknown, it.unansweredAt = sent, now, now, false, 0
 	e.startWindow.unanswered++
 	deadline := s.vm.estimateClock(now) + startTimeoutMs
-	s.vm.leaseEndMs, it.startDeadlineMs = max(s.vm.leaseEndMs, deadline), deadline
+	s.vm.leaseEndMs, it.startDeadlineMs, it.startFence = max(s.vm.leaseEndMs, deadline), deadline, s.vm.fence
 	return pools.Order{
 		Kind: pools.Start, VM: s.vm.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Spec: it.job.Spec,
-		Ref: it.checkpoint, DeadlineMs: deadline, Fence: e.cfg.Epoch, Token: it.token,
+		Ref: it.checkpoint, DeadlineMs: deadline, Fence: it.startFence, Token: it.token,
 	}
 }
 
@@ -150,6 +150,9 @@
 	if v == nil {
 		return false
 	}
+	if o.Fence != v.fence {
+		return false // the VM refuses it, unless it has started again
+	}
 	it := v.runs[o.Item]
 	current := it != nil && it.run == o.Run
 	switch o.Kind {
@@ -168,15 +171,19 @@
 	if v == nil {
 		return
 	}
-	switch r.Kind {
-	case pools.Fenced:
+	switch {
+	case r.Kind != pools.Fenced && r.Kind != pools.OtherLifetime:
+	case o.Fence < v.fence:
+		r.Kind = pools.NotExecuted // refused for a later call of this owner, or of an address that the VM has left
+	case r.Kind == pools.Fenced:
 		e.fenced = true
 		return
-	case pools.OtherLifetime:
+	default:
 		e.endLifetime(v, lifetimeEnd{cause: v.causeOfReplacement(now)}, now)
-		v.silent = true // it must be polled again before use
 		return
-	default:
+	}
+	if r.ClockMs > 0 && r.ClockMs < v.clockMs-maxClockLagMs && !v.silent {
+		e.suspectRestart(v, now) // its clock has begun anew
 	}
 	it := v.runs[o.Item]
 	if it == nil || it.run != o.Run {
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -29,7 +29,7 @@
 	if v == nil || !v.listed {
 		return pools.PollRequest{}, false
 	}
-	c := pools.PollRequest{VM: id, Fence: e.cfg.Epoch, AckedSeq: v.ackedSeq}
+	c := pools.PollRequest{VM: id, Fence: v.fence, AckedSeq: v.ackedSeq}
 	if !v.polled || v.silent {
 		// Its clock is unknown or may have changed. It may also be in another lifetime under the same ID, whose ends
 		// have their own sequence numbers and must not be acknowledged.
@@ -58,6 +58,7 @@
 func (e *Engine) HandlePollFailure(id string, now int64) {
 	if v := e.vms[id]; v != nil && !v.silent {
 		v.silent, v.silentSince = true, now
+		e.raiseFence(v, now)
 		e.addEvent(Event{VM: id, Name: "vm silent", N: len(v.runs)})
 	}
 }
@@ -69,6 +70,9 @@
 	if v == nil {
 		return false
 	}
+	if !v.fencedBy(sentAt) {
+		return false // a later poll tells what is left of the calls before it
+	}
 	switch reply.Kind {
 	case pools.Done:
 	case pools.Fenced:
@@ -76,7 +80,6 @@
 		return true
 	case pools.OtherLifetime:
 		e.endLifetime(v, lifetimeEnd{cause: v.causeOfReplacement(now)}, now)
-		v.silent = true // it must be polled again before use
 		return true
 	default:
 		e.HandlePollFailure(id, now)
@@ -86,7 +89,11 @@
 		if reply.StartedAtMs < v.startedAtMs {
 			return false // reply from an ended lifetime
 		}
-		e.endLifetime(v, lifetimeEnd{cause: v.causeOfRestart(now), nextStartedAtMs: reply.StartedAtMs}, now)
+		if v.polled && !v.silent {
+			e.suspectRestart(v, now)
+			return true
+		}
+		e.endLifetime(v, lifetimeEnd{cause: v.causeOfRestart(now), next: &reply}, now)
 	}
 	changed := !v.polled || v.silent || len(reply.Ended) > 0
 	runsBefore := len(v.runs)
@@ -103,7 +110,11 @@
 		v.allEndsListed = true
 		e.initialPolls.remove(id)
 	}
-	v.polled, v.silent, v.silentSince, v.lastPollAt = true, false, 0, now
+	if v.restartSuspected {
+		v.earlierLeaseUntil = 0 // the start of its lifetime is known
+	}
+	v.polled, v.silent, v.silentSince, v.restartSuspected, v.lastPollAt = true, false, 0, false, now
+	v.answeredSentAt = max(v.answeredSentAt, sentAt)
 	if reply.ClockMs >= v.clockMs {
 		v.clockMs, v.clockReadAt = reply.ClockMs, now
 	}
@@ -118,13 +129,23 @@
 	return changed || len(v.runs) != runsBefore || len(e.orders) > 0
 }
 
+// PollOvertaken reports whether a VM has replied to a later poll than the one that was sent at sentAt, whose failure therefore
+// tells nothing about the VM.
+func (e *Engine) PollOvertaken(id string, sentAt int64) bool {
+	v := e.vms[id]
+	return v != nil && v.answeredSentAt > sentAt
+}
+
 // NeedsImmediatePoll reports whether a poll would resolve the state of an item at once: of one whose start had no
-// reply, or of one whose stop the VM confirmed although its start was never confirmed.
+// reply, of one whose stop the VM confirmed although its start was never confirmed, or of those on a VM that has restarted.
 func (e *Engine) NeedsImmediatePoll(id string) bool {
 	v := e.vms[id]
 	if v == nil {
 		return false
 	}
+	if v.restartSuspected {
+		return true
+	}
 	for _, it := range v.runs {
 		if it.phase == sent && it.unansweredAt > 0 && !it.stepDef.Persistent {
 			return true
@@ -168,10 +189,11 @@
 		if it.seenInPoll == e.pollNum {
 			continue
 		}
-		if it.phase == sent && it.unansweredAt > 0 && it.unansweredAt <= sentAt {
+		absent := it.startFence < v.fence || it.absentIfUnlisted(sentAt)
+		if !absent && it.phase == sent && it.unansweredAt > 0 && it.unansweredAt <= sentAt {
 			e.resolveUnseenStart(it, now)
 		}
-		if it.absentIfUnlisted(sentAt) {
+		if absent {
 			e.addEvent(Event{JobID: it.job.ID, VM: v.ID, Name: "run missing", Reason: phaseNames[it.phase], N: it.run})
 			e.release(it, now)
 		}
@@ -231,14 +253,13 @@
 	idle: "idle", planned: "planned", sent: "sent", running: "running", adopted: "adopted", stopping: "stopping",
 }
 
-// absentIfUnlisted reports whether an item that a poll did not list is certainly not on its VM. sentAt is the time at
-// which the poll was sent; a poll that was sent before the reply to the order may have overtaken the order.
+// absentIfUnlisted reports whether an item that a poll did not list is certainly not on its VM, if the poll has the fence number
+// of its start. sentAt is the time at which the poll was sent; a poll that was sent before the reply to the order may have
+// overtaken the order. With a higher fence number the VM refuses the order from the poll on.
 func (it *item) absentIfUnlisted(sentAt int64) bool {
 	switch it.phase {
 	case running:
 		return it.startedAt < sentAt
-	case adopted:
-		return true // the poll raised the fence number, so that the VM refuses all earlier orders
 	case stopping:
 		return it.stopAckedAt > 0 && it.stopAckedAt < sentAt
 	default:
@@ -281,7 +302,7 @@
 	id, _, _ := jobs.ParseItem(r.Item)
 	e.addEvent(Event{JobID: id, VM: v.ID, Name: "stop unknown run", N: r.Run})
 	e.orders = append(e.orders, pools.Order{
-		Kind: pools.Stop, VM: v.ID, JobID: id, Item: r.Item, Run: r.Run, Fence: e.cfg.Epoch,
+		Kind: pools.Stop, VM: v.ID, JobID: id, Item: r.Item, Run: r.Run, Fence: v.fence,
 	})
 }
 
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -89,17 +89,7 @@
 		}
 	}
 	if (v.silent || !v.listed) && v.leasesExpired(now) {
-		e.addEvent(Event{VM: v.ID, Name: "lease over on silent vm", N: len(v.runs)})
-		poison := e.recordLostVM(v, endLapsed, now)
-		for _, it := range v.runs {
-			if it.phase != planned {
-				e.reportLostRun(it, endLapsed, now)
-				e.release(it, now)
-			}
-		}
-		for _, it := range poison {
-			e.giveUp(it, v, now)
-		}
+		e.releaseLapsed(v, now)
 		return
 	}
 	if v.silent {
@@ -120,6 +110,34 @@
 	}
 }
 
+// releaseLapsed releases the items on a VM all of whose leases have expired, but for those that it may still start.
+func (e *Engine) releaseLapsed(v *vm, now int64) {
+	var lapsed []*item
+	for _, it := range v.runs {
+		if it.phase != planned && !it.mayStartLate(now) {
+			lapsed = append(lapsed, it)
+		}
+	}
+	if len(lapsed) == 0 {
+		return
+	}
+	e.addEvent(Event{VM: v.ID, Name: "lease over on silent vm", N: len(v.runs)})
+	poison := e.recordLostVM(v, endLapsed, now)
+	for _, it := range lapsed {
+		e.reportLostRun(it, endLapsed, now)
+		e.release(it, now)
+	}
+	for _, it := range poison {
+		e.giveUp(it, v, now)
+	}
+}
+
+// mayStartLate reports whether a silent VM may run an item although all leases of its known lifetime have expired: the VM may have
+// restarted unseen, and executed the start there.
+func (it *item) mayStartLate(now int64) bool {
+	return it.startOpen() && now-it.sentAt < openStartMs
+}
+
 // stalled reports whether a run makes no progress.
 func (e *Engine) stalled(it *item, now int64) bool {
 	if now-it.vm.lastPollAt > maxPollAgeMs || it.vm.moreEnds {
@@ -189,7 +207,7 @@
 		if percent != it.throttlePercent || it.throttleSentAt == 0 && percent < 100 {
 			it.throttlePercent, it.throttleSentAt = percent, now
 			e.orders = append(e.orders, pools.Order{
-				Kind: pools.Throttle, VM: v.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Percent: percent, Fence: e.cfg.Epoch,
+				Kind: pools.Throttle, VM: v.ID, JobID: it.job.ID, Item: it.name, Run: it.run, Percent: percent, Fence: v.fence,
 			})
 		}
 	}
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -15,20 +15,25 @@
 	startedAtMs  int64 // start of the present lifetime, Unix milliseconds; 0 if unknown
 	knownAt      int64 // time at which the owner first learned of it
 
-	polled        bool  // it replied to a poll of this owner, which raised its fence number
+	fence         int64 // fence number of the calls to it
+	fenceRaisedAt int64 // time before the first call with that number
+
+	polled        bool  // it replied to a poll with the present fence number, so that it refuses all earlier calls
 	firstPolledAt int64 // time of the first such reply; orders that it accepted from an earlier owner may take effect later
 	allEndsListed bool  // such a reply has listed all ends of the lifetime, so that every run there is known
 	moreEnds      bool  // the last one has not
 	clockMs       int64 // the VM's clock at its last reply
 	clockReadAt   int64 // local time of that reply
-	leaseEndMs    int64 // latest end of a lease that was sent, by the VM's clock
-	// earlierLeaseUntil is the local time until which a lease from an earlier owner may last.
+	leaseEndMs    int64 // latest end of a lease that it may hold, by its clock
+	// earlierLeaseUntil is the local time until which a lease may last that was not granted in answer to a poll of this owner.
 	earlierLeaseUntil int64
 
 	seenSeq, ackedSeq int64   // sequence numbers of its ends: last processed, last recorded
 	lastPollAt        int64   // time of the last poll reply
 	pollWaitMs        int64   // wait time of the newest poll
 	silent            bool    // the last poll had no reply, or the VM must be polled again before use
+	restartSuspected  bool    // it answered from a lifetime that is not known yet
+	answeredSentAt    int64   // send time of the newest poll that it replied to
 	silentSince       int64   // time of the first poll without a reply since the last reply, 0 if there was none
 	suspectUntil      int64   // no new work before this time: suspect or unhealthy
 	noCapacityUntil   int64   // no new work before this time: it refused a start for lack of capacity
