shard: Count the leases that calls of the last lifetime set

Cause: the VM's clock begins anew, so the deadline in a call that was meant for the last lifetime lies far ahead in the next one. The VM cuts it to its longest lease of 10 s; the owner reckoned with 5 s after its last poll. The poll that shows the restart sets such a lease itself.

Change: the first reply of a lifetime to a poll that fences earlier calls off bounds the lease: 10 s from then on, or the highest deadline that was ever sent to that ID.

Cost: items on a VM that is cut off within 10 s of its restart or of a takeover wait up to 5 s longer.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -29,9 +29,10 @@
 	// maxStoreSilenceMs is the time since the last contact with the store up to which an owner extends leases and
 	// starts items.
 	maxStoreSilenceMs = 4000
-	// earlierLeaseMs bounds the remaining lease that an earlier owner may have granted: maxStoreSilenceMs + leaseMs,
-	// on a clock that is up to 2% slow, plus the time between two polls.
-	earlierLeaseMs = 9500
+	// earlierLeaseMs bounds the remaining lease that a VM may hold from an earlier owner, on a clock that is up to 2% slow. That
+	// owner may have granted leaseMs until maxStoreSilenceMs after it lost contact with the store. It may also have started items
+	// until earlyStartConfirmationMs after that, on a VM that holds a lease of maxLeaseMs from a call to its last lifetime.
+	earlierLeaseMs = 11_500
 	// minClockRate is the rate of the slowest VM clock relative to true time.
 	minClockRate = 0.98
 	// vmSilenceMs is the time without a poll reply after which a VM gets no new work. Polls return within
@@ -77,6 +78,7 @@
 	fenced      bool
 	// recording is true while a batch is being appended to the log.
 	recording        bool
+	createdAt        int64
 	lastFence        int64   // highest fence number that a VM has got
 	storeContactAt   int64   // time of the store's last answer to this owner
 	confirmedAt      int64   // send time of the last append that the store accepted from this owner
@@ -122,7 +124,7 @@
 func New(cfg Config, catalog *jobs.Catalog, now int64) *Engine {
 	return &Engine{
 		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
-		dirty: map[string]*job{}, lastFence: cfg.Epoch * fenceNumbersPerEpoch, storeContactAt: now, policies: map[stepKey]*stepPolicy{},
+		dirty: map[string]*job{}, createdAt: now, lastFence: cfg.Epoch * fenceNumbersPerEpoch, storeContactAt: now, policies: map[stepKey]*stepPolicy{},
 		startWindow: startWindow{size: initialWindow},
 	}
 }
@@ -390,6 +392,9 @@
 	if v == nil {
 		v = &vm{VM: pools.VM{ID: id}, runs: map[string]*item{}, knownAt: now}
 		e.raiseFence(v, now-1) // it may have been known before
+		if now-e.createdAt < earlierLeaseMs {
+			v.staleDeadlineMs = unknownDeadlineMs
+		}
 		e.vms[id] = v
 		e.sortedVMs = nil
 	}
--- a/core/shard/fence.go
+++ b/core/shard/fence.go
@@ -1,5 +1,7 @@
 package shard
 
+import "math"
+
 // fenceNumbersPerEpoch is how many fence numbers an owner has. Those of a later owner are higher than all of an earlier one.
 const fenceNumbersPerEpoch = 1 << 28
 
@@ -17,6 +19,8 @@
 	orderTimeoutMs = 500
 	// maxClockLagMs is how far the clock in the reply to an order may be behind that in the reply to a later poll.
 	maxClockLagMs = 3000
+	// unknownDeadlineMs stands for the deadlines that an earlier owner has sent.
+	unknownDeadlineMs = math.MaxInt64
 )
 
 // raiseFence gives a VM a fence number that is higher than all earlier ones, so that it refuses all earlier calls from its reply
@@ -30,6 +34,15 @@
 // fencedBy reports whether a poll that was sent at sentAt has the VM's present fence number.
 func (v *vm) fencedBy(sentAt int64) bool { return sentAt > v.fenceRaisedAt }
 
+// limitLease sets the latest end of the lease that the VM may hold at its first reply to a poll with the present fence number.
+// Earlier calls may have set one up to maxLeaseMs from then on. No call has done so to a VM that is new to all owners.
+func (v *vm) limitLease(clockMs int64) {
+	if v.staleDeadlineMs > 0 {
+		v.leaseEndMs = max(v.leaseEndMs, min(v.staleDeadlineMs, clockMs+maxLeaseMs))
+	}
+	v.earlierLeaseUntil = 0
+}
+
 // startOpen reports whether the start of an item's run may not be executed yet.
 func (it *item) startOpen() bool {
 	switch it.phase {
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -105,13 +105,14 @@
 	}
 	if !v.polled {
 		v.firstPolledAt = now
+		v.limitLease(reply.ClockMs)
 	}
 	if v.moreEnds = reply.MoreEnds; !v.moreEnds {
 		v.allEndsListed = true
 		e.initialPolls.remove(id)
 	}
 	if v.restartSuspected {
-		v.earlierLeaseUntil = 0 // the start of its lifetime is known
+		v.earlierLeaseUntil = 0 // it has not restarted, or limitLease has set the end of its lease
 	}
 	v.polled, v.silent, v.silentSince, v.restartSuspected, v.lastPollAt = true, false, 0, false, now
 	v.answeredSentAt = max(v.answeredSentAt, sentAt)
--- a/core/shard/restart_test.go
+++ b/core/shard/restart_test.go
@@ -37,7 +37,8 @@
 }
 
 // TestCallsOfTheLastLifetime guards against an item that runs twice around a restart of a VM under its ID: its start was executed
-// in the next lifetime after it had started elsewhere.
+// in the next lifetime after it had started elsewhere, or the VM was cut off, and its run outlived the lease that the owner
+// reckoned with, since a poll of the last lifetime had set a deadline that lay far ahead of the new clock.
 func TestCallsOfTheLastLifetime(t *testing.T) {
 	data, err := os.ReadFile("testdata/restart.toml")
 	assert.NilError(t, err)
@@ -126,6 +127,27 @@
 	return list
 }
 
+// TestNewOwnerCountsLeasesOfEarlierLifetimes guards against a run that outlives the lease that a new owner reckons with: the VM
+// restarted shortly before the takeover, took a deadline of its last lifetime, and was cut off after the new owner's first start.
+func TestNewOwnerCountsLeasesOfEarlierLifetimes(t *testing.T) {
+	const takenOverAt, polledAt = 100_000, 101_000
+	e := New(Config{Service: "s", Epoch: 2, StatusRetentionMs: 1000}, &jobs.Catalog{}, takenOverAt)
+	e.SetVMs([]pools.VM{{ID: "a", Service: "s", Addr: "x", CPU: 1000, MemMB: 1000}}, takenOverAt)
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 3000, StartedAtMs: 1}, polledAt, polledAt)
+	e.MarkOwnershipConfirmed(polledAt)
+	e.Submit(&jobs.StoredJob{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{{Count: 1, CPU: 800, MemMB: 10, EstimateMs: 60_000}}}}, polledAt, polledAt)
+	e.Advance(polledAt, polledAt)
+	e.HandleOrderReply(e.TakeOrders()[0], pools.Reply{Kind: pools.Done}, polledAt+2)
+	e.HandlePollFailure("a", polledAt+100)
+	for _, c := range []struct {
+		at   int64
+		lost bool
+	}{{polledAt + maxLeaseMs - 100, false}, {polledAt + maxLeaseMs*100/98 + 200, true}} {
+		e.Advance(c.at, c.at)
+		assert.Equal(t, e.jobs["j"].orderedItems[0].vm == nil, c.lost, "at %d ms", c.at)
+	}
+}
+
 // TestFenceNumbersOfAVMRise guards against calls with a lower fence number than the VM has seen from this owner, who would then
 // give the shard up, and against a number that a later owner may have: the VM's entry lapses and comes back.
 func TestFenceNumbersOfAVMRise(t *testing.T) {
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -25,6 +25,9 @@
 	clockMs       int64 // the VM's clock at its last reply
 	clockReadAt   int64 // local time of that reply
 	leaseEndMs    int64 // latest end of a lease that it may hold, by its clock
+	// staleDeadlineMs is the latest deadline in calls that were meant for an earlier lifetime, by the clock of that lifetime, or
+	// unknownDeadlineMs. A VM takes it from a call that reaches its next lifetime, where the clock begins anew.
+	staleDeadlineMs int64
 	// earlierLeaseUntil is the local time until which a lease may last that was not granted in answer to a poll of this owner.
 	earlierLeaseUntil int64
 
@@ -102,6 +105,7 @@
 // startLifetime resets the state that belongs to the lifetime that ended.
 func (v *vm) startLifetime(startedAtMs int64) {
 	v.startedAtMs = startedAtMs
+	v.staleDeadlineMs = max(v.staleDeadlineMs, v.leaseEndMs)
 	v.polled, v.allEndsListed, v.moreEnds, v.silent, v.silentSince = false, false, false, false, 0
 	v.clockMs, v.clockReadAt, v.leaseEndMs, v.earlierLeaseUntil = 0, 0, 0, 0
 	v.seenSeq, v.ackedSeq, v.lastPollAt, v.suspectUntil, v.noCapacityUntil, v.unknownRuns = 0, 0, 0, 0, 0, 0
