owner: Ignore replies that tell nothing about a VM's present lifetime

A VM that has moved to another address, or whose connection of the long poll hangs, counted as ended or silent, and its items started elsewhere or waited.

Cause: replies of a closed session were applied, so another VM at the address that was left ended the lifetime; and a poll that failed by its time limit counted although a later one had been answered.

Evidence: the tests on the code before: TestRepliesOfALeftAddressDoNotCount: vm lifetime ended TestFailureOfAnOvertakenPollDoesNotCount: vm silent

Change: polls of a closed session don't count, and a reply by another VM to an order of it means that the order was not executed. The failure of a poll is ignored once a later one was answered.

--- a/io/owner/queue_test.go
+++ b/io/owner/queue_test.go
@@ -110,3 +110,46 @@
 	s.r.wg.Wait()
 	return len(vm.starts)
 }
+
+// TestRepliesOfALeftAddressDoNotCount guards against a VM whose items start elsewhere while it runs them: it has moved to another
+// address, and another VM answered a call that was under way to the earlier one.
+func TestRepliesOfALeftAddressDoNotCount(t *testing.T) {
+	e, orders := newQueueEngine(t, 1, clock.BootMs())
+	s := &vmSession{r: &poolRun{cfg: PoolConfig{Stats: stats.New()}, engine: e, wake: make(chan struct{}, 1)}, id: "a", client: &otherVM{}}
+	s.ctx, s.cancel = context.WithCancel(t.Context())
+	e.HandleOrderReply(orders[0], pools.Reply{Kind: pools.Done}, clock.BootMs())
+	time.Sleep(2 * time.Millisecond)
+	s.close()
+	s.handleReply(orders[0], pools.Reply{Kind: pools.OtherLifetime})
+	s.poll()
+	s.pollNow()
+	for _, ev := range e.TakeEvents() {
+		assert.Assert(t, ev.Name != "vm lifetime ended" && ev.Name != "vm silent", ev.Name)
+	}
+}
+
+// otherVM answers polls as another VM than the one that is expected.
+type otherVM struct{ silentVM }
+
+func (v *otherVM) Poll(pools.PollRequest, time.Time) (pools.PollReply, error) {
+	return pools.PollReply{Kind: pools.OtherLifetime}, nil
+}
+
+// TestFailureOfAnOvertakenPollDoesNotCount guards against a VM that counts as silent after it has answered: a poll on a connection
+// that went silent fails, while a later one on another connection was answered.
+func TestFailureOfAnOvertakenPollDoesNotCount(t *testing.T) {
+	e, _ := newQueueEngine(t, 1, clock.BootMs())
+	s := &vmSession{r: &poolRun{cfg: PoolConfig{Stats: stats.New()}, engine: e, wake: make(chan struct{}, 1)}, id: "a", ctx: t.Context()}
+	s.client = &silentVM{late: -pollTolerance / 2}
+	go func() {
+		time.Sleep(pollTolerance / 2)
+		now := clock.BootMs()
+		s.r.mu.Lock()
+		e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 500_500, StartedAtMs: 1}, now, now)
+		s.r.mu.Unlock()
+	}()
+	s.poll()
+	for _, ev := range e.TakeEvents() {
+		assert.Assert(t, ev.Name != "vm silent", ev.Name)
+	}
+}
--- a/io/owner/session.go
+++ b/io/owner/session.go
@@ -143,6 +143,9 @@
 // handleReply passes the reply to an order to the engine. It returns true if a poll would resolve an item at once.
 func (s *vmSession) handleReply(o pools.Order, reply pools.Reply) bool {
 	s.r.mu.Lock()
+	if reply.Kind == pools.OtherLifetime && s.ctx.Err() != nil {
+		reply.Kind = pools.NotExecuted // the VM has left the address
+	}
 	s.r.engine.HandleOrderReply(o, reply, clock.BootMs())
 	needsPoll := s.r.engine.NeedsImmediatePoll(s.id)
 	s.r.mu.Unlock()
@@ -211,7 +214,9 @@
 		return // pollLoop detects a silent VM
 	}
 	s.r.mu.Lock()
-	s.r.engine.HandlePollReply(s.id, reply, sentAtMs, clock.BootMs())
+	if s.ctx.Err() == nil {
+		s.r.engine.HandlePollReply(s.id, reply, sentAtMs, clock.BootMs())
+	}
 	s.r.mu.Unlock()
 	s.r.signal()
 }
@@ -249,10 +254,13 @@
 	}
 	s.r.mu.Lock()
 	needsTick := err != nil
-	if err != nil {
-		s.r.engine.HandlePollFailure(s.id, now)
-	} else {
+	switch {
+	case s.ctx.Err() != nil: // the VM is no longer listed at this address
+	case err == nil:
 		needsTick = s.r.engine.HandlePollReply(s.id, reply, sentAtMs, now)
+	case s.r.engine.PollOvertaken(s.id, sentAtMs): // a poll on another connection was answered
+	default:
+		s.r.engine.HandlePollFailure(s.id, now)
 	}
 	unrecordedEnds := s.r.engine.HasUnrecordedEnds(s.id)
 	s.r.mu.Unlock()
