shard: Keep planned starts when a poll does not list them

What callers saw: items that wait for seconds or never start after an outage or a takeover.

An item whose start waits for its record has the fence number of its last run or none, which is below that of the VM, so each poll took it for absent and released it. Polls come more often than records while the log is slow or the ownership is not confirmed.

The test on the code before: TestPollDoesNotReleasePlannedStarts: 0 (int) != 1 (int)

Change: a planned start is not on its VM yet, so no poll tells anything about it.

--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -190,7 +190,7 @@
 		if it.seenInPoll == e.pollNum {
 			continue
 		}
-		absent := it.startFence < v.fence || it.absentIfUnlisted(sentAt)
+		absent := it.phase != planned && it.startFence < v.fence || it.absentIfUnlisted(sentAt)
 		if !absent && it.phase == sent && it.unansweredAt > 0 && it.unansweredAt <= sentAt {
 			e.resolveUnseenStart(it, now)
 		}
--- a/core/shard/restart_test.go
+++ b/core/shard/restart_test.go
@@ -174,3 +174,23 @@
 		last = n
 	}
 }
+
+// TestPollDoesNotReleasePlannedStarts guards against items that never start: a start that waits for its record counted as missing at
+// each poll, as the number of the VM's last fence was higher than that of the item's earlier run. 15 jobs of a pool stood still.
+func TestPollDoesNotReleasePlannedStarts(t *testing.T) {
+	e := New(Config{Service: "s", Epoch: 1, StatusRetentionMs: 1000}, &jobs.Catalog{}, 0)
+	e.SetVMs([]pools.VM{{ID: "a", Service: "s", Addr: "x", CPU: 1000, MemMB: 1000}}, 0)
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 1, StartedAtMs: 1}, 1, 1)
+	e.Submit(&jobs.StoredJob{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{{Count: 1, CPU: 100, MemMB: 10, EstimateMs: 600}}}}, 10, 10)
+	const now = 10 * earlyStartConfirmationMs // so that the start waits for its record
+	e.MarkStoreReachable(now)
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: now, StartedAtMs: 1}, now, now)
+	e.Advance(now, now)
+	assert.Equal(t, len(e.TakeOrders()), 0)
+	b, err := e.NextBatch()
+	assert.NilError(t, err)
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: now + 5, StartedAtMs: 1}, now+5, now+5)
+	orders := e.HandleBatchStored(b, now+10)
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Kind, pools.Start)
+}
