shard, soak: Keep the mark of a survived restart within the end of the lifetime

An item that survived a restart of its VM kept that mark, so that a later loss of the VM did not count as a suspicion against it. The two refusals of StillDue are one condition.

--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -49,7 +49,7 @@
 	progressChangedAt int64    // time of the last change of progressPercent
 	throttlePercent   int      // percentage of full speed that was ordered last
 	throttleSentAt    int64    // time of the last throttle order, 0 if none was sent or it failed
-	inNextLifetime    bool     // at the last end of a lifetime of its VM: the next one has executed the start of the present run
+	inNextLifetime    bool     // during endLifetime: the next lifetime has executed the start of the present run
 	seenRunning       bool     // a poll reply has listed the present run
 	seenInPoll        int64    // pollNum of the newest poll that listed it
 	token             string   // policy token for the chosen VM
--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -64,6 +64,7 @@
 	poison := e.recordLostVM(v, end.cause, now)
 	for _, it := range v.runs {
 		if it.inNextLifetime {
+			it.inNextLifetime = false
 			continue
 		}
 		e.reportLostRun(it, end.cause, now)
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -232,7 +232,7 @@
 		starts = append(starts, start{it, run + 1, v})
 	}
 	for _, s := range starts {
-		s.it.run, s.it.throttlePercent, s.it.stopAckedAt, s.it.throttleSentAt, s.it.seenRunning, s.it.inNextLifetime = run+1, 100, 0, 0, false, false
+		s.it.run, s.it.throttlePercent, s.it.stopAckedAt, s.it.throttleSentAt, s.it.seenRunning = run+1, 100, 0, 0, false
 	}
 	j.begun, j.readyStale = true, true
 	e.markDirty(j)
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -147,11 +147,8 @@
 // anew, so that the deadline of the order lies far ahead.
 func (e *Engine) StillDue(o pools.Order, now int64) bool {
 	v := e.vms[o.VM]
-	if v == nil {
-		return false
-	}
-	if o.Fence != v.fence {
-		return false // the VM refuses it, unless it has started again
+	if v == nil || o.Fence != v.fence {
+		return false // the VM refuses a lower fence number, unless it has started again
 	}
 	it := v.runs[o.Item]
 	current := it != nil && it.run == o.Run
--- a/system/soak/fault_test.go
+++ b/system/soak/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -24,14 +25,8 @@
 	if s.platRng.IntN(platformFaultEvery) == 0 {
 		s.injectPlatformFault()
 	}
-	switch {
-	case s.restRng.IntN(restartEvery) > 0:
-	case s.late:
-		n := 1 + s.restRng.IntN(4)
-		s.logEvent("one in %d starts late", n)
-		s.plat.SetLateStarts(n)
-	default:
-		s.restartVM()
+	if s.restRng.IntN(restartEvery) == 0 {
+		s.injectVMFault()
 	}
 	switch s.rng.IntN(8) {
 	case 0:
@@ -77,6 +72,22 @@
 // don't hide other faults.
 const lateSeeds = 4
 
+// lateEnv is the environment variable that, if it is not empty, adds late starts to the restarts of all seeds.
+const lateEnv = "SOAK_LATE"
+
+// injectVMFault delays starts by seconds or lets a VM start again under its ID, or both.
+func (s *soak) injectVMFault() {
+	both := os.Getenv(lateEnv) != ""
+	if s.late || both {
+		n := 1 + s.restRng.IntN(4)
+		s.logEvent("one in %d starts late", n)
+		s.plat.SetLateStarts(n)
+	}
+	if !s.late || both {
+		s.restartVM()
+	}
+}
+
 // restartVM lets a VM start again under its ID, and mostly cuts it off soon after.
 func (s *soak) restartVM() {
 	i, downMs := s.restRng.IntN(vmCount), 100+s.restRng.Int64N(900)
