shard: Offer no VM whose label waiting items require

What callers saw: LOST.

Cause: in a lull a pool offers the VMs that it doesn't need, and an offered VM takes no work. The demand is a number of VMs of any kind, so all VMs with the label could be offered, for good.

Evidence: the test on the code before: TestVMsWithAWaitingLabelAreNotOffered: 0 (starts int) != 2 (int)

Change: one VM with each label that waiting items require is kept from being offered, or its offer is withdrawn.

--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sort"
 
@@ -354,16 +355,22 @@
 		}
 		return free[a].ID < free[b].ID
 	})
-	for i := 0; i < len(free) && notOffered > needed; i++ {
-		free[i].offered = true
-		e.addEvent(Event{VM: free[i].ID, Name: "offer vm", N: e.demand.wantedVMs})
-		notOffered--
+	sort.Slice(offered, func(a, b int) bool { return offered[a].ID < offered[b].ID })
+	kept := e.vmsForLabels(e.waitingLabels())
+	for _, v := range free {
+		if notOffered > needed && !kept[v] {
+			v.offered = true
+			e.addEvent(Event{VM: v.ID, Name: "offer vm", N: e.demand.wantedVMs})
+			notOffered--
+		}
 	}
-	for i := 0; i < len(offered) && notOffered < needed; i++ {
-		offered[i].offered = false
-		offered[i].offerWithdrawnAt = now
-		e.addEvent(Event{VM: offered[i].ID, Name: "use offered vm again", N: e.demand.wantedVMs})
-		notOffered++
+	for _, v := range offered {
+		if notOffered < needed || kept[v] {
+			v.offered = false
+			v.offerWithdrawnAt = now
+			e.addEvent(Event{VM: v.ID, Name: "use offered vm again", N: e.demand.wantedVMs})
+			notOffered++
+		}
 	}
 	surplus := 0
 	if e.demand.limitVMs > 0 {
@@ -372,6 +379,48 @@
 	e.closeVMs(busy, surplus, now)
 }
 
+// waitingLabels returns the labels that items require which wait for a VM, sorted.
+func (e *Engine) waitingLabels() []string {
+	labels := map[string]bool{}
+	for _, j := range e.jobs {
+		if j.state.Final() || !j.requiresLabel() {
+			continue
+		}
+		for _, it := range j.orderedItems {
+			if it.stepDef.Label != "" && it.phase == idle && !it.done && !it.givenUp && j.predecessorsDone(it) {
+				labels[it.stepDef.Label] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(labels))
+}
+
+// requiresLabel reports whether an item of the job runs only on VMs with a label.
+func (j *job) requiresLabel() bool {
+	return slices.ContainsFunc(j.Steps, func(s jobs.Step) bool { return s.Label != "" })
+}
+
+// vmsForLabels returns for each of some labels a VM with it that is not to be offered, one that is in use rather than an offered one.
+// The demand is measured in VMs of any kind, so all VMs with a label might be offered while items wait for them.
+func (e *Engine) vmsForLabels(labels []string) map[*vm]bool {
+	kept := map[*vm]bool{}
+	for _, label := range labels {
+		var best *vm
+		for _, v := range e.vmsByID() {
+			if !v.polled || !v.listed || v.Draining || v.vacate || v.missingSince != 0 || !v.HasLabel(label) {
+				continue
+			}
+			if best == nil || best.offered && !v.offered {
+				best = v
+			}
+		}
+		if best != nil {
+			kept[best] = true
+		}
+	}
+	return kept
+}
+
 // closeVMs closes n of the busy VMs for new work, those that will be empty first, and opens all others.
 func (e *Engine) closeVMs(busy []*vm, n int, now int64) {
 	closed := map[*vm]bool{}
--- a/core/shard/demand_test.go
+++ b/core/shard/demand_test.go
@@ -185,3 +185,46 @@
 	many := jobs.Step{Count: jobs.MaxItems, CPU: jobs.MaxMilliCPU, MemMB: 1000, EstimateMs: jobs.MaxEstimateMs}
 	assert.Assert(t, wanted(many) >= without)
 }
+
+// TestVMsWithAWaitingLabelAreNotOffered guards against accepted jobs that never start while VMs with the label that they require
+// are idle: in a lull the pool offered all of them, as the demand is measured in VMs of any kind.
+func TestVMsWithAWaitingLabelAreNotOffered(t *testing.T) {
+	e := New(Config{Service: "s", Epoch: 1, StatusRetentionMs: 1000}, &jobs.Catalog{}, 0)
+	var list []pools.VM
+	for i := range 9 {
+		v := pools.VM{ID: string(rune('a' + i)), Service: "s", Addr: "x", CPU: 32_000, MemMB: 1000, Labels: []string{"plain"}}
+		if i >= 3 && i < 6 {
+			v.Labels = []string{"special"}
+		}
+		list = append(list, v)
+	}
+	starts := 0
+	play := func(from, to int64) {
+		for now := from; now < to; now += tickIntervalMs {
+			e.SetVMs(list, now)
+			for _, v := range list {
+				e.HandlePollReply(v.ID, pools.PollReply{Kind: pools.Done, ClockMs: now, StartedAtMs: 1, Running: e.runsOn(v.ID)}, now, now)
+			}
+			e.MarkOwnershipConfirmed(now)
+			e.MarkStoreReachable(now)
+			e.Advance(now, now)
+			for _, o := range e.TakeOrders() {
+				if o.Kind == pools.Start {
+					assert.Assert(t, o.VM >= "d" && o.VM <= "f", o.VM)
+					starts++
+				}
+			}
+		}
+	}
+	play(10, 5000)
+	offered := 0
+	for _, v := range e.vms {
+		if v.offered && v.HasLabel("special") {
+			offered++
+		}
+	}
+	assert.Equal(t, offered, 3, "in the lull all VMs with the label are offered")
+	e.Submit(&jobs.StoredJob{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{{Count: 2, CPU: 1000, MemMB: 10, EstimateMs: 600, Label: "special"}}}}, 5000, 5000)
+	play(5000, 6000)
+	assert.Equal(t, starts, 2)
+}
