owner: Acknowledge nothing by a poll behind an order

An end as done may be forgotten and the work item started again.

Cause: the poll behind a start without a reply carried the number up to which the ends of the known lifetime are recorded. A VM that has restarted under its ID meanwhile numbers its ends anew, and forgets those up to that number though the owner has never seen them.

Evidence: the test on the code before: TestPollBehindAnOrderAcknowledgesNothing: 57 (vm.acked int64) != 0

Change: that poll acknowledges nothing, like the direct one behind a failed relayed poll. The poll loop acknowledges with its next poll, which is sent behind a reply.

--- a/io/owner/queue_test.go
+++ b/io/owner/queue_test.go
@@ -153,3 +153,32 @@
 		assert.Assert(t, ev.Name != "vm silent", ev.Name)
 	}
 }
+
+// ackVM records the highest sequence number that a poll has acknowledged.
+type ackVM struct {
+	silentVM
+	acked int64
+}
+
+func (v *ackVM) Poll(req pools.PollRequest, _ time.Time) (pools.PollReply, error) {
+	v.acked = max(v.acked, req.AckedSeq)
+	return pools.PollReply{}, errors.New("no answer")
+}
+
+// TestPollBehindAnOrderAcknowledgesNothing guards against the loss of ends: after a start without a reply the VM may be in a new
+// lifetime, and would forget ends there whose numbers the last lifetime had used.
+func TestPollBehindAnOrderAcknowledgesNothing(t *testing.T) {
+	now := clock.BootMs()
+	e, _ := newQueueEngine(t, 1, now)
+	b, err := e.NextBatch()
+	assert.NilError(t, err)
+	e.HandleBatchStored(b, now)
+	end := pools.RunEnd{Seq: 57, Item: "other.0.0.0", Run: 1, Kind: pools.EndDone}
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 500_100, StartedAtMs: 1, Ended: []pools.RunEnd{end}}, now, now)
+	req, ok := e.NextPoll("a", now)
+	assert.Assert(t, ok && req.AckedSeq == 57)
+	vm := &ackVM{}
+	s := &vmSession{r: &poolRun{cfg: PoolConfig{Stats: stats.New()}, engine: e, wake: make(chan struct{}, 1)}, id: "a", client: vm, ctx: t.Context()}
+	s.pollNow()
+	assert.Equal(t, vm.acked, int64(0))
+}
--- a/io/owner/session.go
+++ b/io/owner/session.go
@@ -208,7 +208,8 @@
 	if !ok {
 		return
 	}
-	req.WaitMs = 0
+	// Nothing is acknowledged: the VM may be in a new lifetime, which numbers its ends anew, and none of these is recorded yet.
+	req.WaitMs, req.AckedSeq = 0, 0
 	reply, err := s.client.Poll(req, time.Now().Add(pollTolerance))
 	if err != nil {
 		return // pollLoop detects a silent VM
