--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -14,6 +14,7 @@
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/pools"
+	"sassafrasvalve/platform"
 )
 
 // testTimeout bounds each wait of a test.
@@ -271,3 +272,13 @@
 	assert.Equal(t, reply.Kind, pools.Done)
 	assert.Equal(t, ch.vmCount(), 0)
 }
+
+// TestFullListOfEndsPassesTheRelay guards against runs that count as missing at the owner of a large pool, because the answer of a relay
+// does not tell that a VM has further ends to list.
+func TestFullListOfEndsPassesTheRelay(t *testing.T) {
+	for _, n := range []int{0, platform.MaxListedEnds - 1, platform.MaxListedEnds} {
+		reply := pools.PollReply{Kind: pools.Done, Ended: make([]pools.RunEnd, n), MoreEnds: n == platform.MaxListedEnds}
+		a := pollAnswer(1, &reply, nil)
+		assert.Equal(t, a.pollReply().MoreEnds, reply.MoreEnds, "%d ends", n)
+	}
+}
