--- a/fake/plat/plat.go
+++ b/fake/plat/plat.go
@@ -71,6 +71,7 @@
 	running    map[string]string      // VM by running item
 	done       map[string]bool        // items whose end as done an owner has recorded
 	poison     map[string]*poisonItem // by name
+	crashes    map[string]int         // crashes of VMs under an item, by item
 	store      string
 	cloud      string
 	version    int // of the configuration
@@ -101,7 +102,7 @@
 func Start(cfg Config) (*Platform, error) {
 	p := &Platform{
 		cfg: cfg, Log: NewLog(), startedAt: time.Now(), startedJobs: map[string]time.Time{},
-		steps: map[string][]jobs.Step{}, poison: map[string]*poisonItem{}, running: map[string]string{}, done: map[string]bool{}, stopped: make(chan struct{}),
+		steps: map[string][]jobs.Step{}, poison: map[string]*poisonItem{}, crashes: map[string]int{}, running: map[string]string{}, done: map[string]bool{}, stopped: make(chan struct{}),
 	}
 	var err error
 	if p.store, err = p.listen(p.Log.Handler()); err != nil {
@@ -318,6 +319,7 @@
 			x.crashes++
 		}
 	}
+	p.countCrash(m.vm)
 	p.removeVM(m)
 	m.downUntilMs = now + downMs
 }
--- a/fake/plat/restart.go
+++ b/fake/plat/restart.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"sassafrasvalve/core/pools"
@@ -24,11 +25,34 @@
 	if m.vm == nil {
 		return
 	}
+	p.countCrash(m.vm)
 	p.endRuns(m.vm)
 	m.restarting, m.vm, m.crashAtMs = m.vm, nil, 0
 	m.restartAtMs = p.nowMs() + downMs
 }
 
+// crashesToFail is the number of crashes of VMs under an item from which on its job may be shown as failed.
+const crashesToFail = 2
+
+// countCrash records that a VM has crashed under its runs. The caller holds mu.
+func (p *Platform) countCrash(vm *pool.VM) {
+	for item := range vm.Runs {
+		p.crashes[item]++
+	}
+}
+
+// MayFail reports whether so many VMs have crashed under an item of a job that the job may be shown as failed.
+func (p *Platform) MayFail(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for item, n := range p.crashes {
+		if strings.HasPrefix(item, id+".") && n >= crashesToFail {
+			return true
+		}
+	}
+	return false
+}
+
 // VMAddr returns the announced address of the VM of machine i, or "" if it has none.
 func (p *Platform) VMAddr(i int) string {
 	p.mu.Lock()
--- a/fake/plat/serve.go
+++ b/fake/plat/serve.go
@@ -202,6 +202,7 @@
 	if m.vm == nil {
 		return nil
 	}
+	p.countCrash(m.vm)
 	p.removeVM(m)
 	return p.boot(m)
 }
