shard: Keep items on the VM that may still execute their start

What callers saw: work items that ran twice at once.

Cause: the owner gave a start without a reply up as soon as a poll did not list the run: it stopped the run and started the item on another VM. The deadline, the stop and the fence number keep the call from being executed in that lifetime of the VM, but a VM that starts again under its ID has forgotten them, and nothing in the call tells the lifetimes apart. Until the owner's first poll of the next lifetime the VM executes it. Which starts had no reply was not in the log, so a next owner did the same.

Evidence: the new cases of TestCallsOfTheLastLifetime fail on the code before, for example a start without a reply is executed late, before the first poll of the next lifetime: starts nil, wanted {"a"}

Change: a start without a reply is sent again to the same VM as the same run, of which a VM executes one copy in a lifetime. Until no copy can be executed any more the item runs on that VM only: 12 s after the last copy was given up, and a lease longer if the VM is out of touch, or until its machine has another VM, or is in an upkeep or another pool. The record of the job names the VM, so that a next owner keeps to it; an earlier version skips the field. A copy that is executed late while its item waits becomes its run. A repeated start that is refused since the run has ended waits for the poll that lists the end. The items of speculative steps don't wait, and lasting ones not for a machine that is down.

TestUnlistedStartIsStopped and TestUnlistedPersistentStartWaitsForItsLease asserted the behavior before: the first required the stop that frees the item for other VMs, the second that a persistent item is free once the VM would refuse the start in its present lifetime. They are replaced by TestUnlistedStartIsRepeated, which requires a start on the same VM and none elsewhere for both kinds, and TestUnlistedStartOnADrainingVM, which keeps both assertions for a VM that takes no work. The case "the VM is cut off behind an unseen restart" waits for 22.7 s and not 10.7 s, since a call may be 12 s late.

--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -759,6 +759,66 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ItemOpen) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendInt(o, z.K)
+	o = msgp.AppendInt(o, z.Step)
+	o = msgp.AppendInt(o, z.Index)
+	o = msgp.AppendString(o, z.VM)
+	o = msgp.AppendString(o, z.Machine)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ItemOpen) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.K, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "K")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Index, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
+	z.VM, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "VM")
+		return
+	}
+	z.Machine, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Machine")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ItemOpen) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.VM) + msgp.StringPrefixSize + len(z.Machine)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *ItemState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1304,9 +1364,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Progress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "r"
-	o = append(o, 0x85, 0xa1, 0x72)
+	o = append(o, 0x86, 0xa1, 0x72)
 	o = msgp.AppendInt64(o, z.Rev)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
@@ -1334,6 +1394,16 @@
 			return
 		}
 	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Open)))
+	for za0003 := range z.Open {
+		o, err = z.Open[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Open", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -1427,6 +1497,29 @@
 					return
 				}
 			}
+		case "o":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Open")
+				return
+			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Open) >= int(zb0005) {
+				z.Open = (z.Open)[:zb0005]
+			} else {
+				z.Open = make([]ItemOpen, zb0005)
+			}
+			for za0003 := range z.Open {
+				bts, err = z.Open[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Open", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1449,6 +1542,10 @@
 	for za0002 := range z.Crashes {
 		s += z.Crashes[za0002].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Open {
+		s += z.Open[za0003].Msgsize()
+	}
 	return
 }
 
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -42,7 +42,7 @@
 
 // Progress is the progress record of a job, written by the owner of its shard. The one with the highest Rev is in force.
 // That of a job with more than ItemsPerRecord items holds no items. They are in part records, which are of the same type and
-// hold Rev, Items and Crashes only.
+// hold Rev, Items, Crashes and Open only.
 type Progress struct {
 	Rev   int64       `msg:"r"` // increases with each record of the job
 	State State       `msg:"s"`
@@ -50,6 +50,8 @@
 	Items []ItemState `msg:"i"` // items that were started at least once
 	// Crashes holds the items during whose runs VMs crashed. An earlier version skips it.
 	Crashes []ItemCrashes `msg:"c"`
+	// Open holds the items of which a VM may still execute a start that had no reply. An earlier version skips it.
+	Open []ItemOpen `msg:"o"`
 }
 
 // ItemState is the recorded state of one work item.
@@ -79,6 +81,17 @@
 	GivenUp bool  // the item does not start any more; its job goes on
 }
 
+// ItemOpen names the VM that may still execute a start of one work item that had no reply.
+//
+//msgp:tuple ItemOpen
+type ItemOpen struct {
+	K       int    // occurrence
+	Step    int    // index of the step
+	Index   int    // index within the step
+	VM      string // ID of the VM
+	Machine string // machine that it runs on, empty if unknown
+}
+
 // DemandReport is a pool owner's report to the machine controller: the VMs that it wants, offers and has vacated.
 type DemandReport struct {
 	Epoch  int64    `msg:"e"` // ownership epoch of the reporting owner
--- a/core/jobs/table.go
+++ b/core/jobs/table.go
@@ -32,11 +32,11 @@
 	if len(s.Parts) == 0 {
 		return p
 	}
-	p.Items, p.Crashes = slices.Clone(p.Items), slices.Clone(p.Crashes)
+	p.Items, p.Crashes, p.Open = slices.Clone(p.Items), slices.Clone(p.Crashes), slices.Clone(p.Open)
 	for _, n := range slices.Sorted(maps.Keys(s.Parts)) {
 		part := s.Parts[n]
 		p.Rev = max(p.Rev, part.Rev)
-		p.Items, p.Crashes = append(p.Items, part.Items...), append(p.Crashes, part.Crashes...)
+		p.Items, p.Crashes, p.Open = append(p.Items, part.Items...), append(p.Crashes, part.Crashes...), append(p.Open, part.Open...)
 	}
 	return p
 }
--- a/core/shard/crash.go
+++ b/core/shard/crash.go
@@ -297,7 +297,7 @@
 // chooseVMForSuspect returns the VM for an item under which VMs were lost, or nil if it has to wait. An item that is to be
 // tested gets a VM without suspects of other jobs, so that the next crash tells which job caused it.
 func (e *Engine) chooseVMForSuspect(j *job, it *item, p *placement, tokens map[string]string, now int64) *vm {
-	list := vmsWithToken(p.usable, tokens)
+	list := it.allowedVMs(vmsWithToken(p.usable, tokens))
 	if it.needsTest() {
 		if v := e.searchTestVM(j, it, p, list, now); v != nil {
 			if v.testedJob == nil {
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -87,6 +87,7 @@
 	events           []Event
 	nextThrottleAt   int64
 	nextTickAt       int64
+	openItems        map[*item]bool // items with an open start
 	policies         map[stepKey]*stepPolicy
 	policyQueries    []PolicyQuery
 	openQueries      int   // policy queries without a reply
@@ -125,6 +126,7 @@
 	return &Engine{
 		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
 		dirty: map[string]*job{}, createdAt: now, lastFence: cfg.Epoch * fenceNumbersPerEpoch, storeContactAt: now, policies: map[stepKey]*stepPolicy{},
+		openItems:   map[*item]bool{},
 		startWindow: startWindow{size: initialWindow},
 	}
 }
@@ -136,23 +138,23 @@
 func (e *Engine) MarkOwnershipConfirmed(at int64) { e.confirmedAt = max(e.confirmedAt, at) }
 
 // NeedsMachineList reports whether the machine list could show that a VM lifetime has ended: that of a silent VM with
-// runs, of one with runs that is not listed, or of one that an earlier owner may have used.
+// runs, of one with runs that is not listed, of one that an earlier owner may have used, or of one with an open start.
 func (e *Engine) NeedsMachineList() bool {
 	for _, v := range e.vms {
 		if (v.silent || !v.listed) && len(v.runs) > 0 {
 			return true
 		}
 	}
-	return e.initialPolls.pending
+	return e.initialPolls.pending || e.needsMachinesForOpen()
 }
 
 // SetMachines applies the platform's machine list, which was requested at requestedAt. The lifetime of a VM
 // that is silent or not listed is treated as ended if the VM was known before the request and no machine has it any more.
 func (e *Engine) SetMachines(machines []pools.Machine, requestedAt, now int64) {
-	current := make(map[string]bool, len(machines))
+	byVM := make(map[string]*pools.Machine, len(machines))
 	byID := make(map[string]*pools.Machine, len(machines))
 	for i := range machines {
-		current[machines[i].VM] = true
+		byVM[machines[i].VM] = &machines[i]
 		byID[machines[i].ID] = &machines[i]
 	}
 	e.initialPolls.setMachines(e.cfg.Service, machines, requestedAt, func(id string) bool {
@@ -160,10 +162,12 @@
 		return v != nil && v.allEndsListed
 	})
 	for id, v := range e.vms {
-		if (v.silent || !v.listed) && !current[id] && v.knownAt < requestedAt && (len(v.runs) > 0 || v.polled) {
-			e.endLifetime(v, lifetimeEnd{cause: v.causeByMachine(byID[v.Machine], now)}, now)
+		if (v.silent || !v.listed) && byVM[id] == nil && v.knownAt < requestedAt && (len(v.runs) > 0 || v.polled) {
+			m := byID[v.Machine]
+			e.endLifetime(v, lifetimeEnd{cause: v.causeByMachine(m, now), replaced: e.isReplaced(id, m)}, now)
 		}
 	}
+	e.closeOpenByMachines(byID, byVM, requestedAt, now)
 }
 
 // MarkStoreReachable records that the store answered this owner.
@@ -225,6 +229,7 @@
 		e.restoreItem(j, s, now)
 	}
 	j.restoreCrashes(progress.Crashes)
+	e.restoreOpen(j, progress.Open, now)
 	j.recountRemaining()
 	if stored.Cancelled {
 		e.Cancel(id, now)
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -43,6 +43,8 @@
 	stopSentAt      int64
 	stopAckedAt     int64
 	notBefore       int64 // earliest time of the next start
+	open            openStart
+	refusedAsEnded  bool // the VM refused the repeated start since the run has ended there; a poll tells how
 
 	progressPercent   int      // work done, as last reported; 100 means that a persistent item is at work
 	tailLatencyMs     int64    // as last reported for a serving item; unused for other items
--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -33,6 +33,8 @@
 	// next is the reply of the VM's next lifetime under the same ID to a poll by which it refuses all earlier calls. It is nil if
 	// no such reply is known.
 	next *pools.PollReply
+	// replaced is true if the VM can't start again under its ID.
+	replaced bool
 }
 
 // suspectRestart makes the next poll tell what runs on a VM that has restarted under its ID. Until then nothing on it is
@@ -68,8 +70,14 @@
 			continue
 		}
 		e.reportLostRun(it, end.cause, now)
+		if it.startOpen() && !end.replaced || it.phase == adopted && end.next != nil {
+			e.markOpen(it, now)
+		}
 		e.release(it, now)
 	}
+	if end.replaced {
+		e.closeOpenOn(v.ID, "its vm is gone", now)
+	}
 	for _, it := range poison {
 		e.giveUp(it, v, now)
 	}
--- /dev/null
+++ b/core/shard/open.go
@@ -0,0 +1,143 @@
+package shard
+
+import (
+	"sassafrasvalve/core/jobs"
+	"sassafrasvalve/core/pools"
+)
+
+// openStart names the VM that may still execute a start of an item that had no reply. In the present lifetime the deadline of the
+// order, a stop and the fence number make the VM refuse it. All three are forgotten if the VM starts again under its ID, and
+// nothing in the call tells the lifetimes apart. Until the call can't be delivered any more, the item may run on that VM only.
+type openStart struct {
+	vm      string // empty if there is none
+	machine string // machine of the VM, empty if unknown
+	since   int64  // time at which the first such start was given up
+	until   int64  // time from which no such start can be executed any more
+}
+
+// markOpen records that the VM of an item may still execute a start that had no reply until now. Copies of a speculative step may
+// run at the same time, so its items need not wait.
+func (e *Engine) markOpen(it *item, now int64) {
+	if it.stepDef.Speculative || it.vm == nil || it.job.state.Final() {
+		return
+	}
+	if it.open.vm != it.vm.ID {
+		it.open = openStart{vm: it.vm.ID, machine: it.vm.Machine, since: now}
+		e.openItems[it] = true
+		e.markDirty(it.job) // a next owner has to know of it
+		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start open", Reason: it.name + " may start there late", N: it.run})
+	}
+	it.open.until = now + lateCallMs
+}
+
+// closeOpen records that no VM can execute an earlier start of an item any more.
+func (e *Engine) closeOpen(it *item, reason string, now int64) {
+	if it.vm == nil && !it.done {
+		e.addEvent(Event{JobID: it.job.ID, VM: it.open.vm, Name: "held item free", Reason: reason, N: int(now - it.open.since)})
+	}
+	it.open = openStart{}
+	delete(e.openItems, it)
+	if !it.done && !it.job.state.Final() {
+		it.job.readyStale = true
+		e.markDirty(it.job)
+	}
+}
+
+// updateOpen closes the open starts that can't be executed any more, and forgets those of items that are over.
+func (e *Engine) updateOpen(now int64) {
+	for it := range e.openItems {
+		switch v := e.vms[it.open.vm]; {
+		case it.done || it.job.state.Final():
+			e.closeOpen(it, "", now)
+		case now < it.open.until:
+		case v != nil && v.polled && !v.silent && v.answeredSentAt >= it.open.until:
+			e.closeOpen(it, "its vm was polled since", now)
+		case now >= it.open.until+maxSlowLeaseMs:
+			e.closeOpen(it, "lease over", now)
+		}
+	}
+}
+
+// closeOpenOn closes the open starts on a VM that can't start again under its ID.
+func (e *Engine) closeOpenOn(id, reason string, now int64) {
+	for it := range e.openItems {
+		if it.open.vm == id {
+			e.closeOpen(it, reason, now)
+		}
+	}
+}
+
+// closeOpenByMachines closes the open starts on VMs that can't execute them by the list of machines, requested at requestedAt.
+func (e *Engine) closeOpenByMachines(byID, byVM map[string]*pools.Machine, requestedAt, now int64) {
+	for it := range e.openItems {
+		if requestedAt <= it.open.since {
+			continue
+		}
+		m := byVM[it.open.vm]
+		switch {
+		case m == nil && e.isReplaced(it.open.vm, byID[it.open.machine]):
+			e.closeOpen(it, "its vm is gone", now)
+		case requestedAt >= it.open.until && (m == nil || m.State != pools.MachineUp):
+			e.closeOpen(it, "its vm is down", now)
+		case it.stepDef.Persistent && m == nil:
+			// The users of a lasting item would be without it, and a machine that is down has most likely lost the call, too.
+			e.closeOpen(it, "its vm is down and the item lasts", now)
+		}
+	}
+}
+
+// isReplaced reports whether the machine of a VM that no machine lists has another VM or is to get one. A machine that is down may
+// start its VM again under the same ID.
+func (e *Engine) isReplaced(id string, m *pools.Machine) bool {
+	return m != nil && (m.VM != "" && m.VM != id || m.Pool != e.cfg.Service || m.State == pools.MachineBusy)
+}
+
+// needsMachinesForOpen reports whether the list of machines could show that a waiting item may start elsewhere.
+func (e *Engine) needsMachinesForOpen() bool {
+	for it := range e.openItems {
+		if v := e.vms[it.open.vm]; it.vm == nil && (v == nil || v.silent || !v.listed) {
+			return true
+		}
+	}
+	return false
+}
+
+// restoreOpen restores the open starts that an earlier owner recorded. Its last one may have been given up just now.
+func (e *Engine) restoreOpen(j *job, list []jobs.ItemOpen, now int64) {
+	for _, o := range list {
+		it := j.items[jobs.Item{K: o.K, Step: o.Step, Index: o.Index}]
+		if it == nil || it.done {
+			continue
+		}
+		it.open = openStart{vm: o.VM, machine: o.Machine, since: now, until: now + lateCallMs}
+		e.openItems[it] = true
+	}
+}
+
+// openRecord returns the recorded form of the open start of an item.
+func (it *item) openRecord() jobs.ItemOpen {
+	return jobs.ItemOpen{K: it.K, Step: it.Step, Index: it.Index, VM: it.open.vm, Machine: it.open.machine}
+}
+
+// allowedVMs returns the VMs of a list on which the item may run beside its open start: all of them, or the one with that start.
+func (it *item) allowedVMs(list []*vm) []*vm {
+	if it.open.vm == "" {
+		return list
+	}
+	for i, v := range list {
+		if v.ID == it.open.vm {
+			return list[i : i+1]
+		}
+	}
+	return nil
+}
+
+// repeatStart sends the start of an item that had no reply to the same VM again, as the same run. The VM executes only one of
+// the copies in a lifetime.
+func (e *Engine) repeatStart(it *item, now int64) {
+	if now-e.confirmedAt >= earlyStartConfirmationMs || now-e.storeContactAt > maxStoreSilenceMs {
+		return // a later poll leads here again
+	}
+	e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start repeated", Reason: "unanswered and not seen", N: it.run})
+	e.orders = append(e.orders, e.startOrder(start{it, it.run, it.vm}, now))
+}
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -174,7 +174,7 @@
 }
 
 // placeJob plans the ready items of one job. A gang is planned as a whole or not at all. Once an item finds no VM, the
-// others of its step find none either, unless it waits for a VM to test it.
+// others of its step find none either, unless it waits for a VM to test it or for the one with its open start.
 func (e *Engine) placeJob(c candidate, p *placement, now int64) []start {
 	var starts []start
 	for i := 0; i < len(c.ready); {
@@ -183,7 +183,7 @@
 		if !step[0].stepDef.Gang {
 			for k := range step {
 				planned := e.placeGroup(c.job, step[k:k+1], p, now)
-				if len(planned) == 0 && !step[k].needsTest() {
+				if len(planned) == 0 && !step[k].needsTest() && step[k].open.vm == "" {
 					break
 				}
 				starts = append(starts, planned...)
@@ -233,6 +233,7 @@
 	}
 	for _, s := range starts {
 		s.it.run, s.it.throttlePercent, s.it.stopAckedAt, s.it.throttleSentAt, s.it.seenRunning = run+1, 100, 0, 0, false
+		s.it.refusedAsEnded = false
 	}
 	j.begun, j.readyStale = true, true
 	e.markDirty(j)
@@ -303,7 +304,7 @@
 	if it.suspected() {
 		return e.chooseVMForSuspect(j, it, p, tokens, now)
 	}
-	if tokens == nil && !it.hasPreference() {
+	if tokens == nil && it.open.vm == "" && !it.hasPreference() {
 		for _, v := range p.index.from(it.stepDef.CPU) {
 			if v.fits(it) && allowedOn(j, it, v) {
 				return v
@@ -311,7 +312,7 @@
 		}
 		return nil
 	}
-	return e.searchVM(j, it, vmsWithToken(p.usable, tokens), now)
+	return e.searchVM(j, it, it.allowedVMs(vmsWithToken(p.usable, tokens)), now)
 }
 
 // hasPreference reports whether the cost of an item on a VM depends on more than the VM's free CPU.
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -219,7 +219,13 @@
 		return
 	case pools.NoReply:
 		it.unansweredAt = now // the next poll shows whether it runs
+		e.markOpen(it, now)
 		return
+	case pools.StaleRun:
+		if it.open.vm == v.ID {
+			it.unansweredAt, it.refusedAsEnded = now, true // an earlier copy was executed; the next poll shows how the run ended
+			return
+		}
 	case pools.NoCapacity:
 		v.noCapacityUntil = now + capacityRetryMs
 	case pools.Unhealthy:
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -148,7 +148,7 @@
 		return true
 	}
 	for _, it := range v.runs {
-		if it.phase == sent && it.unansweredAt > 0 && !it.stepDef.Persistent {
+		if it.phase == sent && it.unansweredAt > 0 {
 			return true
 		}
 		if it.phase == stopping && it.stopAckedAt > 0 && it.startedAt < it.stopSentAt && !it.seenRunning {
@@ -177,7 +177,7 @@
 		}
 		if it == nil || it.run != r.Run {
 			v.unknownRuns++
-			e.stopUnknownRun(v, r)
+			e.stopUnknownRun(v, r, now)
 			continue
 		}
 		it.seenInPoll, it.seenRunning = e.pollNum, true
@@ -196,16 +196,24 @@
 		}
 		if absent {
 			e.addEvent(Event{JobID: it.job.ID, VM: v.ID, Name: "run missing", Reason: phaseNames[it.phase], N: it.run})
+			if it.startOpen() || it.phase == adopted {
+				e.markOpen(it, now)
+			}
 			e.release(it, now)
 		}
 	}
 }
 
-// resolveUnseenStart handles a start that had no reply and that a later poll does not list. A persistent item waits
-// until the VM would refuse the start: a stop could end a run that has started meanwhile, and exceed the budget of its
-// step. Any other item is stopped before its start is confirmed, so that it can soon start elsewhere.
+// resolveUnseenStart handles a start that had no reply and that a later poll does not list. It is sent again to the same VM,
+// unless the VM is to take no work any more. Then a persistent item waits until the VM would refuse the start: a stop could end
+// a run that has started meanwhile, and exceed the budget of its step. Any other item is stopped.
 func (e *Engine) resolveUnseenStart(it *item, now int64) {
 	switch {
+	case it.refusedAsEnded:
+		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start refused", Reason: replyNames[pools.StaleRun], N: it.run})
+		e.release(it, now)
+	case !it.vm.Draining && !it.vm.vacate && !it.done && !it.job.state.Final():
+		e.repeatStart(it, now)
 	case !it.stepDef.Persistent:
 		e.stop(it, "start unanswered", now)
 	case it.vm.clockMs > it.startDeadlineMs:
@@ -223,9 +231,12 @@
 		return nil
 	}
 	it := j.items[key]
-	if it == nil || it.done || it.run >= r.Run || it.phase != idle && it.phase != adopted {
+	if it == nil || it.done || it.phase != idle && it.phase != adopted {
 		return nil
 	}
+	if it.run > r.Run || it.run == r.Run && (it.phase != idle || it.open.vm != v.ID) {
+		return nil // a run that was given up, unless its open start has just been executed
+	}
 	if it.vm != nil {
 		it.vm.detach(it) // the recorded run ended before this one started
 	}
@@ -299,14 +310,26 @@
 }
 
 // stopUnknownRun orders the stop of a run that belongs to no item.
-func (e *Engine) stopUnknownRun(v *vm, r *pools.RunStatus) {
+func (e *Engine) stopUnknownRun(v *vm, r *pools.RunStatus, now int64) {
 	id, _, _ := jobs.ParseItem(r.Item)
 	e.addEvent(Event{JobID: id, VM: v.ID, Name: "stop unknown run", N: r.Run})
+	if it := e.itemNamed(r.Item); it != nil && it.open.vm == v.ID {
+		it.notBefore, it.job.readyStale = max(it.notBefore, now+unknownRunPauseMs), true
+	}
 	e.orders = append(e.orders, pools.Order{
 		Kind: pools.Stop, VM: v.ID, JobID: id, Item: r.Item, Run: r.Run, Fence: v.fence,
 	})
 }
 
+// itemNamed returns the item with a full name, or nil if there is none.
+func (e *Engine) itemNamed(name string) *item {
+	id, key, ok := jobs.ParseItem(name)
+	if j := e.jobs[id]; ok && j != nil {
+		return j.items[key]
+	}
+	return nil
+}
+
 // handleRunEnd applies the end of a run to its item.
 func (e *Engine) handleRunEnd(v *vm, end pools.RunEnd, now int64) {
 	id, key, ok := jobs.ParseItem(end.Item)
--- a/core/shard/record.go
+++ b/core/shard/record.go
@@ -71,7 +71,7 @@
 	}
 	p := jobs.Progress{Rev: j.rev, State: j.state, Base: j.base}
 	if s := states[0]; s != nil {
-		p.Items, p.Crashes = s.Items, s.Crashes
+		p.Items, p.Crashes, p.Open = s.Items, s.Crashes, s.Open
 	}
 	value, err := p.MarshalMsg(nil)
 	if err != nil {
@@ -124,8 +124,8 @@
 	return 1 + (it.K*perOccurrence+j.stepOffsets[it.Step]+it.Index)/jobs.ItemsPerRecord
 }
 
-// statesByPart returns the states of the items that were started at least once, and the suspicions against items, by the number
-// of the record that holds them.
+// statesByPart returns the states of the items that were started at least once, the suspicions against items and their open starts,
+// by the number of the record that holds them.
 func (j *job) statesByPart() map[int]*jobs.Progress {
 	states := map[int]*jobs.Progress{}
 	statesOf := func(it *item) *jobs.Progress {
@@ -144,6 +144,10 @@
 			p := statesOf(it)
 			p.Crashes = append(p.Crashes, it.crashRecord())
 		}
+		if it.open.vm != "" && !it.done {
+			p := statesOf(it)
+			p.Open = append(p.Open, it.openRecord())
+		}
 	}
 	return states
 }
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -51,6 +51,7 @@
 		e.tickVM(v, now)
 	}
 	e.startWindow.adapt(now)
+	e.updateOpen(now)
 	e.vacateVMs(now)
 	if now >= e.nextDemandAt {
 		e.nextDemandAt = now + demandIntervalMs
