shard: Close open starts that were executed

What callers saw: nothing yet.

Cause: each start without a reply counted as open, also when the VM lists its run and it was the only copy.

Evidence: the assertion added to TestUnansweredStartIsResolvedByPoll fails on the code before (1 open start).

Change: the open start of an item is closed when its VM lists the run or its end and no other copy was sent. An item that is free because its job is over is not logged.

--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -13,6 +13,7 @@
 	machine string // machine of the VM, empty if unknown
 	since   int64  // time at which the first such start was given up
 	until   int64  // time from which no such start can be executed any more
+	calls   int    // number of such starts; further ones of an earlier owner are not known
 }
 
 // markOpen records that the VM of an item may still execute a start that had no reply until now. Copies of a speculative step may
@@ -28,11 +29,19 @@
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start open", Reason: it.name + " may start there late", N: it.run})
 	}
 	it.open.until = now + lateCallMs
+	it.open.calls++
+}
+
+// closeIfExecuted closes the open start of an item whose present run its VM has listed, if no other copy of the start is open.
+func (e *Engine) closeIfExecuted(it *item, now int64) {
+	if it.open.vm != "" && it.open.calls == 1 && it.phase == sent && it.unansweredAt > 0 {
+		e.closeOpen(it, "", now)
+	}
 }
 
 // closeOpen records that no VM can execute an earlier start of an item any more.
 func (e *Engine) closeOpen(it *item, reason string, now int64) {
-	if it.vm == nil && !it.done {
+	if it.vm == nil && !it.done && !it.job.state.Final() {
 		e.addEvent(Event{JobID: it.job.ID, VM: it.open.vm, Name: "held item free", Reason: reason, N: int(now - it.open.since)})
 	}
 	it.open = openStart{}
@@ -102,6 +111,9 @@
 	return false
 }
 
+// unknownCalls stands for the number of open starts of an earlier owner.
+const unknownCalls = 1 << 20
+
 // restoreOpen restores the open starts that an earlier owner recorded. Its last one may have been given up just now.
 func (e *Engine) restoreOpen(j *job, list []jobs.ItemOpen, now int64) {
 	for _, o := range list {
@@ -109,7 +121,7 @@
 		if it == nil || it.done {
 			continue
 		}
-		it.open = openStart{vm: o.VM, machine: o.Machine, since: now, until: now + lateCallMs}
+		it.open = openStart{vm: o.VM, machine: o.Machine, since: now, until: now + lateCallMs, calls: unknownCalls}
 		e.openItems[it] = true
 	}
 }
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -284,6 +284,7 @@
 	e.markStarted(it.job, it.vm, now)
 	switch it.phase {
 	case sent, adopted:
+		e.closeIfExecuted(it, now)
 		it.phase, it.startedAt, it.phaseSince, it.progressChangedAt = running, now, now, now
 	default:
 	}
@@ -358,6 +359,7 @@
 		e.setCheckpoint(it, v, end.Ref)
 	}
 	if current && it.vm != nil {
+		e.closeIfExecuted(it, now)
 		e.release(it, now)
 	}
 	if j.state.Final() || it.done {
--- a/core/shard/start_window_test.go
+++ b/core/shard/start_window_test.go
@@ -91,6 +91,7 @@
 		replyToPoll(e, 320, 320, pools.RunStatus{Item: o.Item, Run: o.Run, ProgressPercent: 10})
 		assert.Equal(t, e.jobs["j"].orderedItems[0].phase, running)
 		assert.Equal(t, len(e.TakeOrders()), 0)
+		assert.Equal(t, len(e.openItems), 0, "the start was executed, so that it can't be executed again")
 	}
 }
 
