shard: Acknowledge no ends by a poll behind a standstill

What callers saw: nothing yet; found by the table of fates (row "the process stands still while the VM restarts and ends the run"). A work item that had ended as done started again.

Cause: an owner that stood still, while a VM restarted under its ID, sends its next poll with the number up to which the ends of the last lifetime are recorded. The VM numbers its ends anew and forgets those up to that number though the owner has never seen them.

Evidence: the row on the code before: TWICE after done: j.0.0.0 ended at 2910 ms on first, starts as run 2 at 5033 ms on first

Change: a poll that is sent more than 0.5 s after the last reply was due acknowledges nothing. The next one does.

--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -18,6 +18,9 @@
 	// startupPollWaitMs is the wait of a poll of a VM on which a persistent item is not at work yet. Until it is seen at work,
 	// the budget of its step lets no other item be moved.
 	startupPollWaitMs = 100
+	// maxAckAgeMs is how long after the wait of the last poll the next one may be sent and still acknowledge ends. A poll without
+	// a reply fails after 450 ms.
+	maxAckAgeMs = 500
 	// largePoolVMs is the number of VMs above which one owner cannot poll all of them as often as in a small pool:
 	// with 0.4 core it handles about 1,000 poll replies a second.
 	largePoolVMs = 400
@@ -36,6 +39,9 @@
 		c.AckedSeq = 0
 		return c, true
 	}
+	if now-v.answeredSentAt > v.pollWaitMs+maxAckAgeMs {
+		c.AckedSeq = 0 // this process stood still, and the VM may have restarted meanwhile
+	}
 	if now-e.storeContactAt < maxStoreSilenceMs {
 		c.LeaseEndMs = v.estimateClock(now) + leaseMs
 		v.leaseEndMs = max(v.leaseEndMs, c.LeaseEndMs)
