shard: Reckon with open starts on VMs that are down

What callers saw: nothing yet; found by the table of fates. Work items that run twice at once.

Cause: the owner freed two kinds of item at once if the list of machines showed the VM as down, although it may start again under its ID and execute a start: one that an earlier owner may just have started, and a lasting one.

A lasting one with an open start waits for 4 s, as the platform lets it be missing for 7 s.

--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -46,6 +46,15 @@
 	e.raiseFence(v, now)
 }
 
+// mayStartAgain reports whether a start of an item that was on a VM may still be executed in the VM's next lifetime. The start of an
+// adopted item may just have been sent. A lasting one does not wait for a VM that is down, as it has most likely been at work.
+func (it *item) mayStartAgain(end *lifetimeEnd) bool {
+	if end.replaced {
+		return false
+	}
+	return it.startOpen() || it.phase == adopted && (end.next != nil || !it.stepDef.Persistent)
+}
+
 // listedIn reports whether a reply lists the present run of an item, or may do so with the ends that follow.
 func (it *item) listedIn(reply *pools.PollReply) bool {
 	return reply.MoreEnds ||
@@ -70,7 +79,7 @@
 			continue
 		}
 		e.reportLostRun(it, end.cause, now)
-		if it.startOpen() && !end.replaced || it.phase == adopted && end.next != nil {
+		if it.mayStartAgain(&end) {
 			e.markOpen(it, now)
 		}
 		e.release(it, now)
--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -14,10 +14,16 @@
 	since   int64  // time at which the first such start was given up
 	until   int64  // time from which no such start can be executed any more
 	calls   int    // number of such starts; further ones of an earlier owner are not known
+	// downSince is the time from which on no machine lists the VM, 0 if one does.
+	downSince int64
 }
 
-// markOpen records that the VM of an item may still execute a start that had no reply until now. Copies of a speculative step may
-// run at the same time, so its items need not wait.
+// lastingWaitMs is how long a lasting item waits for a VM with its open start that is down. The platform lets such an item be missing for
+// 7 s after a crash.
+const lastingWaitMs = 4000
+
+// markOpen records that the VM of an item may still execute a start that has had no reply. Copies of a speculative step may run at
+// the same time, so its items need not wait.
 func (e *Engine) markOpen(it *item, now int64) {
 	if it.stepDef.Speculative || it.vm == nil || it.job.state.Final() {
 		return
@@ -28,7 +34,11 @@
 		e.markDirty(it.job) // a next owner has to know of it
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start open", Reason: it.name + " may start there late", N: it.run})
 	}
-	it.open.until = now + lateCallMs
+	givenUpAt := now
+	if it.phase == adopted {
+		givenUpAt = it.sentAt // the earlier owner's last call
+	}
+	it.open.until = max(it.open.until, givenUpAt+lateCallMs)
 	it.open.calls++
 }
 
@@ -88,9 +98,12 @@
 			e.closeOpen(it, "its vm is gone", now)
 		case requestedAt >= it.open.until && (m == nil || m.State != pools.MachineUp):
 			e.closeOpen(it, "its vm is down", now)
-		case it.stepDef.Persistent && m == nil:
-			// The users of a lasting item would be without it, and a machine that is down has most likely lost the call, too.
-			e.closeOpen(it, "its vm is down and the item lasts", now)
+		case !it.stepDef.Persistent || m != nil:
+			it.open.downSince = 0
+		case it.open.downSince == 0:
+			it.open.downSince = now
+		case now-it.open.downSince >= lastingWaitMs:
+			e.closeOpen(it, "its vm stays down and the item lasts", now)
 		}
 	}
 }
