shard: Record open starts before they are repeated

What callers saw: nothing yet; found by the table of fates. A work item that runs twice at once.

Cause: the start without a reply was sent again before the log named it. If the owner is replaced then, the next one finds the run at work and does not know that a copy of its start is open. When the VM restarts, it starts the item elsewhere.

Change: the repeated start waits for the record of its job, like starts that must be recorded. TestUnlistedStartIsRepeated requires that.

--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -158,11 +158,17 @@
 }
 
 // repeatStart sends the start of an item that had no reply to the same VM again, as the same run. The VM executes only one of
-// the copies in a lifetime.
+// the copies in a lifetime. The log has to name the open start before: a next owner would take the item for one whose only start
+// was executed.
 func (e *Engine) repeatStart(it *item, now int64) {
-	if now-e.confirmedAt >= earlyStartConfirmationMs || now-e.storeContactAt > maxStoreSilenceMs {
-		return // a later poll leads here again
-	}
 	e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start repeated", Reason: "unanswered and not seen", N: it.run})
-	e.orders = append(e.orders, e.startOrder(start{it, it.run, it.vm}, now))
+	s := start{it, it.run, it.vm}
+	recorded := e.dirty[it.job.ID] == nil && !e.recording
+	if recorded && now-e.confirmedAt < earlyStartConfirmationMs && now-e.storeContactAt <= maxStoreSilenceMs {
+		e.orders = append(e.orders, e.startOrder(s, now))
+		return
+	}
+	it.phase, it.phaseSince = planned, now
+	e.unrecordedStarts = append(e.unrecordedStarts, s)
+	e.markDirty(it.job)
 }
--- a/core/shard/start_window_test.go
+++ b/core/shard/start_window_test.go
@@ -73,6 +73,15 @@
 	return e, orders[0]
 }
 
+// storeBatch stores the next batch of the engine and returns the orders that waited for it.
+func storeBatch(t *testing.T, e *Engine, now int64) []pools.Order {
+	t.Helper()
+	b, err := e.NextBatch()
+	assert.NilError(t, err)
+	assert.Assert(t, b != nil)
+	return e.HandleBatchStored(b, now)
+}
+
 // replyToPoll passes the engine a poll reply of its VM that lists some runs.
 func replyToPoll(e *Engine, clock, sentAt int64, runs ...pools.RunStatus) {
 	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: clock, StartedAtMs: 1, Running: runs}, sentAt, sentAt)
@@ -106,7 +115,8 @@
 		assert.Equal(t, len(e.TakeOrders()), 0, "the poll was sent before the start counted as unanswered")
 		replyToPoll(e, 330, 320)
 		e.Advance(331, 331)
-		orders := e.TakeOrders()
+		assert.Equal(t, len(e.TakeOrders()), 0, "the log does not name the open start yet")
+		orders := storeBatch(t, e, 335)
 		assert.Equal(t, len(orders), 1)
 		o := orders[0]
 		assert.Assert(t, o.Kind == pools.Start && o.VM == "a" && o.Run == first.Run && o.DeadlineMs > first.DeadlineMs, "%+v", o)
@@ -120,7 +130,7 @@
 func TestRepeatedStartOfAnEndedRun(t *testing.T) {
 	e, _ := startWithoutReply(t, jobs.Step{Count: 1, CPU: 100, MemMB: 10, EstimateMs: 500})
 	replyToPoll(e, 330, 320)
-	o := e.TakeOrders()[0]
+	o := storeBatch(t, e, 335)[0]
 	e.HandleOrderReply(o, pools.Reply{Kind: pools.StaleRun}, 340)
 	e.Advance(341, 341)
 	assert.Equal(t, len(e.TakeOrders()), 0)
