--- a/fake/pool/vm.go
+++ b/fake/pool/vm.go
@@ -34,6 +34,7 @@
 	seq             int64          // of the newest end
 	highestEndedRun map[string]int // highest number of a stopped or ended run, by item
 	StopDelayMs     int64          // time from an order to stop a run until it ends
+	ClockPercent    int64          // rate of the VM's clock as a percentage of the caller's, 0 for the same rate
 	// PlanRun returns the duration, the result and the step of a run that starts. A duration of 0 makes the run hang.
 	PlanRun func(o pools.Order) (workMs int64, fails bool, step jobs.Step)
 	// OnStart, OnEnd and OnEndRecorded are called after a run has started, after it has ended, and after the owner has
@@ -50,7 +51,16 @@
 }
 
 // clockMs returns the time of the VM's own clock, which is at 1000 ms at the start of its lifetime.
-func (v *VM) clockMs(now int64) int64 { return now - v.BootedAtMs + 1_000 }
+func (v *VM) clockMs(now int64) int64 {
+	elapsed := now - v.BootedAtMs
+	if v.ClockPercent > 0 {
+		elapsed = elapsed * v.ClockPercent / 100
+	}
+	return elapsed + 1_000
+}
+
+// LeaseLapsed reports whether the VM had a lease that is over.
+func (v *VM) LeaseLapsed(now int64) bool { return v.leaseEndMs > 0 && v.clockMs(now) > v.leaseEndMs }
 
 // Advance ends the runs that are due at now: those that are complete, stopped, or without a lease.
 func (v *VM) Advance(now int64) {
@@ -59,7 +69,7 @@
 		names = append(names, n)
 	}
 	sort.Strings(names)
-	lapsed := v.leaseEndMs > 0 && v.clockMs(now) > v.leaseEndMs
+	lapsed := v.LeaseLapsed(now)
 	for _, n := range names {
 		r := v.Runs[n]
 		switch {
