shard: Hold ends back while their runs may start again

What callers saw: work items that ran again after they had ended as done, "TWICE after done" of the soak with late starts beside restarts of VMs under their IDs.

Cause: a start without a reply is repeated on the same VM, and the item ends there and is acknowledged. If the VM then starts again under its ID within 12 s, it may execute the first copy before the owner's first poll. Nothing can keep that copy away, but the acknowledgment makes the end final: by the platform's rules an item whose end is not acknowledged may run again.

Change: the end of a run is acknowledged once no copy of its start can be executed any more. It is recorded at once, and its job is complete for its clients at once. The VM replies at once while it has ends, so the next poll waits for 100 ms.

What remains: the run is still started, and stopped by the first poll of that lifetime. To prevent it the item would have to wait for 12 s after each start without a reply.

--- a/bench/sim/owner.go
+++ b/bench/sim/owner.go
@@ -297,8 +297,11 @@
 			s.step()
 		}
 		next := max(p.sentAt+pollGapMs, w.now)
-		if e.HasUnrecordedEnds(id) {
+		switch {
+		case e.HasUnrecordedEnds(id, w.now):
 			next = w.now + appendMs + 2
+		case e.HoldsEnds(id, w.now):
+			next = w.now + heldEndsPauseMs
 		}
 		w.at(next, func() {
 			if m.lifetime == life {
--- a/bench/sim/world.go
+++ b/bench/sim/world.go
@@ -12,12 +12,13 @@
 
 // Delays of the simulated world, in milliseconds.
 const (
-	appendMs  = 7   // an append to the log
-	hopMs     = 1   // one way between the owner and a VM
-	tickMs    = 100 // interval of the owner's steps without an event
-	renewMs   = 500 // interval of the renewals of a claim
-	pollGapMs = 8   // minimum time between two polls of a VM
-	timeoutMs = 500 // until a call without a reply fails
+	appendMs        = 7   // an append to the log
+	hopMs           = 1   // one way between the owner and a VM
+	tickMs          = 100 // interval of the owner's steps without an event
+	renewMs         = 500 // interval of the renewals of a claim
+	pollGapMs       = 8   // minimum time between two polls of a VM
+	heldEndsPauseMs = 100 // pause after a poll of a VM whose recorded ends are not acknowledged yet
+	timeoutMs       = 500 // until a call without a reply fails
 	// takeoverMs is the time for which a shard has no owner after the loss of one.
 	takeoverMs = 1200
 	// unstoredMs is the time before the loss of an owner in which the store accepts no records of it.
--- a/core/shard/fate_test.go
+++ b/core/shard/fate_test.go
@@ -30,6 +30,7 @@
 	fatePollRetryMs    = 150
 	fatePollSpacingMs  = 8
 	fateAckWaitMs      = 60
+	fateHeldEndsMs     = 100
 	// fateSecondPollMs is how long after the first poll reply of a lifetime a VM may execute earlier calls. If the reply was the
 	// first sign of the restart, only the next poll has a higher fence number, and one may be lost.
 	fateSecondPollMs = fateAckWaitMs + fatePollGraceMs + fatePollRetryMs + 2*fateStepMs
@@ -667,11 +668,15 @@
 // awaitRecord sends the next poll once the ends that the VM has listed are recorded, or at the time until.
 func (c *fatePoll) awaitRecord(until int64) {
 	p := c.p
-	if p.now < until && p.e.HasUnrecordedEnds(c.v.vm.ID) {
+	if p.now < until && p.e.HasUnrecordedEnds(c.v.vm.ID, p.now) {
 		p.atOwner(p.now+fateStepMs, func() { c.awaitRecord(until) })
 		return
 	}
-	c.next(max(fatePollSpacingMs-(p.now-c.sentAt), 0))
+	pause := max(fatePollSpacingMs-(p.now-c.sentAt), 0)
+	if p.e.HoldsEnds(c.v.vm.ID, p.now) {
+		pause = fateHeldEndsMs
+	}
+	c.next(pause)
 }
 
 // finished reports whether all jobs are complete.
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -120,7 +120,7 @@
 	for id, seq := range b.acks {
 		// A lower seenSeq means that a new lifetime has begun, whose ends have sequence numbers of their own.
 		if v := e.vms[id]; v != nil && seq <= v.seenSeq {
-			v.ackedSeq = max(v.ackedSeq, seq)
+			v.ackedSeq = max(v.ackedSeq, min(seq, v.ackableSeq(now)))
 		}
 	}
 	var orders []pools.Order
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -46,7 +46,7 @@
 		c.LeaseEndMs = v.estimateClock(now) + leaseMs
 		v.leaseEndMs = max(v.leaseEndMs, c.LeaseEndMs)
 	}
-	if v.ackedSeq >= v.seenSeq {
+	if v.ackedSeq >= v.ackableSeq(now) {
 		switch {
 		case len(v.runs) == 0 && len(e.vms) > largePoolVMs:
 			c.WaitMs = idlePollWaitMs
@@ -132,7 +132,7 @@
 		}
 	}
 	e.reconcileRuns(v, &reply, sentAt, now)
-	e.ackIfClean(v)
+	e.ackIfClean(v, now)
 	return changed || len(v.runs) != runsBefore || len(e.orders) > 0
 }
 
@@ -165,9 +165,9 @@
 }
 
 // HasUnrecordedEnds reports whether a VM has listed ends that are not recorded yet.
-func (e *Engine) HasUnrecordedEnds(id string) bool {
+func (e *Engine) HasUnrecordedEnds(id string, now int64) bool {
 	v := e.vms[id]
-	return v != nil && v.ackedSeq < v.seenSeq
+	return v != nil && v.ackedSeq < v.ackableSeq(now)
 }
 
 // reconcileRuns compares the runs that a VM listed with the items assigned to it. Unknown runs are adopted or stopped;
@@ -359,6 +359,9 @@
 		}
 		it.run, current = end.Run, true
 	}
+	if end.Kind == pools.EndDone && it.open.vm == v.ID {
+		v.heldAcks = append(v.heldAcks, heldAck{seq: end.Seq, until: it.open.until})
+	}
 	e.markStarted(j, v, now)
 	it.forgetLostVM(end.Run)
 	if !it.done {
@@ -499,8 +502,8 @@
 
 // ackIfClean acknowledges the processed ends of a VM if nothing is waiting to be recorded, so that the VM may delete
 // them.
-func (e *Engine) ackIfClean(v *vm) {
+func (e *Engine) ackIfClean(v *vm, now int64) {
 	if len(e.dirty) == 0 && !e.recording {
-		v.ackedSeq = max(v.ackedSeq, v.seenSeq)
+		v.ackedSeq = max(v.ackedSeq, v.ackableSeq(now))
 	}
 }
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -31,7 +31,8 @@
 	// earlierLeaseUntil is the local time until which a lease may last that was not granted in answer to a poll of this owner.
 	earlierLeaseUntil int64
 
-	seenSeq, ackedSeq int64   // sequence numbers of its ends: last processed, last recorded
+	seenSeq, ackedSeq int64 // sequence numbers of its ends: last processed, last acknowledged
+	heldAcks          []heldAck
 	lastPollAt        int64   // time of the last poll reply
 	pollWaitMs        int64   // wait time of the newest poll
 	silent            bool    // the last poll had no reply, or the VM must be polled again before use
@@ -109,7 +110,7 @@
 	v.polled, v.allEndsListed, v.moreEnds, v.silent, v.silentSince = false, false, false, false, 0
 	v.clockMs, v.clockReadAt, v.leaseEndMs, v.earlierLeaseUntil = 0, 0, 0, 0
 	v.seenSeq, v.ackedSeq, v.lastPollAt, v.suspectUntil, v.noCapacityUntil, v.unknownRuns = 0, 0, 0, 0, 0, 0
-	v.recentFailures = [8]bool{}
+	v.recentFailures, v.heldAcks = [8]bool{}, nil
 }
 
 // estimateClock returns the present reading of the VM's clock, extrapolated from its last reply.
--- a/io/owner/session.go
+++ b/io/owner/session.go
@@ -33,6 +33,8 @@
 	minPollSpacing = 8 * time.Millisecond
 	// endsRecordedTimeout bounds the wait before the next poll until the run ends of the last one are recorded.
 	endsRecordedTimeout = 60 * time.Millisecond
+	// heldEndsPause is the pause after a poll of a VM whose recorded ends are not acknowledged yet. It replies to polls at once.
+	heldEndsPause = 100 * time.Millisecond
 	// maxQueuedOrders bounds the orders that wait for one VM.
 	maxQueuedOrders = 256
 )
@@ -263,7 +265,7 @@
 	default:
 		s.r.engine.HandlePollFailure(s.id, now)
 	}
-	unrecordedEnds := s.r.engine.HasUnrecordedEnds(s.id)
+	unrecordedEnds, heldEnds := s.r.engine.HasUnrecordedEnds(s.id, now), s.r.engine.HoldsEnds(s.id, now)
 	s.r.mu.Unlock()
 	if needsTick {
 		s.r.signal()
@@ -281,6 +283,9 @@
 		}
 		timer.Stop()
 	}
+	if heldEnds {
+		wire.Sleep(s.ctx, heldEndsPause)
+	}
 	if pause := s.r.pollSpacing() - time.Duration(clock.BootMs()-sentAtMs)*time.Millisecond; pause > 0 {
 		wire.Sleep(s.ctx, pause)
 	}
