relay: Drop calls whose time limit passed in the owner's queue

A start that an owner hands to a relay waits in the queue of the channel until the connection is set up (up to 1 s), the write of an earlier batch ends (up to 1 s), or the process resumes from a suspension of any length. It was sent all the same, with its whole time limit of 0.45 s counted anew, while the owner counted it as a start without a reply. The relay then passed it on to a VM that the next owner, or the VM's next lifetime, had by then.

Cause: the time limit was set in the call when it was queued, though Call.WithinMs counts from Batch.SentMs on.

Change: a batch leaves out calls past their deadlines and reports them as not executed, which is certain; the others carry the time that is left.

TestCallPastItsDeadlineLeavesTheQueue failed before: "after_5000_ms: 1 (int) != 0 (int): the call is sent" and "after_449_ms: 450 (b.Calls[0].WithinMs int64) != 1".

--- a/io/relay/channel.go
+++ b/io/relay/channel.go
@@ -82,8 +82,8 @@
 		return false
 	}
 	c.lastNumber++
-	call.N, call.WithinMs = c.lastNumber, within.Milliseconds()
-	c.queue = append(c.queue, queuedCall{call, spec, pendingCall{clock.BootMs() + call.WithinMs, done}})
+	call.N = c.lastNumber
+	c.queue = append(c.queue, queuedCall{call, spec, pendingCall{clock.BootMs() + within.Milliseconds(), done}})
 	first := len(c.queue) == 1
 	c.mu.Unlock()
 	if first {
@@ -169,16 +169,33 @@
 	return conn, nil
 }
 
-// nextBatch takes the next batch off the queue. Its calls count as sent, since a failed write may have sent a part of it.
+// nextBatch takes the next batch off the queue. Its calls count as sent, since a failed write may have sent a part of it. Calls
+// past their time limit are not sent: calls may wait for the connection, for the write of an earlier batch, or while this process
+// is suspended.
 func (c *Channel) nextBatch(now int64) Batch {
+	b, expired := c.takeCalls(now)
+	for _, done := range expired {
+		done(Answer{Fate: outcomeNotExecuted})
+	}
+	return b
+}
+
+// takeCalls takes calls off the queue. It returns the next batch, and the callbacks of the calls that it left out because their
+// time limits have passed.
+func (c *Channel) takeCalls(now int64) (b Batch, expired []func(Answer)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := Batch{SentMs: now}
+	b.SentMs = now
 	specs := map[string]int{}
 	n, size := 0, 0
 	for n < len(c.queue) && n < maxBatchCalls && size < maxBatchBytes {
 		q := &c.queue[n]
 		n++
+		if now >= q.expiresAtMs {
+			expired = append(expired, q.done)
+			continue
+		}
+		q.call.WithinMs = q.expiresAtMs - now
 		q.call.Spec = noSpec
 		if q.spec != "" {
 			i, known := specs[q.spec]
@@ -201,7 +218,7 @@
 	if len(c.queue) > 0 {
 		c.signal()
 	}
-	return b
+	return b, expired
 }
 
 // expire fails the calls past their time limit with an unknown outcome. It returns true if the channel must be closed: the
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -171,6 +171,33 @@
 	assert.Equal(t, len(v.orderTexts()), 0)
 }
 
+// TestCallPastItsDeadlineLeavesTheQueue guards against an owner that sends calls to a relay after their deadlines, because its connection was
+// not set up yet, the write of an earlier batch took long, or the process was suspended. The relay would grant them the whole time again,
+// and send starts to a VM that another owner or the next lifetime of the VM has by then.
+func TestCallPastItsDeadlineLeavesTheQueue(t *testing.T) {
+	const within = 450 * time.Millisecond
+	for _, tt := range []struct {
+		waitMs   int64 // in the queue
+		withinMs int64 // time that is left for the relay, 0 if the call is not sent
+	}{{0, 450}, {449, 1}, {450, 0}, {5000, 0}} {
+		t.Run(fmt.Sprintf("after %d ms", tt.waitMs), func(t *testing.T) {
+			c := &Channel{wake: make(chan struct{}, 1), unanswered: map[int64]pendingCall{}}
+			var answers []Answer
+			assert.Assert(t, c.enqueue(Call{Kind: callStart, Item: "j.0.0.0"}, "spec", within, func(a Answer) { answers = append(answers, a) }))
+			b := c.nextBatch(c.queue[0].expiresAtMs - within.Milliseconds() + tt.waitMs)
+			if tt.withinMs > 0 {
+				assert.Equal(t, len(b.Calls), 1)
+				assert.Equal(t, b.Calls[0].WithinMs, tt.withinMs)
+				assert.Equal(t, len(answers), 0)
+				return
+			}
+			assert.Equal(t, len(b.Calls), 0, "the call is sent")
+			assert.Equal(t, len(c.unanswered), 0)
+			assert.DeepEqual(t, answers, []Answer{{Fate: outcomeNotExecuted}})
+		})
+	}
+}
+
 // TestLostRelayLeavesOutcomeUnknown guards against an owner that treats an order as not executed although the lost relay
 // may have sent it, and against a VM that counts as silent because its relay is lost.
 func TestLostRelayLeavesOutcomeUnknown(t *testing.T) {
