fake/worker: Cut off the requests of an earlier boot

A request that a reboot cut off while it waited returned from its handler, so that the entry could get an empty response with status 200 before the connection was closed. It is aborted now, as by a crash.

--- a/fake/worker/serve.go
+++ b/fake/worker/serve.go
@@ -56,7 +56,7 @@
 	}
 	run := s.countRun(r)
 	if !s.wait(r, latency) {
-		return
+		panic(http.ErrAbortHandler) // cut off by the caller or a reboot; a return could send an empty response with status 200
 	}
 	if kind == KindSilent {
 		w.Header().Del(headerID)
--- a/fake/worker/server.go
+++ b/fake/worker/server.go
@@ -150,7 +150,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addr = ln.Addr().String()
+	if s.addr == "" {
+		s.addr = ln.Addr().String()
+	}
 	s.stop, s.done = make(chan struct{}), make(chan struct{})
 	s.count.Boots++
 	s.count.Connections, s.count.Draining = 0, false
