relay: Send no order in the first frame of a connection

A relay that is suspended while an owner connects resumes with the owner's first frame in its buffers. It sent the orders in it to the VMs, after a suspension of any length: the owner had given them up, and the VM may be in its next lifetime or run the items of another owner by then. Later frames are judged by the delay over earlier ones (delayEstimator); the first has none before it.

Change: the owner's first frame carries a call without time left, which a relay answers at once. Orders and polls follow once the answer is there, so that the relay has a frame to compare with that took at most 1 s. If it isn't answered within 1 s, the channel is closed, and what waited counts as not executed.

TestFirstCallsToASuspendedRelayAreNotSent failed before, for suspensions of 0.6 and 2 s: "1 (int) != 0 (int): the order is sent after its deadline". What remains: an order can be up to 1 s late if a relay is suspended twice, and a call waits up to 1 s for a relay that is connected and does not answer, before it goes directly to the VM.

--- a/io/relay/channel.go
+++ b/io/relay/channel.go
@@ -18,6 +18,9 @@
 	flushInterval = 10 * time.Millisecond
 	// dialTimeout bounds the connection setup to a relay.
 	dialTimeout = time.Second
+	// probeTimeout bounds the wait for the answer to the first frame. It is also the longest time by which a relay that is
+	// suspended again right after that answer can misjudge the delay of a call.
+	probeTimeout = time.Second
 	// silentAfterMs is how long a relay may send nothing while answers are due. After that it counts as suspended or
 	// disconnected and its channel is closed.
 	silentAfterMs = 1200
@@ -131,6 +134,10 @@
 	defer func() { _ = conn.Close() }() // the connection is released even if Close returns an error
 	r := &reader{c: c, frames: bufio.NewReader(conn)}
 	go r.loop()
+	if err := c.probe(conn); err != nil {
+		c.log.Info("relay does not answer", zap.String("addr", c.Addr), zap.Error(err))
+		return
+	}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	for {
@@ -169,6 +176,33 @@
 	return conn, nil
 }
 
+// probeNumber is the number of the call that probes a relay. Those of other calls start at 1.
+const probeNumber = 0
+
+// probe sends a call without time left, which a relay answers without sending it to a VM, and waits for the answer. A relay judges
+// the delay of a frame by earlier ones, so it can't tell that it was suspended while the first frame arrived. Therefore that frame
+// carries no order.
+func (c *Channel) probe(conn net.Conn) error {
+	answered := make(chan struct{})
+	now := clock.BootMs()
+	c.mu.Lock()
+	c.unanswered[probeNumber] = pendingCall{now + probeTimeout.Milliseconds(), func(Answer) { close(answered) }}
+	c.mu.Unlock()
+	if err := writeFrame(conn, &Batch{SentMs: now, Calls: []Call{{N: probeNumber, Kind: callPoll, Spec: noSpec}}}); err != nil {
+		return err
+	}
+	timer := time.NewTimer(probeTimeout)
+	defer timer.Stop()
+	select {
+	case <-answered:
+		return nil
+	case <-timer.C:
+		return context.DeadlineExceeded
+	case <-c.ctx.Done():
+		return c.ctx.Err()
+	}
+}
+
 // nextBatch takes the next batch off the queue. Its calls count as sent, since a failed write may have sent a part of it. Calls
 // past their time limit are not sent: calls may wait for the connection, for the write of an earlier batch, or while this process
 // is suspended.
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -14,6 +14,7 @@
 
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/pools"
+	"sassafrasvalve/core/retry"
 	"sassafrasvalve/platform"
 )
 
@@ -82,7 +83,11 @@
 	stop      context.CancelFunc // ends the relay
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newSuspendedFixture(t, 0) }
+
+// newSuspendedFixture returns a fixture whose relay is suspended for a time when the owner connects. The kernel accepts the
+// connection and buffers what the owner sends.
+func newSuspendedFixture(t *testing.T, suspended time.Duration) *fixture {
 	s := &fixture{relayedVM: &vmStub{}, directVM: &vmStub{}}
 	ctx, cancel := context.WithCancel(t.Context())
 	s.stop = cancel
@@ -96,6 +101,7 @@
 			if err != nil {
 				return
 			}
+			time.Sleep(suspended)
 			first := make([]byte, 1)
 			if _, err := conn.Read(first); err == nil && first[0] == FirstByte {
 				go s.server.Serve(ctx, conn)
@@ -287,6 +293,23 @@
 	}
 }
 
+// TestFirstCallsToASuspendedRelayAreNotSent guards against a relay that was suspended when an owner connected and sends the owner's first
+// orders when it resumes, after any time: it can't tell how long the first frame of a connection has been on its way. By then the VM may be
+// in its next lifetime, or run the items of another owner.
+func TestFirstCallsToASuspendedRelayAreNotSent(t *testing.T) {
+	const within = 100 * time.Millisecond
+	for _, suspended := range []time.Duration{600 * time.Millisecond, 2 * time.Second} {
+		t.Run(suspended.String(), func(t *testing.T) {
+			s := newSuspendedFixture(t, suspended)
+			c := s.send(t, pools.Order{Kind: pools.Start, VM: "vm", Item: "j.0.0.0", Run: 1}, within)
+			o := awaitResult(t, c)
+			assert.Check(t, platform.VerdictOf(o.err) == retry.NotRun, "%v", o.err)
+			time.Sleep(suspended)
+			assert.Equal(t, len(s.relayedVM.orderTexts()), 0, "the order is sent after its deadline")
+		})
+	}
+}
+
 // TestClosedClientTakesNoRelay guards against relays that seem full: a poll that starts while its owner releases the shard
 // would count as a VM of the relay forever.
 func TestClosedClientTakesNoRelay(t *testing.T) {
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -122,8 +122,9 @@
 	}
 }
 
-// dispatch passes the calls of a batch to the senders of their VMs. A call that cannot be queued is answered at once. The
-// time that the batch was delayed on its way counts against the time limits of the calls.
+// dispatch passes the calls of a batch to the senders of their VMs. A call that cannot be queued, or has no time left like the probe
+// of an owner that has just connected, is answered at once. The time that the batch was delayed on its way counts against the time
+// limits of the calls.
 func (s *Server) dispatch(se *session, b *Batch, now int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,7 +135,7 @@
 		if c.Spec >= 0 && c.Spec < len(b.Specs) {
 			w.spec = b.Specs[c.Spec]
 		}
-		if s.leaving || !s.senderFor(c, now).enqueue(w) {
+		if s.leaving || c.WithinMs <= 0 || !s.senderFor(c, now).enqueue(w) {
 			se.queueAnswer(Answer{N: c.N, Fate: outcomeNotExecuted})
 		}
 	}
