assign: Move no machine on while an earlier move may arrive

A move without a reply is sent again, and the first one may still be executed 12 s later. Once the repeat was executed the controller forgot the first one. If the machine was moved to a third pool in between, the late move took it out of that pool again and ended the work there; both have the same fence number, so the platform refuses neither.

Cause: the reply to the repeat cleared uncertainUntil, by which no other order is sent for the machine.

Change: a machine with such a move is not moved on until the move can't be executed any more (uncertainMs after the last attempt without a reply), as it was already if the list, and not the reply to a repeat, showed that the move was executed. Upkeeps are not affected: the platform carries an upkeep of a wave out once.

TestMachineIsNotMovedOnWhileAnEarlierMoveIsOpen failed before: "the machine is moved on after 960 ms, not 12000".

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -109,6 +109,7 @@
 	movedAt        int64        // queuedAt of an executed move until its VM has joined the pool, 0 otherwise
 	pending        bool         // the last order was queued and its reply has not arrived
 	uncertainUntil int64        // local ms until which an order without a reply may still be executed
+	openMoveUntil  int64        // the same of a move, whether or not a repeat of it was executed
 	orderDoneAt    int64        // local ms at which the last order was executed
 	upkeepWave     int          // wave of the upkeep in progress, 0 if there is none
 	targetPool     string       // pool of an executed move until the list shows it there, empty otherwise
@@ -310,6 +311,9 @@
 		c.fenced = true
 	case pools.NoReply:
 		m.uncertainUntil, m.retryAt = now+uncertainMs, now+orderRetryMs
+		if o.Kind == pools.Move {
+			m.openMoveUntil = m.uncertainUntil
+		}
 		c.addEvent(m.ID, "order unanswered", describeOrder(o), o.Run)
 	case pools.Rejected:
 		if o.Kind == pools.Move {
--- a/core/assign/move.go
+++ b/core/assign/move.go
@@ -128,11 +128,12 @@
 func belowMinimum(s *shortage) bool { return s.target-s.missing < s.pool.Report.Min }
 
 // movableMachines returns the machines that may be moved to another pool: offered ones first, then those of the spare
-// pool.
+// pool. A machine stays while an earlier move may still be executed, which would take it back out of the pool that it is
+// moved to now.
 func (c *Controller) movableMachines(now int64) []*machine {
 	var list []*machine
 	for _, m := range c.machines {
-		if c.canOrder(m, now) && (m.offeredSince > 0 || c.isSparePool(m.Pool)) {
+		if c.canOrder(m, now) && now >= m.openMoveUntil && (m.offeredSince > 0 || c.isSparePool(m.Pool)) {
 			list = append(list, m)
 		}
 	}
--- a/core/assign/repeat_test.go
+++ b/core/assign/repeat_test.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -52,3 +53,40 @@
 	v.ListedAtMs += 2 * orderRetryMs
 	assert.Equal(t, len(c.Plan(v, 10_000+2*orderRetryMs)), 0)
 }
+
+// TestMachineIsNotMovedOnWhileAnEarlierMoveIsOpen guards against a move without a reply that is executed after a repeat of it and after a
+// move to a third pool: it would take the machine away from that pool, and end the work there. Both moves have the same fence number.
+func TestMachineIsNotMovedOnWhileAnEarlierMoveIsOpen(t *testing.T) {
+	for _, unanswered := range []bool{false, true} {
+		t.Run(fmt.Sprint("unanswered ", unanswered), func(t *testing.T) {
+			v := oneMachine()
+			v.Waves = nil
+			v.Pools[0].Report.Offers = []string{"vm"}
+			v.Pools[1].Report.Want = 1
+			c := New(Config{Epoch: 1})
+			now := int64(10_000)
+			orders := c.Plan(v, now)
+			assert.Equal(t, len(orders), 1)
+			movableAt := now + listLagMs
+			if unanswered {
+				c.HandleOrderReply(orders[0], pools.Reply{Kind: pools.NoReply}, now)
+				movableAt = now + uncertainMs
+				now += orderRetryMs
+				orders = c.Plan(v, now)
+				assert.Equal(t, len(orders), 1, "an offered machine is moved again")
+			}
+			c.HandleOrderReply(orders[0], pools.Reply{Kind: pools.Done}, now)
+			// The machine is in pool b, which offers it, and pool a wants it back.
+			v.Machines[0] = pools.Machine{ID: "m", VM: "vm2", Pool: "b", State: pools.MachineUp}
+			v.Pools[0].Report, v.Pools[1].Report = jobs.DemandReport{Want: 1}, jobs.DemandReport{Offers: []string{"vm2"}}
+			for orders = nil; len(orders) == 0 && now < 10_000+2*uncertainMs; now += testTickMs {
+				v.ListedAtMs = now
+				orders = c.Plan(v, now)
+			}
+			assert.Equal(t, len(orders), 1)
+			assert.Equal(t, orders[0].Spec, "a")
+			now -= testTickMs
+			assert.Assert(t, now >= movableAt && now < movableAt+listLagMs+orderRetryMs+2*testTickMs, "the machine is moved on after %d ms, not %d", now-10_000, movableAt-10_000)
+		})
+	}
+}
