assign, owner: Send no queued order for a VM in use

If its pool's owner had withdrawn the offer, the order ended the work there.

Change: the machine controller is asked immediately before an order is sent (Controller.StillDue, like Engine.StillDue for starts): the machine is up, and switched off, offered or vacated, by a machine list that is not too old. Otherwise the order counts as not executed.

TestQueuedOrderOfAVMInUseIsNotSent failed before: "1 (int64) != 0 (int64): the order is sent". TestQueuedOrderEndsWithTheOffer tests the decision.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -291,6 +291,14 @@
 	c.addEvent(m.ID, name, reason, o.Run)
 }
 
+// StillDue reports whether an order that Plan returned may still be sent. It may have waited, so that the pool's owner uses the
+// VM again.
+func (c *Controller) StillDue(o pools.Order, now int64) bool {
+	m := c.machines[o.Item]
+	return m != nil && m.pending && *m.order == o && now-c.view.ListedAtMs <= maxListAgeMs &&
+		m.listed && m.State == pools.MachineUp && c.interruptsNoWork(m)
+}
+
 // HandleOrderReply applies the reply to an order.
 func (c *Controller) HandleOrderReply(o pools.Order, r pools.Reply, now int64) {
 	m := c.machines[o.Item]
@@ -327,7 +335,7 @@
 		c.addEvent(m.ID, "order refused", describeOrder(o)+": too many orders", o.Run)
 	case pools.NotExecuted:
 		m.retryAt = now + earlyRetryMs
-		c.addEvent(m.ID, "order not sent", "too many orders wait, or the machine controller may have been replaced", o.Run)
+		c.addEvent(m.ID, "order not sent", "too many orders wait, the VM is in use again, or the machine controller may have been replaced", o.Run)
 	default:
 		m.retryAt = now + orderRetryMs
 		c.addEvent(m.ID, "order refused", describeOrder(o)+": "+refusalNames[r.Kind], o.Run)
--- a/core/assign/repeat_test.go
+++ b/core/assign/repeat_test.go
@@ -90,3 +90,26 @@
 		})
 	}
 }
+
+// TestQueuedOrderEndsWithTheOffer guards against an order that waits to be sent while the platform is slow, and takes a machine down whose VM
+// the pool's owner uses again by then.
+func TestQueuedOrderEndsWithTheOffer(t *testing.T) {
+	v := oneMachine()
+	v.Waves = nil
+	v.Pools[0].Report.Offers = []string{"vm"}
+	v.Pools[1].Report.Want = 1
+	c := New(Config{Epoch: 1})
+	orders := c.Plan(v, 10_000)
+	assert.Equal(t, len(orders), 1)
+	assert.Assert(t, c.StillDue(orders[0], 10_000))
+	assert.Assert(t, !c.StillDue(pools.Order{Kind: pools.Move, Item: "m", Spec: "c"}, 10_000), "another order for the machine")
+	assert.Assert(t, !c.StillDue(orders[0], 10_001+maxListAgeMs), "the machine list is old")
+	v.Pools[0].Report.Offers = nil
+	assert.Equal(t, len(c.Plan(v, 10_000+testTickMs)), 0)
+	assert.Assert(t, !c.StillDue(orders[0], 10_000+testTickMs), "the VM is in use")
+	c.HandleOrderReply(orders[0], pools.Reply{Kind: pools.NotExecuted}, 10_000+testTickMs)
+	v.Pools[0].Report.Offers = []string{"vm"}
+	now := 10_000 + testTickMs + earlyRetryMs
+	v.ListedAtMs = int64(now)
+	assert.Equal(t, len(c.Plan(v, int64(now))), 1, "the machine is offered again")
+}
--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -254,11 +254,23 @@
 		case <-r.ctx.Done():
 			return
 		case o := <-r.orders:
-			r.handleReply(o, r.sendOrder(o))
+			r.carryOut(o)
 		}
 	}
 }
 
+// carryOut sends a queued order, unless it is no longer due.
+func (r *controllerRun) carryOut(o pools.Order) {
+	r.mu.Lock()
+	due := r.controller.StillDue(o, clock.BootMs())
+	r.mu.Unlock()
+	reply := pools.Reply{Kind: pools.NotExecuted}
+	if due {
+		reply = r.sendOrder(o)
+	}
+	r.handleReply(o, reply)
+}
+
 // sendOrder sends one order and returns its reply. The order is not sent if another process may have become the machine
 // controller: this process may have been suspended since the order was planned, and not every platform refuses the fence
 // number of an earlier machine controller.
--- a/io/owner/controller_test.go
+++ b/io/owner/controller_test.go
@@ -8,7 +8,9 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"sassafrasvalve/core/assign"
 	"sassafrasvalve/core/clock"
+	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
 )
 
@@ -42,3 +44,34 @@
 	}
 	assert.Equal(t, cloud.n.Load(), int64(2))
 }
+
+// TestQueuedOrderOfAVMInUseIsNotSent guards against an order that waits behind others to a slow platform and ends the work on a VM that its
+// pool's owner uses again by then.
+func TestQueuedOrderOfAVMInUseIsNotSent(t *testing.T) {
+	cloud := &countingCloud{}
+	o := &Owner{}
+	o.owning.Store(true)
+	now := clock.BootMs()
+	o.health.confirmedAtMs.Store(now)
+	view := assign.View{
+		ListedAtMs: now,
+		Machines:   []pools.Machine{{ID: "m", VM: "vm", Pool: "a", State: pools.MachineUp}},
+		Pools: []assign.PoolDemand{
+			{Pool: "a", Report: jobs.DemandReport{Offers: []string{"vm"}}}, {Pool: "b", Report: jobs.DemandReport{Want: 1}},
+		},
+	}
+	r := &controllerRun{cfg: ControllerConfig{Cloud: cloud}, o: o, log: zap.NewNop(), controller: assign.New(assign.Config{Epoch: 1})}
+	orders := r.controller.Plan(view, now)
+	assert.Equal(t, len(orders), 1)
+	view.Pools[0].Report.Offers = nil
+	assert.Equal(t, len(r.controller.Plan(view, now)), 0)
+	r.carryOut(orders[0])
+	assert.Equal(t, cloud.n.Load(), int64(0), "the order is sent")
+	view.Pools[0].Report.Offers = []string{"vm"}
+	later := now + time.Second.Milliseconds()
+	view.ListedAtMs = later
+	orders = r.controller.Plan(view, later)
+	assert.Equal(t, len(orders), 1)
+	r.carryOut(orders[0])
+	assert.Equal(t, cloud.n.Load(), int64(1))
+}
