pools: Name the lateness of calls in one place

The machine controller and the owners of shards reckoned with calls that are up to 12 s late by constants of their own. Both use pools.LateCallMs, which tells where the figure comes from. No behavior changes.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -17,8 +17,6 @@
 	spareAfterMs = 1500
 	// orderRetryMs is the delay before an order that was refused or had no reply is sent again.
 	orderRetryMs = 600
-	// uncertainMs is how long an order without a reply may still be executed.
-	uncertainMs = 12_000
 	// removedAfterMs is how long a machine must be missing from the list before it counts as removed for good.
 	removedAfterMs = 3000
 	// maxListAgeMs is the age of the machine list above which no orders are based on it.
@@ -318,7 +316,7 @@
 	case pools.Fenced:
 		c.fenced = true
 	case pools.NoReply:
-		m.uncertainUntil, m.retryAt = now+uncertainMs, now+orderRetryMs
+		m.uncertainUntil, m.retryAt = now+pools.LateCallMs, now+orderRetryMs
 		if o.Kind == pools.Move {
 			m.openMoveUntil = m.uncertainUntil
 		}
--- a/core/assign/repeat_test.go
+++ b/core/assign/repeat_test.go
@@ -70,7 +70,7 @@
 			movableAt := now + listLagMs
 			if unanswered {
 				c.HandleOrderReply(orders[0], pools.Reply{Kind: pools.NoReply}, now)
-				movableAt = now + uncertainMs
+				movableAt = now + pools.LateCallMs
 				now += orderRetryMs
 				orders = c.Plan(v, now)
 				assert.Equal(t, len(orders), 1, "an offered machine is moved again")
@@ -79,7 +79,7 @@
 			// The machine is in pool b, which offers it, and pool a wants it back.
 			v.Machines[0] = pools.Machine{ID: "m", VM: "vm2", Pool: "b", State: pools.MachineUp}
 			v.Pools[0].Report, v.Pools[1].Report = jobs.DemandReport{Want: 1}, jobs.DemandReport{Offers: []string{"vm2"}}
-			for orders = nil; len(orders) == 0 && now < 10_000+2*uncertainMs; now += testTickMs {
+			for orders = nil; len(orders) == 0 && now < 10_000+2*pools.LateCallMs; now += testTickMs {
 				v.ListedAtMs = now
 				orders = c.Plan(v, now)
 			}
--- a/core/assign/wave.go
+++ b/core/assign/wave.go
@@ -53,7 +53,7 @@
 			// again under this controller's fence number, the order is executed now or was executed already. The VM
 			// may have been used again since.
 			m.order = &pools.Order{Kind: pools.Upkeep, VM: m.VM, Item: id, Run: w.Number, Fence: c.cfg.Epoch}
-			m.uncertainUntil = now + uncertainMs
+			m.uncertainUntil = now + pools.LateCallMs
 		}
 		switch {
 		case m == nil || !m.listed:
--- a/core/pools/pools.go
+++ b/core/pools/pools.go
@@ -55,12 +55,16 @@
 	Token      string // policy token for the VM, empty if the queue needs none
 }
 
+// LateCallMs is how long after its caller has given it up a call without a reply may still be executed, by a VM or by the platform.
+// The platform says "seconds"; its bench carries calls out up to 12 s late.
+const LateCallMs = 12_000
+
 // ReplyKind is the result of an order or poll.
 type ReplyKind int
 
 // The kinds of reply. The zero value is the safe one: the outcome is unknown.
 const (
-	NoReply       ReplyKind = iota // the order may be executed, also seconds later
+	NoReply       ReplyKind = iota // the order may be executed, until LateCallMs later
 	Done                           // executed
 	NotExecuted                    // certainly never executed
 	Fenced                         // the VM has seen a higher fence number
--- a/core/shard/fence.go
+++ b/core/shard/fence.go
@@ -1,6 +1,10 @@
 package shard
 
-import "math"
+import (
+	"math"
+
+	"sassafrasvalve/core/pools"
+)
 
 // fenceNumbersPerEpoch is how many fence numbers an owner has. Those of a later owner are higher than all of an earlier one.
 const fenceNumbersPerEpoch = 1 << 28
@@ -11,15 +15,12 @@
 	maxLeaseMs = 10_000
 	// maxSlowLeaseMs is the same by a local clock, if the VM's clock is slow.
 	maxSlowLeaseMs = maxLeaseMs*100/98 + 1
-	// lateCallMs is how late a VM may execute a call after its caller has given it up. The platform says "seconds"; its bench
-	// carries calls out up to 12 s late.
-	lateCallMs = 12_000
 	// unknownRunPauseMs is the time after a VM has listed an earlier run of an item in which the item does not start: the run is
 	// being stopped.
 	unknownRunPauseMs = 1000
 	// openStartMs is how long after a start without a reply its run may hold a lease, if the VM has restarted unseen: the call
-	// is given up before orderTimeoutMs is over, and may be executed until lateCallMs later.
-	openStartMs    = orderTimeoutMs + lateCallMs + maxSlowLeaseMs
+	// is given up before orderTimeoutMs is over, and may be executed until pools.LateCallMs later.
+	openStartMs    = orderTimeoutMs + pools.LateCallMs + maxSlowLeaseMs
 	orderTimeoutMs = 500
 	// maxClockLagMs is how far the clock in the reply to an order may be behind that in the reply to a later poll.
 	maxClockLagMs = 3000
--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -38,7 +38,7 @@
 	if it.phase == adopted {
 		givenUpAt = it.sentAt // the earlier owner's last call
 	}
-	it.open.until = max(it.open.until, givenUpAt+lateCallMs)
+	it.open.until = max(it.open.until, givenUpAt+pools.LateCallMs)
 	it.open.calls++
 }
 
@@ -134,7 +134,7 @@
 		if it == nil || it.done {
 			continue
 		}
-		it.open = openStart{vm: o.VM, machine: o.Machine, since: now, until: now + lateCallMs, calls: unknownCalls}
+		it.open = openStart{vm: o.VM, machine: o.Machine, since: now, until: now + pools.LateCallMs, calls: unknownCalls}
 		e.openItems[it] = true
 	}
 }
--- a/core/shard/open_test.go
+++ b/core/shard/open_test.go
@@ -60,7 +60,7 @@
 // the earlier owner gave up: the VM starts again under its ID and is out of reach.
 func TestNextOwnerKnowsOpenStarts(t *testing.T) {
 	const takenOverAt = 1000
-	const last = takenOverAt + lateCallMs + maxSlowLeaseMs
+	const last = takenOverAt + pools.LateCallMs + maxSlowLeaseMs
 	e := openStartEngine(t, takenOverAt)
 	e.HandlePollFailure("a", takenOverAt+500)
 	for now := int64(takenOverAt + 2); now < last; now += 500 {
@@ -90,7 +90,7 @@
 			assert.Assert(t, e.NeedsMachineList())
 			e.SetMachines(machines, takenOverAt+600, takenOverAt+610)
 			assert.Equal(t, len(startsAt(e, takenOverAt+700)) > 0, c.starts)
-			const after = takenOverAt + lateCallMs + 100
+			const after = takenOverAt + pools.LateCallMs + 100
 			e.SetMachines(machines, after, after+1)
 			assert.Equal(t, len(startsAt(e, after+tickIntervalMs)) > 0, name == "down", "a machine that is down runs nothing")
 		})
