shard: Send only one run of an item while its start is open

Cause: an item with an open start was placed on its VM as a further run. A VM executes one copy of a run in a lifetime, but two runs of one item beside each other, in the same lifetime if a repeat is refused and an earlier copy is still within its deadline, or in a later one. The stand-in refused the second run, so no check could see that; it reports it as TWICE now.

Change: while a start is open, only the same run is sent to its VM. Once that run was stopped or has ended there, the item waits until the start can't be executed any more, and so do gangs with such a member. The same holds behind the second loss of the VM under the item, so that the next start can be a test elsewhere.

--- a/core/pools/pools.go
+++ b/core/pools/pools.go
@@ -56,7 +56,7 @@
 }
 
 // LateCallMs is how long after its caller has given it up a call without a reply may still be executed, by a VM or by the platform.
-// The platform says "seconds"; its bench carries calls out up to 12 s late.
+// The platform says "seconds" and gives no bound; its tests delay calls by up to 12 s.
 const LateCallMs = 12_000
 
 // ReplyKind is the result of an order or poll.
--- a/core/shard/crash.go
+++ b/core/shard/crash.go
@@ -128,7 +128,7 @@
 		chance *= it.crashChance
 	}
 	it.crashChance = chance
-	it.crashedRuns = appendRun(it.crashedRuns, it.run)
+	it.crashedRuns = it.appendLostRun(it.crashedRuns)
 	it.testCrashed = it.testCrashed || tested
 	it.unansweredCrash = it.unansweredCrash || it.phase == sent
 	it.crashAgeMs = max(it.crashAgeMs, it.ageAtContact(now), minCrashAgeMs)
@@ -138,12 +138,13 @@
 	it.testBy = now + it.testWaitMs()
 }
 
-// appendRun adds the number of a run to a list that does not have it yet.
-func appendRun(runs []int, run int) []int {
-	if slices.Contains(runs, run) {
+// appendLostRun adds the present run of the item to a list of runs whose VMs were lost. An earlier owner may have added it, but not if
+// the run was sent again since.
+func (it *item) appendLostRun(runs []int) []int {
+	if slices.Contains(runs, it.run) && !it.runReused {
 		return runs
 	}
-	return append(runs, run)
+	return append(runs, it.run)
 }
 
 // recordLostVM records which items may have ended the lifetime of a VM. It returns those that are proven to be poison.
@@ -159,7 +160,7 @@
 	for _, it := range causes {
 		e.markDirty(it.job)
 		if cause != endCrash {
-			it.lostRuns = appendRun(it.lostRuns, it.run)
+			it.lostRuns = it.appendLostRun(it.lostRuns)
 			continue
 		}
 		it.recordCrash(e.chanceOfCrash(it, now), tested && it.underTest, now)
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -328,7 +328,7 @@
 	if it.vm == nil || it.phase == stopping {
 		return
 	}
-	it.phase = stopping
+	it.phase, it.runSpent = stopping, true
 	it.phaseSince = now
 	it.stopAckedAt = 0
 	e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "stop run", Reason: reason, N: it.run})
@@ -414,7 +414,7 @@
 	return e.sortedVMs
 }
 
-// release detaches an item from its VM, so that it may run elsewhere. That is recorded also if it cannot start yet: a next
+// release detaches an item from its VM, so that it may start again. That is recorded also if it cannot start yet: a next
 // owner would wait for a run that has ended until the leases on its VM have expired.
 func (e *Engine) release(it *item, now int64) {
 	if it.vm != nil {
--- a/core/shard/fate_test.go
+++ b/core/shard/fate_test.go
@@ -250,6 +250,9 @@
 		}
 		p.logf("%s: end %s run %d, kind %d", v.vm.ID, r.Item, r.Run, kind)
 	}
+	life.OnSecondRun = func(_ *pool.VM, r *pool.Run, o pools.Order) {
+		p.violate("TWICE: %s run %d beside run %d on %s", o.Item, o.Run, r.Run, v.vm.ID)
+	}
 	life.OnEndRecorded = func(_ *pool.VM, end pools.RunEnd) {
 		for _, o := range p.runs[end.Item] {
 			if o.vm == v && o.life == v.lives && o.run == end.Run {
--- a/core/shard/fence.go
+++ b/core/shard/fence.go
@@ -16,8 +16,12 @@
 	// maxSlowLeaseMs is the same by a local clock, if the VM's clock is slow.
 	maxSlowLeaseMs = maxLeaseMs*100/98 + 1
 	// unknownRunPauseMs is the time after a VM has listed an earlier run of an item in which the item does not start: the run is
-	// being stopped.
+	// being stopped, and the next poll tells whether it has ended.
 	unknownRunPauseMs = 1000
+	// maxRepeats is how often a start without a reply is sent again. Each takes some 0.3 s.
+	maxRepeats = 8
+	// refusedRepeatMs is the delay before an item with an open start is sent again to the VM that has refused it.
+	refusedRepeatMs = 200
 	// openStartMs is how long after a start without a reply its run may hold a lease, if the VM has restarted unseen: the call
 	// is given up before orderTimeoutMs is over, and may be executed until pools.LateCallMs later.
 	openStartMs    = orderTimeoutMs + pools.LateCallMs + maxSlowLeaseMs
--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -13,13 +13,18 @@
 	machine string // machine of the VM, empty if unknown
 	since   int64  // time at which the first such start was given up
 	until   int64  // time from which no such start can be executed any more
-	calls   int    // number of such starts; further ones of an earlier owner are not known
-	// downSince is the time from which on no machine lists the VM, 0 if one does.
-	downSince int64
+	calls   int    // number of such starts of this owner
+	// inherited is true if an earlier owner recorded the open start. The number of its starts is not known.
+	inherited bool
+	// unlisted is true if no machine had the VM by the last list that was read.
+	unlisted bool
 }
 
-// lastingWaitMs is how long a lasting item waits for a VM with its open start that is down. The platform lets such an item be missing for
-// 7 s after a crash.
+// isSingle reports whether no more than one start is open.
+func (o *openStart) isSingle() bool { return o.calls <= 1 && !o.inherited }
+
+// lastingWaitMs is how long a lasting item waits for a VM with its open start that is down or takes no work. The platform lets such an
+// item be missing for 7 s.
 const lastingWaitMs = 4000
 
 // markOpen records that the VM of an item may still execute a start that has had no reply. Copies of a speculative step may run at
@@ -34,7 +39,7 @@
 		e.markDirty(it.job) // a next owner has to know of it
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start open", Reason: it.name + " may start there late", N: it.run})
 	}
-	givenUpAt := now
+	givenUpAt := max(now, it.sentAt+orderTimeoutMs) // its reply may not be due yet
 	if it.phase == adopted {
 		givenUpAt = it.sentAt // the earlier owner's last call
 	}
@@ -44,7 +49,7 @@
 
 // closeIfExecuted closes the open start of an item whose present run its VM has listed, if no other copy of the start is open.
 func (e *Engine) closeIfExecuted(it *item, now int64) {
-	if it.open.vm != "" && it.open.calls == 1 && it.phase == sent && it.unansweredAt > 0 {
+	if it.open.vm != "" && it.open.isSingle() && it.phase == sent && it.unansweredAt > 0 {
 		e.closeOpen(it, "", now)
 	}
 }
@@ -68,15 +73,36 @@
 		switch v := e.vms[it.open.vm]; {
 		case it.done || it.job.state.Final():
 			e.closeOpen(it, "", now)
+		case it.stepDef.Persistent && it.phase == idle && now-it.phaseSince >= lastingWaitMs && (it.open.unlisted || v != nil && v.polled && !v.silent):
+			e.closeOpen(it, "it lasts, and its vm is down or takes no work", now)
 		case now < it.open.until:
 		case v != nil && v.polled && !v.silent && v.answeredSentAt >= it.open.until:
 			e.closeOpen(it, "its vm was polled since", now)
-		case now >= it.open.until+maxSlowLeaseMs:
+		case now >= it.open.leaseOverAt(v):
 			e.closeOpen(it, "lease over", now)
 		}
 	}
 }
 
+// leaseOverAt returns the time from which a run by the open start can't hold a lease any more on a VM that is out of touch, which may
+// be nil. A late poll from before its silence may have extended the lease.
+func (o *openStart) leaseOverAt(v *vm) int64 {
+	until := o.until
+	if v != nil && v.silentSince > 0 {
+		until = max(until, v.silentSince+pools.LateCallMs)
+	}
+	return until + maxSlowLeaseMs
+}
+
+// handleEndedRepeat handles the refusal of a repeated start whose run has been stopped or has ended on the VM: an earlier copy was
+// executed. The next poll shows how the run ended.
+func (e *Engine) handleEndedRepeat(it *item, now int64) {
+	if it.open.isSingle() && !it.runSpent {
+		e.closeOpen(it, "", now)
+	}
+	it.unansweredAt, it.refusedAsEnded, it.runSpent = now, true, true
+}
+
 // closeOpenOn closes the open starts on a VM that can't start again under its ID.
 func (e *Engine) closeOpenOn(id, reason string, now int64) {
 	for it := range e.openItems {
@@ -98,12 +124,8 @@
 			e.closeOpen(it, "its vm is gone", now)
 		case requestedAt >= it.open.until && (m == nil || m.State != pools.MachineUp):
 			e.closeOpen(it, "its vm is down", now)
-		case !it.stepDef.Persistent || m != nil:
-			it.open.downSince = 0
-		case it.open.downSince == 0:
-			it.open.downSince = now
-		case now-it.open.downSince >= lastingWaitMs:
-			e.closeOpen(it, "its vm stays down and the item lasts", now)
+		default:
+			it.open.unlisted = m == nil
 		}
 	}
 }
@@ -124,9 +146,6 @@
 	return false
 }
 
-// unknownCalls stands for the number of open starts of an earlier owner.
-const unknownCalls = 1 << 20
-
 // restoreOpen restores the open starts that an earlier owner recorded. Its last one may have been given up just now.
 func (e *Engine) restoreOpen(j *job, list []jobs.ItemOpen, now int64) {
 	for _, o := range list {
@@ -134,7 +153,7 @@
 		if it == nil || it.done {
 			continue
 		}
-		it.open = openStart{vm: o.VM, machine: o.Machine, since: now, until: now + pools.LateCallMs, calls: unknownCalls}
+		it.open = openStart{vm: o.VM, machine: o.Machine, since: now, until: now + pools.LateCallMs, inherited: true}
 		e.openItems[it] = true
 	}
 }
@@ -150,17 +169,40 @@
 		return list
 	}
 	for i, v := range list {
-		if v.ID == it.open.vm {
+		if v.ID == it.open.vm && !v.moreEnds { // the end of the run may not be listed yet
 			return list[i : i+1]
 		}
 	}
 	return nil
 }
 
+// maxReuses is the number of lost VMs up to which the run of an item with an open start is sent again. The next start is to be a test
+// on a VM of choice.
+const maxReuses = 1
+
+// nextRun returns the number of the next run of a group, and false if the group has to wait. While a start is open only the same run
+// may be sent: a VM executes one copy of a run in a lifetime, but two runs of one item beside each other.
+func nextRun(group []*item) (run int, ok bool) {
+	for _, it := range group {
+		run = max(run, it.run)
+	}
+	for _, it := range group {
+		if it.open.vm == "" {
+			continue
+		}
+		if len(group) > 1 || it.runSpent || len(it.crashedRuns)+len(it.lostRuns) > maxReuses {
+			return 0, false
+		}
+		return run, true
+	}
+	return run + 1, true
+}
+
 // repeatStart sends the start of an item that had no reply to the same VM again, as the same run. The VM executes only one of
 // the copies in a lifetime. The log has to name the open start before: a next owner would take the item for one whose only start
 // was executed.
 func (e *Engine) repeatStart(it *item, now int64) {
+	it.repeats++
 	e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start repeated", Reason: "unanswered and not seen", N: it.run})
 	s := start{it, it.run, it.vm}
 	recorded := e.dirty[it.job.ID] == nil && !e.recording
@@ -168,7 +210,7 @@
 		e.orders = append(e.orders, e.startOrder(s, now))
 		return
 	}
-	it.phase, it.phaseSince = planned, now
+	it.repeatWaits = true
 	e.unrecordedStarts = append(e.unrecordedStarts, s)
 	e.markDirty(it.job)
 }
--- a/core/shard/open_test.go
+++ b/core/shard/open_test.go
@@ -60,9 +60,10 @@
 // the earlier owner gave up: the VM starts again under its ID and is out of reach.
 func TestNextOwnerKnowsOpenStarts(t *testing.T) {
 	const takenOverAt = 1000
-	const last = takenOverAt + pools.LateCallMs + maxSlowLeaseMs
+	const silentAt = takenOverAt + 500
+	const last = silentAt + pools.LateCallMs + maxSlowLeaseMs // a poll from before the silence may be late, too
 	e := openStartEngine(t, takenOverAt)
-	e.HandlePollFailure("a", takenOverAt+500)
+	e.HandlePollFailure("a", silentAt)
 	for now := int64(takenOverAt + 2); now < last; now += 500 {
 		assert.Equal(t, len(startsAt(e, now)), 0, "at %d ms", now)
 	}
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -212,9 +212,9 @@
 	if needed && len(tokens) == 0 {
 		return nil
 	}
-	run := 0
-	for _, it := range group {
-		run = max(run, it.run)
+	run, ok := nextRun(group)
+	if !ok {
+		return nil
 	}
 	var starts []start
 	for _, it := range group {
@@ -229,11 +229,12 @@
 		it.token = tokens[v.ID]
 		p.attach(v, it)
 		it.phase, it.phaseSince = planned, now
-		starts = append(starts, start{it, run + 1, v})
+		starts = append(starts, start{it, run, v})
 	}
 	for _, s := range starts {
-		s.it.run, s.it.throttlePercent, s.it.stopAckedAt, s.it.throttleSentAt, s.it.seenRunning = run+1, 100, 0, 0, false
-		s.it.refusedAsEnded = false
+		s.it.runReused = s.it.run == run
+		s.it.run, s.it.throttlePercent, s.it.stopAckedAt, s.it.throttleSentAt, s.it.seenRunning = run, 100, 0, 0, false
+		s.it.repeats, s.it.refusedAsEnded, s.it.runSpent = 0, false, false
 	}
 	j.begun, j.readyStale = true, true
 	e.markDirty(j)
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -126,8 +126,13 @@
 	var orders []pools.Order
 	for _, s := range b.starts {
 		it := s.it
-		if it.phase != planned || it.run != s.run || it.vm != s.vm {
-			continue // released meanwhile
+		repeat := it.phase == sent && it.repeatWaits
+		if it.phase != planned && !repeat || it.run != s.run || it.vm != s.vm {
+			continue // released or stopped meanwhile
+		}
+		it.repeatWaits = false
+		if repeat && !s.vm.usable(now) {
+			continue // the next poll leads to another repeat
 		}
 		if it.job.state.Final() || it.done || !s.vm.usable(now) {
 			e.release(it, now)
@@ -204,6 +209,9 @@
 // handleStartReply applies the reply to a start order to its item.
 func (e *Engine) handleStartReply(it *item, v *vm, r pools.Reply, now int64) {
 	if it.phase != sent {
+		if r.Kind == pools.NoReply && it.open.vm == v.ID {
+			it.open.until = max(it.open.until, now+pools.LateCallMs) // another copy was executed
+		}
 		return
 	}
 	e.startWindow.recordReply(it.phaseSince, now)
@@ -223,7 +231,7 @@
 		return
 	case pools.StaleRun:
 		if it.open.vm == v.ID {
-			it.unansweredAt, it.refusedAsEnded = now, true // an earlier copy was executed; the next poll shows how the run ended
+			e.handleEndedRepeat(it, now)
 			return
 		}
 	case pools.NoCapacity:
@@ -237,6 +245,9 @@
 	default:
 	}
 	e.addEvent(Event{JobID: it.job.ID, VM: v.ID, Name: "start refused", Reason: replyNames[r.Kind], N: it.run})
+	if it.open.vm != "" {
+		it.notBefore = max(it.notBefore, now+refusedRepeatMs)
+	}
 	e.release(it, now)
 }
 
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -210,20 +210,22 @@
 	}
 }
 
-// resolveUnseenStart handles a start that had no reply and that a later poll does not list. It is sent again to the same VM,
-// unless the VM is to take no work any more. Then a persistent item waits until the VM would refuse the start: a stop could end
-// a run that has started meanwhile, and exceed the budget of its step. Any other item is stopped.
+// resolveUnseenStart handles a start that had no reply and that a later poll does not list. It is sent again to the same VM a few
+// times, unless the VM is to take no work any more. After that the run is stopped. A persistent item waits until the VM would refuse
+// the start instead: a stop could end a run that has started meanwhile, and exceed the budget of its step.
 func (e *Engine) resolveUnseenStart(it *item, now int64) {
 	switch {
+	case it.repeatWaits:
 	case it.refusedAsEnded:
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start refused", Reason: replyNames[pools.StaleRun], N: it.run})
 		e.release(it, now)
-	case !it.vm.Draining && !it.vm.vacate && !it.done && !it.job.state.Final():
+	case !it.vm.Draining && !it.vm.vacate && !it.done && !it.job.state.Final() && it.repeats < maxRepeats:
 		e.repeatStart(it, now)
 	case !it.stepDef.Persistent:
 		e.stop(it, "start unanswered", now)
 	case it.vm.clockMs > it.startDeadlineMs:
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start refused", Reason: "unanswered and not seen", N: it.run})
+		it.runSpent = true
 		e.release(it, now)
 	}
 }
@@ -322,6 +324,7 @@
 	e.addEvent(Event{JobID: id, VM: v.ID, Name: "stop unknown run", N: r.Run})
 	if it := e.itemNamed(r.Item); it != nil && it.open.vm == v.ID {
 		it.notBefore, it.job.readyStale = max(it.notBefore, now+unknownRunPauseMs), true
+		it.open.until = max(it.open.until, now+unknownRunPauseMs) // it does not start elsewhere either while the run is listed
 	}
 	e.orders = append(e.orders, pools.Order{
 		Kind: pools.Stop, VM: v.ID, JobID: id, Item: r.Item, Run: r.Run, Fence: v.fence,
@@ -352,6 +355,7 @@
 		return
 	}
 	current := it.vm == v && it.run == end.Run
+	it.runSpent = it.runSpent || it.run == end.Run
 	if it.run < end.Run && (it.phase == idle || it.phase == adopted) {
 		// An earlier owner started the run without recording it.
 		if it.vm != nil {
--- a/fake/plat/restart.go
+++ b/fake/plat/restart.go
@@ -1,6 +1,7 @@
 package plat
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -81,10 +82,16 @@
 func (p *Platform) newVM(v pools.VM) *pool.VM {
 	vm := pool.New(v, p.nowMs())
 	vm.PlanRun = p.planRun
+	vm.OnSecondRun = p.startedBeside
 	vm.OnStart, vm.OnEnd, vm.OnEndRecorded = p.started, p.ended, p.endRecorded
 	return vm
 }
 
+// startedBeside records a violation by a start of an item of which another run goes on. The caller holds mu.
+func (p *Platform) startedBeside(v *pool.VM, r *pool.Run, o pools.Order) {
+	p.violations = append(p.violations, fmt.Sprintf("TWICE %s run %d beside run %d on %s", o.Item, o.Run, r.Run, v.ID))
+}
+
 // endRuns forgets the runs on a VM that has ended. The caller holds mu.
 func (p *Platform) endRuns(vm *pool.VM) {
 	for item := range vm.Runs {
--- a/fake/pool/vm.go
+++ b/fake/pool/vm.go
@@ -42,6 +42,8 @@
 	OnStart       func(v *VM, r *Run)
 	OnEndRecorded func(v *VM, end pools.RunEnd)
 	OnEnd         func(v *VM, r *Run, kind pools.EndKind)
+	// OnSecondRun is called for a start of an item of which another run goes on. The platform's VMs may execute it beside that run.
+	OnSecondRun func(v *VM, r *Run, o pools.Order)
 }
 
 // New returns a VM whose lifetime starts just after now, in milliseconds.
@@ -155,7 +157,13 @@
 		return pools.LeaseExpired
 	}
 	v.extendLease(o.DeadlineMs, now)
-	if o.Run <= v.highestEndedRun[o.Item] || v.Runs[o.Item] != nil {
+	if o.Run <= v.highestEndedRun[o.Item] {
+		return pools.StaleRun
+	}
+	if r := v.Runs[o.Item]; r != nil {
+		if v.OnSecondRun != nil {
+			v.OnSecondRun(v, r, o)
+		}
 		return pools.StaleRun
 	}
 	work, fails, step := v.PlanRun(o)
--- a/io/owner/session.go
+++ b/io/owner/session.go
@@ -13,8 +13,8 @@
 
 // Timeouts, intervals and limits of the calls to a VM.
 const (
-	// orderTimeout bounds an order. A start without a reply in that time is followed by a stop, so that the item can
-	// start on another VM.
+	// orderTimeout bounds an order. A start without a reply in that time is followed by a poll, and sent
+	// again if the VM does not run it.
 	orderTimeout = 300 * time.Millisecond
 	// maxOwnLag is how late after a poll's deadline this process may notice that the poll failed. The delay is measured by
 	// Go's monotonic clock, which stops while the host is suspended, so a longer delay means that the CPU is overloaded.
@@ -199,8 +199,8 @@
 	}
 }
 
-// pollNow sends a poll without wait, while the poll of pollLoop may still wait for a run to end. An item whose start got
-// no reply was stopped, and can start elsewhere once a poll shows that the VM does not run it.
+// pollNow sends a poll without wait, while the poll of pollLoop may still wait for a run to end. The start of an
+// item that got no reply is sent again once a poll shows that the VM does not run it.
 func (s *vmSession) pollNow() {
 	wire.Sleep(s.ctx, pollAfterStopPause)
 	sentAtMs := clock.BootMs()
