soak: Draw late starts and restarts of VMs together

Late starts came beside restarts under the same ID with SOAK_LATE only, so ./test never played these two liberties of the protocol together. Each seed draws restarts, late starts or both now, without a switch.

The messages of TWICE name all starts of the item: run, VM, start of its lifetime, fence number, arrival of the order, whether it was carried out late, fence number of the newest poll of that lifetime, end and record. Times are those of the entries' logs. The stand-in compares a start with every earlier run of the item: before, the end of one of two runs made it forget the other one.

--- a/fake/plat/plat.go
+++ b/fake/plat/plat.go
@@ -68,8 +68,9 @@
 	startCount int                    // start orders
 	lateEvery  int                    // see SetLateStarts
 	violations []string               // violated rules, and errors of boots
-	running    map[string]string      // VM by running item
-	done       map[string]bool        // items whose end as done an owner has recorded
+	arrival    arrival                // of the order that is being executed
+	starts     map[string][]*start    // by item
+	polled     map[*pool.VM]int64     // highest fence number of a poll, by lifetime of a VM
 	poison     map[string]*poisonItem // by name
 	crashes    map[string]int         // crashes of VMs under an item, by item
 	store      string
@@ -102,7 +103,7 @@
 func Start(cfg Config) (*Platform, error) {
 	p := &Platform{
 		cfg: cfg, Log: NewLog(), startedAt: time.Now(), startedJobs: map[string]time.Time{},
-		steps: map[string][]jobs.Step{}, poison: map[string]*poisonItem{}, crashes: map[string]int{}, running: map[string]string{}, done: map[string]bool{}, stopped: make(chan struct{}),
+		steps: map[string][]jobs.Step{}, poison: map[string]*poisonItem{}, crashes: map[string]int{}, starts: map[string][]*start{}, polled: map[*pool.VM]int64{}, stopped: make(chan struct{}),
 	}
 	var err error
 	if p.store, err = p.listen(p.Log.Handler()); err != nil {
@@ -277,14 +278,8 @@
 	return max(steps[it.Step].EstimateMs, 1), false, steps[it.Step]
 }
 
-func (p *Platform) started(v *pool.VM, r *pool.Run) {
-	if on := p.running[r.Item]; on != "" {
-		p.violations = append(p.violations, fmt.Sprintf("TWICE %s on %s and %s", r.Item, on, v.ID))
-	}
-	if p.done[r.Item] {
-		p.violations = append(p.violations, "TWICE after done "+r.Item)
-	}
-	p.running[r.Item] = v.ID
+// noteStart records the time of a start, lets the VM of a poison item crash, and checks the VM's capacity.
+func (p *Platform) noteStart(v *pool.VM, r *pool.Run) {
 	if id, _, ok := jobs.ParseItem(r.Item); ok {
 		p.startedJobs[id] = time.Now()
 	}
@@ -314,8 +309,8 @@
 
 // crashUnderPoison ends the VM of a machine that has started a poison item.
 func (p *Platform) crashUnderPoison(m *machine, now int64) {
-	for item, on := range p.running {
-		if x := p.poison[item]; x != nil && on == m.vm.ID {
+	for item := range m.vm.Runs {
+		if x := p.poison[item]; x != nil {
 			x.crashes++
 		}
 	}
@@ -324,16 +319,6 @@
 	m.downUntilMs = now + downMs
 }
 
-func (p *Platform) ended(_ *pool.VM, r *pool.Run, _ pools.EndKind) { delete(p.running, r.Item) }
-
-// endRecorded marks an item as done after an owner has recorded the end of its run. An end that no owner records is
-// lost with its VM, and the item may run again.
-func (p *Platform) endRecorded(_ *pool.VM, end pools.RunEnd) {
-	if end.Kind == pools.EndDone {
-		p.done[end.Item] = true
-	}
-}
-
 // LastStart returns the time of the last start of an item of a job, or the zero time if none has ever been started.
 func (p *Platform) LastStart(id string) time.Time {
 	p.mu.Lock()
--- a/fake/plat/restart.go
+++ b/fake/plat/restart.go
@@ -1,7 +1,6 @@
 package plat
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -87,18 +86,6 @@
 	return vm
 }
 
-// startedBeside records a violation by a start of an item of which another run goes on. The caller holds mu.
-func (p *Platform) startedBeside(v *pool.VM, r *pool.Run, o pools.Order) {
-	p.violations = append(p.violations, fmt.Sprintf("TWICE %s run %d beside run %d on %s", o.Item, o.Run, r.Run, v.ID))
-}
-
-// endRuns forgets the runs on a VM that has ended. The caller holds mu.
-func (p *Platform) endRuns(vm *pool.VM) {
-	for item := range vm.Runs {
-		delete(p.running, item)
-	}
-}
-
 // lifetime returns the present lifetime of the VM with an ID on a machine. While the VM restarts it waits for the next one. It
 // returns nil if the VM has ended for good. The caller holds mu, which is released while it waits.
 func (p *Platform) lifetime(m *machine, id string) *pool.VM {
@@ -122,11 +109,12 @@
 	if p.lateEvery == 0 || p.startCount%p.lateEvery != 0 {
 		return false
 	}
+	a := arrival{atMs: p.nowMs(), late: true}
 	time.AfterFunc(time.Duration(minLateMs+rand.IntN(maxLateMs-minLateMs))*time.Millisecond, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if vm := p.lifetime(m, id); vm != nil && !p.isStopped() {
-			vm.Do(o, p.nowMs())
+			p.do(vm, o, a)
 		}
 	})
 	return true
--- a/fake/plat/serve.go
+++ b/fake/plat/serve.go
@@ -50,6 +50,7 @@
 	}
 	o := pools.Order{Kind: kind, Item: b.Task, Run: b.Run, Spec: b.Spec, Ref: b.Ref, DeadlineMs: b.Deadline, Fence: b.Fence}
 	p.mu.Lock()
+	a := arrival{atMs: p.nowMs()}
 	if kind == pools.Start && p.delayStart(m, id, o) {
 		p.mu.Unlock()
 		hang(r)
@@ -59,7 +60,7 @@
 		p.mu.Unlock()
 		panic(http.ErrAbortHandler) // the VM ended while the call waited, and carries nothing out
 	}
-	res := vm.Do(o, p.nowMs())
+	res := p.do(vm, o, a)
 	p.mu.Unlock()
 	if reason, refused := reasons[res.Kind]; refused {
 		writeJSON(w, http.StatusConflict, map[string]any{"clock_ms": res.ClockMs, "reason": reason})
@@ -87,6 +88,9 @@
 	vm := p.lifetime(m, id)
 	for p.exists(vm) {
 		l = vm.Poll(call, p.nowMs())
+		if l.Kind == pools.Done {
+			p.polled[vm] = b.Fence
+		}
 		if l.Kind != pools.Done || vm.Pending(b.Acked) || !time.Now().Before(until) || r.Context().Err() != nil {
 			break
 		}
--- a/system/soak/fault_test.go
+++ b/system/soak/fault_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -67,23 +66,15 @@
 // restartEvery is the mean number of faults per restart of a VM under its ID.
 const restartEvery = 3
 
-// lateSeeds is the number of seeds per one with late starts in place of restarts. A start that was given up and is carried out in
-// the next lifetime of its VM runs beside the item's next run, which KNOWN-RED.txt lists; late starts come alone so that they
-// don't hide other faults.
-const lateSeeds = 4
-
-// lateEnv is the environment variable that, if it is not empty, adds late starts to the restarts of all seeds.
-const lateEnv = "SOAK_LATE"
-
 // injectVMFault delays starts by seconds or lets a VM start again under its ID, or both.
 func (s *soak) injectVMFault() {
-	both := os.Getenv(lateEnv) != ""
-	if s.late || both {
+	kind := s.restRng.IntN(3)
+	if kind != 0 {
 		n := 1 + s.restRng.IntN(4)
 		s.logEvent("one in %d starts late", n)
 		s.plat.SetLateStarts(n)
 	}
-	if !s.late || both {
+	if kind != 1 {
 		s.restartVM()
 	}
 }
--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -63,7 +63,6 @@
 	mu        sync.Mutex
 	vmProxies []*proxy       // one for each VM lifetime, added when the fake platform boots a VM
 	submitted map[string]any // bodies of the accepted requests, by job
-	late      bool           // starts are carried out late
 	ended     atomic.Bool    // all faults have ended
 	cancelMu  sync.Mutex
 	cancelled map[string]time.Time // time at which the cancel of a job was acknowledged
@@ -133,7 +132,7 @@
 func run(t *testing.T, bin string, seed uint64) {
 	s := &soak{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), extraRng: rand.New(rand.NewPCG(seed, 11)), platRng: rand.New(rand.NewPCG(seed, 13)),
-		restRng: rand.New(rand.NewPCG(seed, 17)), submitted: map[string]any{}, cancelled: map[string]time.Time{}, late: seed%lateSeeds == 0,
+		restRng: rand.New(rand.NewPCG(seed, 17)), submitted: map[string]any{}, cancelled: map[string]time.Time{},
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	p, err := plat.Start(plat.Config{VMs: vmCount, Spare: 2, SecondVMs: secondVMCount, UncheckedFences: seed%2 == 0, Route: func(addr string) (string, error) {
