shard: Use the room of closed VMs for items that end before their runs

What callers saw: work stands still beside free room.

Cause: closeVMs gave a closed VM no work until its last run ended, however late. It took the VMs that will be empty first by the estimates alone, so a run over its estimate counted as one that ends now: the VMs with the longest runs were closed first, and stayed closed.

Change: the rest of a run is the longer of what its estimate and its progress so far tell. A closed VM takes an item that fits on no open one and should end in half of the time that the VM's present runs still need, so that it is empty no later. If nothing of a job runs for 1 s as its next items, or its gang, fit on no open VM, and under half of the pool's CPU is in use (with its offered VMs), the closed VMs with room for them that will be empty last open ("open vm"). In a busier pool the limit stands. Persistent items and suspects start on no closed VM.

--- /dev/null
+++ b/core/shard/closed.go
@@ -0,0 +1,178 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// maxNoRoomMs is how long nothing of a job may run as its next items fit on no open VM, before closed VMs are opened for it.
+	// Work may stand still for 3 s beside free room, which includes the start itself.
+	maxNoRoomMs = 1000
+	// idlePercent is the percentage of the pool's CPU in use below which closed VMs are opened for such a job. Above it the job
+	// waits as others do in a pool that has less than it wants.
+	idlePercent = 50
+	// estimateMargin is how many times its estimate an item on a closed VM may take without delaying the end of the VM's last run:
+	// estimates are rough, and an item far from its data takes longer.
+	estimateMargin = 2
+)
+
+// closedVM is a closed VM that takes items which end before its present runs.
+type closedVM struct {
+	*vm
+	remainingMs int64 // time until these runs should have ended
+}
+
+// addClosedVMs adds the closed VMs that take items, those that will be empty last first.
+func (e *Engine) addClosedVMs(p *placement, now int64) {
+	guarded := e.capacityEnforced()
+	for _, v := range e.vmsByID() {
+		if v.closed && v.takesStarts(now) && (guarded || v.unknownRuns == 0) {
+			p.closed = append(p.closed, closedVM{v, v.remainingMs(now)})
+			p.maxClosed.cpu, p.maxClosed.memMB = max(p.maxClosed.cpu, v.CPU-v.usedCPU), max(p.maxClosed.memMB, v.MemMB-v.usedMemMB)
+		}
+	}
+	slices.SortStableFunc(p.closed, func(a, b closedVM) int { return cmp.Compare(b.remainingMs, a.remainingMs) })
+}
+
+// chooseClosedVM returns the closed VM that will be empty last and can take an item that should end well before that, nil if
+// there is none. Persistent items do not end, and a suspect may take the present runs with it.
+func (p *placement) chooseClosedVM(j *job, it *item, tokens map[string]string) *vm {
+	if it.stepDef.Persistent || it.stepDef.Fill || it.suspected() || !p.maxClosed.mayFit(it.stepDef) {
+		return nil
+	}
+	for _, v := range p.closed {
+		if estimateMargin*it.stepDef.EstimateMs >= v.remainingMs {
+			return nil
+		}
+		if _, ok := tokens[v.ID]; (ok || tokens == nil) && v.fits(it) && allowedOn(j, it, v.vm) && !it.failedOn(v.ID) {
+			return v.vm
+		}
+	}
+	return nil
+}
+
+// closeVMs closes n of the busy VMs, those that will be empty first, and opens all others. Of these n, VMs stay open for jobs
+// that find no room elsewhere.
+func (e *Engine) closeVMs(busy []*vm, n int, now int64) {
+	closed := map[*vm]bool{}
+	if n <= 0 {
+		e.demand.noRoomSince = nil
+	} else {
+		busyMs := make(map[*vm]int64, len(busy))
+		for _, v := range busy {
+			busyMs[v] = v.remainingMs(now)
+		}
+		slices.SortFunc(busy, func(a, b *vm) int { return cmp.Or(cmp.Compare(busyMs[a], busyMs[b]), cmp.Compare(a.ID, b.ID)) })
+		chosen := busy[:min(n, len(busy))]
+		for _, v := range chosen {
+			closed[v] = true
+		}
+		for v, j := range e.vmsToOpen(chosen, closed, now) {
+			if v.closed {
+				e.addEvent(Event{JobID: j.ID, VM: v.ID, Name: "open vm", Reason: "its items fit on no other", N: len(v.runs)})
+			}
+			delete(closed, v)
+		}
+	}
+	for _, v := range e.vms {
+		if closed[v] && !v.closed {
+			e.addEvent(Event{VM: v.ID, Name: "close vm", Reason: "other pools lack machines", N: len(v.runs)})
+		}
+		v.closed = closed[v]
+	}
+}
+
+// vmsToOpen returns the closed VMs to open, with the job that needs them: for the job that has found no room for the longest
+// time, if that is over maxNoRoomMs and most of the pool's CPU is free. Those that will be empty last cost other pools least.
+// chosen holds the closed VMs, those that will be empty first first.
+func (e *Engine) vmsToOpen(chosen []*vm, closed map[*vm]bool, now int64) map[*vm]*job {
+	var open []*vm
+	var cpu, usedCPU int64
+	guarded := e.capacityEnforced()
+	for _, v := range e.vmsByID() {
+		if v.offered || v.takesStarts(now) { // an offered VM is the pool's until another one takes it
+			cpu, usedCPU = cpu+v.CPU, usedCPU+v.usedCPU
+		}
+		if v.takesStarts(now) && !closed[v] && (guarded || v.unknownRuns == 0) {
+			open = append(open, v)
+		}
+	}
+	if usedCPU*100 >= cpu*idlePercent {
+		e.demand.noRoomSince = nil
+		return nil
+	}
+	j, group := e.jobWithoutRoom(open, now)
+	if j == nil {
+		return nil
+	}
+	missing := len(group) - countRoom(j, group, open)
+	toOpen := map[*vm]*job{}
+	for _, v := range slices.Backward(chosen) {
+		if missing > 0 && v.takesStarts(now) && (guarded || v.unknownRuns == 0) {
+			if n := v.roomFor(j, group[0], missing); n > 0 {
+				toOpen[v] = j
+				missing -= n
+			}
+		}
+	}
+	if missing > 0 {
+		return nil
+	}
+	return toOpen
+}
+
+// jobWithoutRoom returns the job of which for the longest time, over maxNoRoomMs, nothing runs and the next items have no room on
+// a list of VMs, with these items.
+func (e *Engine) jobWithoutRoom(list []*vm, now int64) (*job, []*item) {
+	since := map[*job]int64{}
+	var longest *job
+	var group []*item
+	for _, j := range e.jobs {
+		g := e.groupWithoutRoom(j, list, now)
+		if len(g) == 0 {
+			continue
+		}
+		since[j] = cmp.Or(e.demand.noRoomSince[j], now)
+		if now-since[j] < maxNoRoomMs {
+			continue
+		}
+		if longest == nil || cmp.Or(cmp.Compare(since[j], since[longest]), cmp.Compare(j.ID, longest.ID)) < 0 {
+			longest, group = j, g
+		}
+	}
+	e.demand.noRoomSince = since
+	return longest, group
+}
+
+// groupWithoutRoom returns the next items of a job that have to start together, if nothing of the job runs and they have no room
+// on a list of VMs.
+func (e *Engine) groupWithoutRoom(j *job, list []*vm, now int64) []*item {
+	if j.state.Final() || j.Persistent() || j.inherited && e.initialPolls.pending {
+		return nil
+	}
+	ready := j.readyItems(now)
+	if len(ready) == 0 || j.activeCount() > 0 {
+		return nil
+	}
+	group := sameStep(ready)
+	if !group[0].stepDef.Gang {
+		group = group[:1]
+	}
+	if countRoom(j, group, list) >= len(group) {
+		return nil
+	}
+	return group
+}
+
+// countRoom returns for how many items of a group a list of VMs has room.
+func countRoom(j *job, group []*item, list []*vm) int {
+	n := 0
+	for _, v := range list {
+		if n >= len(group) {
+			break
+		}
+		n += v.roomFor(j, group[0], len(group)-n)
+	}
+	return n
+}
--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -79,11 +79,12 @@
 	report             jobs.DemandReport
 	reportedAt         int64
 	wantedVMs          int
-	lastConfirmed      int   // wantedVMs at the last fresh confirmation
-	heldVMs            int   // lower bound of wantedVMs after a time without confirmation, 0 for none
-	heldUntil          int64 // end of that bound
-	joinMs             int64 // time that a VM takes to join the pool, 0 if unknown
-	limitVMs           int   // VMs that the pool should keep at most, 0 for no limit
+	lastConfirmed      int            // wantedVMs at the last fresh confirmation
+	heldVMs            int            // lower bound of wantedVMs after a time without confirmation, 0 for none
+	heldUntil          int64          // end of that bound
+	joinMs             int64          // time that a VM takes to join the pool, 0 if unknown
+	limitVMs           int            // VMs that the pool should keep at most, 0 for no limit
+	noRoomSince        map[*job]int64 // since when nothing of a job runs, as its next items fit on no open VM, while VMs are closed
 }
 
 // addArrival records the work of a submitted job. The work of all occurrences counts at once, also of those that are
@@ -325,7 +326,7 @@
 }
 
 // updateOffers offers VMs without runs while the pool has more than it wants or may keep, and withdraws offers while it
-// has fewer. VMs beyond the limit that run something are closed for new work, so that they can be offered soon.
+// has fewer. VMs beyond the limit that run something are closed, so that they can be offered soon.
 func (e *Engine) updateOffers(floor int, now int64) {
 	notOffered := 0
 	var free, busy, offered []*vm
@@ -421,27 +422,6 @@
 	return kept
 }
 
-// closeVMs closes n of the busy VMs for new work, those that will be empty first, and opens all others.
-func (e *Engine) closeVMs(busy []*vm, n int, now int64) {
-	closed := map[*vm]bool{}
-	if n > 0 {
-		busyMs := make(map[*vm]int64, len(busy))
-		for _, v := range busy {
-			busyMs[v] = v.remainingMs(now)
-		}
-		slices.SortFunc(busy, func(a, b *vm) int { return cmp.Or(cmp.Compare(busyMs[a], busyMs[b]), cmp.Compare(a.ID, b.ID)) })
-		for _, v := range busy[:min(n, len(busy))] {
-			closed[v] = true
-		}
-	}
-	for _, v := range e.vms {
-		if closed[v] && !v.closed {
-			e.addEvent(Event{VM: v.ID, Name: "close vm", Reason: "other pools lack machines", N: len(v.runs)})
-		}
-		v.closed = closed[v]
-	}
-}
-
 // prepareReport updates the demand report if its lists or numbers of VMs have changed. A change of Urgent alone is not
 // reported.
 func (e *Engine) prepareReport(floor int, now int64) {
--- a/core/shard/free_index.go
+++ b/core/shard/free_index.go
@@ -30,8 +30,11 @@
 	return cmp.Or(cmp.Compare(a.freeShare, b.freeShare), strings.Compare(a.ID, b.ID))
 }
 
-// update moves a VM to its place after its usage has changed.
+// update moves a VM to its place after its usage has changed. Closed VMs have none.
 func (x *freeIndex) update(v *vm) {
+	if v.closed {
+		return
+	}
 	share := v.measureFreeShare()
 	if share == v.freeShare {
 		return
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -83,6 +83,23 @@
 	return false
 }
 
+// remainingMs returns the time in milliseconds until the present run should have ended: by the estimate, or by its progress so
+// far if that is slower.
+func (it *item) remainingMs(now int64) int64 {
+	switch {
+	case it.phase == stopping:
+		return 0
+	case it.phase != running:
+		return max(it.phaseSince+it.stepDef.EstimateMs-now, 0)
+	}
+	ranMs := now - it.startedAt
+	ms := max(it.stepDef.EstimateMs-ranMs, 0)
+	if p := int64(it.progressPercent); p > 0 {
+		return max(ms, (it.progressChangedAt-it.startedAt)*100/p-ranMs)
+	}
+	return max(ms, ranMs-it.stepDef.EstimateMs) // without progress a late run is assumed to be as late again
+}
+
 // job is a job that has not ended, or of which something still runs.
 type job struct {
 	*jobs.Job
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -47,6 +47,7 @@
 		return nil
 	}
 	p := newPlacement(e.usableVMs(now))
+	e.addClosedVMs(p, now)
 	var starts []start
 	for _, c := range list {
 		if len(starts) >= e.startWindow.available() {
@@ -62,7 +63,10 @@
 	usable  []*vm // sorted by ID
 	index   *freeIndex
 	maxFree freeCapacity
-	tests   map[bool]int // usable VMs that test suspects, by whether their job is persistent; nil until they are counted
+	closed  []closedVM
+	// maxClosed is the largest free CPU and memory of a closed VM before any item is placed.
+	maxClosed freeCapacity
+	tests     map[bool]int // usable VMs that test suspects, by whether their job is persistent; nil until they are counted
 }
 
 // newPlacement returns a placement on VMs, which are sorted by ID.
@@ -94,8 +98,7 @@
 // usableVMs returns the VMs that may get new work, sorted by ID. A run that belongs to no item uses capacity that is not
 // counted, so a VM that accepts starts beyond its capacity gets none beside it.
 func (e *Engine) usableVMs(now int64) []*vm {
-	pool := e.catalog.Pool(e.cfg.Service)
-	guarded := pool != nil && pool.EnforcesCapacity
+	guarded := e.capacityEnforced()
 	usable := make([]*vm, 0, len(e.vms))
 	for _, v := range e.vmsByID() {
 		if v.usable(now) && (guarded || v.unknownRuns == 0) {
@@ -105,6 +108,15 @@
 	return usable
 }
 
+// capacityEnforced reports whether the pool's VMs refuse starts beyond their capacity.
+func (e *Engine) capacityEnforced() bool {
+	if e.catalog == nil {
+		return false
+	}
+	pool := e.catalog.Pool(e.cfg.Service)
+	return pool != nil && pool.EnforcesCapacity
+}
+
 // candidates returns the jobs with items that may start now, in the order in which they are placed.
 func (e *Engine) candidates(now int64) []candidate {
 	var list []candidate
@@ -222,6 +234,9 @@
 		if p.maxFree.mayFit(it.stepDef) {
 			v = e.chooseVM(j, it, p, tokens, now)
 		}
+		if v == nil {
+			v = p.chooseClosedVM(j, it, tokens)
+		}
 		if v == nil {
 			p.unplan(starts)
 			return nil
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -52,7 +52,7 @@
 	vacate                      bool  // the machine controller requests that it be vacated
 	vacateSince                 int64 // since when it is to be vacated, 0 if it is not
 	offered                     bool  // offered to other pools
-	closed                      bool  // gets no new work, so that it can be offered
+	closed                      bool  // gets only work that ends before its present runs, so that it can be offered
 	offerWithdrawnAt            int64 // time at which the last offer was withdrawn
 	testedJob                   *job  // job whose suspects it tests, nil if it tests none; it takes no other work then
 }
@@ -124,11 +124,11 @@
 	return 1000 * (v.CPU - v.usedCPU) / v.CPU
 }
 
-// remainingMs returns the time in milliseconds until the runs on the VM should have ended by their estimates.
+// remainingMs returns the time in milliseconds until the runs on the VM should have ended.
 func (v *vm) remainingMs(now int64) int64 {
 	var ms int64
 	for _, it := range v.runs {
-		ms = max(ms, it.phaseSince+it.stepDef.EstimateMs-now)
+		ms = max(ms, it.remainingMs(now))
 	}
 	return ms
 }
@@ -154,9 +154,12 @@
 	return v.clockMs+int64(float64(now-v.clockReadAt)*minClockRate) > v.leaseEndMs
 }
 
-// usable reports whether the VM may get new work.
-func (v *vm) usable(now int64) bool {
-	return v.listed && v.missingSince == 0 && !v.Draining && !v.vacate && !v.offered && !v.closed && v.polled && !v.silent &&
+// usable reports whether the VM may get any new work.
+func (v *vm) usable(now int64) bool { return !v.closed && v.takesStarts(now) }
+
+// takesStarts reports whether the VM may get new work, which on a closed VM is only what ends before its present runs.
+func (v *vm) takesStarts(now int64) bool {
+	return v.listed && v.missingSince == 0 && !v.Draining && !v.vacate && !v.offered && v.polled && !v.silent &&
 		now-v.lastPollAt < vmSilenceMs+max(v.pollWaitMs-PollWaitMs, 0) && now >= v.suspectUntil && now >= v.noCapacityUntil
 }
 
@@ -172,6 +175,28 @@
 	return v.usedMemMB+s.MemMB <= v.MemMB && v.usedGPU+s.GPU <= v.GPU
 }
 
+// roomFor returns the number of items like one of a job that the VM can take, at most most.
+func (v *vm) roomFor(j *job, it *item, most int) int {
+	if !v.fits(it) || !allowedOn(j, it, v) {
+		return 0
+	}
+	s := it.stepDef
+	n := int64(most)
+	if s.MaxPerVM > 0 {
+		n = min(n, int64(s.MaxPerVM))
+	}
+	if s.CPU > 0 && !s.Fill {
+		n = min(n, (v.CPU-v.usedCPU)/s.CPU)
+	}
+	if s.MemMB > 0 {
+		n = min(n, (v.MemMB-v.usedMemMB)/s.MemMB)
+	}
+	if s.GPU > 0 {
+		n = min(n, (v.GPU-v.usedGPU)/s.GPU)
+	}
+	return int(n)
+}
+
 // recordOutcome records whether a run failed or stalled, and returns the number of failures among the newest outcomes.
 func (v *vm) recordOutcome(failed bool) int {
 	v.recentFailures[v.outcomeCount%len(v.recentFailures)] = failed
