owner: Show in the log why items that could run don't

What operators saw: "pool state" with 6 jobs, free CPU and "waiting" 0 while the items of a begun job stood still for seconds: "waiting" counts jobs that have not begun, and VMs that are closed were seen as the difference of "vms" and "usable" only, beside silent, draining and suspect ones.

--- a/core/shard/closed_test.go
+++ b/core/shard/closed_test.go
@@ -22,6 +22,7 @@
 	VM      []caseVM
 	Wait    []caseJob
 	Offered []string // VMs that are offered at the end
+	Counts  *Counts  // some of the counts at the end
 }
 
 // caseVM is a VM with runs.
@@ -152,6 +153,13 @@
 	if len(p.c.Offered) > 0 {
 		assert.DeepEqual(t, offered, p.c.Offered)
 	}
+	if want := p.c.Counts; want != nil {
+		got := p.sim.e.Counts(p.sim.now)
+		assert.DeepEqual(t, Counts{
+			Waiting: got.Waiting, WaitingItems: got.WaitingItems, NoRoom: got.NoRoom, Usable: got.Usable, FreeCPU: got.FreeCPU,
+			Closed: got.Closed, ClosedFreeCPU: got.ClosedFreeCPU, Offered: got.Offered,
+		}, *want)
+	}
 }
 
 // checkStarts checks the starts of job i of the case.
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -219,6 +219,10 @@
 	Jobs, Waiting, Items, Runs, VMs, Usable int
 	Want                                    int   // wanted VMs
 	FreeCPU                                 int64 // free on usable VMs, in thousandths of a core
+	WaitingItems                            int   // items that may start now, also of jobs that have begun
+	NoRoom                                  int   // those of them that request more than any usable VM has free
+	Closed, Offered                         int   // VMs that get little or no new work, as other pools lack machines or this one needs fewer
+	ClosedFreeCPU                           int64 // free on closed VMs, in thousandths of a core
 	Starting, MostStarting                  int   // starts without a reply, and the limit of their number
 	Held                                    int   // jobs that wait until an earlier owner's VMs are all polled or its leases expire
 	Unasked                                 int   // VMs of an earlier owner that were not polled yet
@@ -232,21 +236,46 @@
 		Starting: e.startWindow.unanswered, MostStarting: e.startWindow.size,
 		Unasked: len(e.initialPolls.vms), Unrecorded: len(e.unrecordedStarts),
 	}
+	var usable []*vm
+	for _, v := range e.vms {
+		c.Runs += len(v.runs)
+		switch {
+		case v.offered:
+			c.Offered++
+		case v.usable(now):
+			usable = append(usable, v)
+			c.FreeCPU += v.CPU - v.usedCPU
+		case v.closed && v.takesStarts(now):
+			c.Closed++
+			c.ClosedFreeCPU += v.CPU - v.usedCPU
+		}
+	}
+	c.Usable = len(usable)
+	c.countJobs(e, usable, now)
+	return c
+}
+
+// countJobs adds the numbers of jobs and items. usable holds the usable VMs.
+func (c *Counts) countJobs(e *Engine, usable []*vm, now int64) {
+	var free freeCapacity
+	free.measure(usable)
 	for _, j := range e.jobs {
-		if j.inherited && e.initialPolls.pending && !j.state.Final() {
+		held := j.inherited && e.initialPolls.pending
+		if held && !j.state.Final() {
 			c.Held++
 		}
 		if j.state == jobs.Queued {
 			c.Waiting++
 		}
 		c.Items += len(j.orderedItems)
-	}
-	for _, v := range e.vms {
-		c.Runs += len(v.runs)
-		if v.usable(now) {
-			c.Usable++
-			c.FreeCPU += v.CPU - v.usedCPU
+		if held || j.state.Final() {
+			continue
+		}
+		for _, it := range j.readyItems(now) {
+			c.WaitingItems++
+			if !free.mayFit(it.stepDef) {
+				c.NoRoom++
+			}
 		}
 	}
-	return c
 }
--- a/io/owner/summary.go
+++ b/io/owner/summary.go
@@ -33,7 +33,9 @@
 		c := r.engine.Counts(now)
 		r.load.Store(int64(c.Runs + c.Jobs))
 		r.log.Info("pool state", zap.Int("jobs", c.Jobs), zap.Int("waiting", c.Waiting), zap.Int("runs", c.Runs),
+			zap.Int("waitingItems", c.WaitingItems), zap.Int("noRoom", c.NoRoom),
 			zap.Int("vms", c.VMs), zap.Int("usable", c.Usable), zap.Int("want", c.Want), zap.Int64("freeCPU", c.FreeCPU),
+			zap.Int("closed", c.Closed), zap.Int64("closedFreeCPU", c.ClosedFreeCPU), zap.Int("offered", c.Offered),
 			zap.Int("starting", c.Starting), zap.Int("mostStarting", c.MostStarting), zap.Int("held", c.Held),
 			zap.Int("unasked", c.Unasked), zap.Int("unrecorded", c.Unrecorded), zap.Duration("turns", r.ticks.total),
 			zap.Int("turnCount", r.ticks.count), zap.Duration("longestTurn", r.ticks.longest),
