--- a/core/shard/closed.go
+++ b/core/shard/closed.go
@@ -45,6 +45,9 @@
 		if estimateMargin*it.stepDef.EstimateMs >= v.remainingMs {
 			return nil
 		}
+		if it.open.vm != "" && it.open.vm != v.ID {
+			continue // its open start keeps the item on another VM
+		}
 		if _, ok := tokens[v.ID]; (ok || tokens == nil) && v.fits(it) && allowedOn(j, it, v.vm) && !it.failedOn(v.ID) {
 			return v.vm
 		}
