shard: Acknowledge only ends that the last reply listed

Cause: each poll carried the number again, also when the VM had nothing left to forget.

Change: a poll acknowledges no more than the last reply has listed. An end whose only open start was executed is not held back.

Evidence: TestOnlyListedEndsAreAcknowledged fails on the code before (57 where 0 is wanted, and 56 where 57 is).

--- a/core/shard/open_test.go
+++ b/core/shard/open_test.go
@@ -97,3 +97,20 @@
 		})
 	}
 }
+
+// TestOnlyListedEndsAreAcknowledged guards against an end that nobody has read: a poll is sent while its VM starts again, with the number up
+// to which the ends of the last lifetime are recorded, and the VM forgets as many ends of the next one.
+func TestOnlyListedEndsAreAcknowledged(t *testing.T) {
+	e, o := startWithoutReply(t, jobs.Step{Count: 1, CPU: 100, MemMB: 10, EstimateMs: 500})
+	acked := func(now int64, ends ...pools.RunEnd) int64 {
+		e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: now, StartedAtMs: 1, Ended: ends}, now, now)
+		if e.HasUnrecordedJobs() {
+			storeBatch(t, e, now)
+		}
+		req, ok := e.NextPoll("a", now+1)
+		assert.Assert(t, ok)
+		return req.AckedSeq
+	}
+	assert.Equal(t, acked(400, pools.RunEnd{Seq: 57, Item: o.Item, Run: o.Run, Kind: pools.EndDone}), int64(57))
+	assert.Equal(t, acked(500), int64(0), "nothing is left to forget")
+}
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -32,7 +32,8 @@
 	if v == nil || !v.listed {
 		return pools.PollRequest{}, false
 	}
-	c := pools.PollRequest{VM: id, Fence: v.fence, AckedSeq: v.ackedSeq}
+	// A VM that has restarted since numbers its ends anew, so a poll acknowledges no more than the last reply has listed.
+	c := pools.PollRequest{VM: id, Fence: v.fence, AckedSeq: min(v.ackedSeq, v.listedSeq)}
 	if !v.polled || v.silent {
 		// Its clock is unknown or may have changed. It may also be in another lifetime under the same ID, whose ends
 		// have their own sequence numbers and must not be acknowledged.
@@ -125,7 +126,9 @@
 	if reply.ClockMs >= v.clockMs {
 		v.clockMs, v.clockReadAt = reply.ClockMs, now
 	}
+	v.listedSeq = 0
 	for _, end := range reply.Ended {
+		v.listedSeq = max(v.listedSeq, end.Seq)
 		if end.Seq > v.seenSeq {
 			v.seenSeq = end.Seq
 			e.handleRunEnd(v, end, now)
@@ -363,9 +366,6 @@
 		}
 		it.run, current = end.Run, true
 	}
-	if end.Kind == pools.EndDone && it.open.vm == v.ID {
-		v.heldAcks = append(v.heldAcks, heldAck{seq: end.Seq, until: it.open.until})
-	}
 	e.markStarted(j, v, now)
 	it.forgetLostVM(end.Run)
 	if !it.done {
@@ -375,6 +375,9 @@
 		e.closeIfExecuted(it, now)
 		e.release(it, now)
 	}
+	if end.Kind == pools.EndDone && it.open.vm == v.ID {
+		v.heldAcks = append(v.heldAcks, heldAck{seq: end.Seq, until: it.open.until})
+	}
 	if j.state.Final() || it.done {
 		return
 	}
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -32,6 +32,7 @@
 	earlierLeaseUntil int64
 
 	seenSeq, ackedSeq int64 // sequence numbers of its ends: last processed, last acknowledged
+	listedSeq         int64 // highest one that the last reply listed, 0 for none
 	heldAcks          []heldAck
 	lastPollAt        int64   // time of the last poll reply
 	pollWaitMs        int64   // wait time of the newest poll
@@ -109,7 +110,7 @@
 	v.staleDeadlineMs = max(v.staleDeadlineMs, v.leaseEndMs)
 	v.polled, v.allEndsListed, v.moreEnds, v.silent, v.silentSince = false, false, false, false, 0
 	v.clockMs, v.clockReadAt, v.leaseEndMs, v.earlierLeaseUntil = 0, 0, 0, 0
-	v.seenSeq, v.ackedSeq, v.lastPollAt, v.suspectUntil, v.noCapacityUntil, v.unknownRuns = 0, 0, 0, 0, 0, 0
+	v.seenSeq, v.ackedSeq, v.listedSeq, v.lastPollAt, v.suspectUntil, v.noCapacityUntil, v.unknownRuns = 0, 0, 0, 0, 0, 0, 0
 	v.recentFailures, v.heldAcks = [8]bool{}, nil
 }
 
