shard: Record open starts of items that are done

What callers saw: nothing yet; found by the review of (TestNextOwnerHoldsEnds): a next owner acknowledged an end that the earlier one held back, so that a copy of the start behind a restart ran again after it.

Cause: the log named the open starts of items that were not done only.

Change: it names those of done items as well until they can't be executed any more, and a next owner holds the ends back. What remains: the record of a job that is over has no items, so its ends are not held back behind a takeover.

--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -71,8 +71,9 @@
 func (e *Engine) updateOpen(now int64) {
 	for it := range e.openItems {
 		switch v := e.vms[it.open.vm]; {
-		case it.done || it.job.state.Final():
+		case it.job.state.Final(), it.done && now >= it.open.until:
 			e.closeOpen(it, "", now)
+		case it.done: // its end is held back until then
 		case it.stepDef.Persistent && it.phase == idle && now-it.phaseSince >= lastingWaitMs && (it.open.unlisted || v != nil && v.polled && !v.silent):
 			e.closeOpen(it, "it lasts, and its vm is down or takes no work", now)
 		case now < it.open.until:
@@ -139,7 +140,7 @@
 // needsMachinesForOpen reports whether the list of machines could show that a waiting item may start elsewhere.
 func (e *Engine) needsMachinesForOpen() bool {
 	for it := range e.openItems {
-		if v := e.vms[it.open.vm]; it.vm == nil && (v == nil || v.silent || !v.listed) {
+		if v := e.vms[it.open.vm]; it.vm == nil && !it.done && (v == nil || v.silent || !v.listed) {
 			return true
 		}
 	}
@@ -150,7 +151,7 @@
 func (e *Engine) restoreOpen(j *job, list []jobs.ItemOpen, now int64) {
 	for _, o := range list {
 		it := j.items[jobs.Item{K: o.K, Step: o.Step, Index: o.Index}]
-		if it == nil || it.done {
+		if it == nil {
 			continue
 		}
 		it.open = openStart{vm: o.VM, machine: o.Machine, since: now, until: now + pools.LateCallMs, inherited: true}
--- a/core/shard/record.go
+++ b/core/shard/record.go
@@ -144,7 +144,7 @@
 			p := statesOf(it)
 			p.Crashes = append(p.Crashes, it.crashRecord())
 		}
-		if it.open.vm != "" && !it.done {
+		if it.open.vm != "" {
 			p := statesOf(it)
 			p.Open = append(p.Open, it.openRecord())
 		}
