shard: Don't offer the VM of an item with an open start

An item whose repeated start is refused for a moment may run on that VM only, and waits for 12 s if the VM is offered to other pools meanwhile.

Evidence: TestVMOfAWaitingItemIsNotOffered fails on the code before (the VM is offered).

Change: such a VM is not offered, like one with a label that waiting items require.

--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -358,6 +358,7 @@
 	})
 	sort.Slice(offered, func(a, b int) bool { return offered[a].ID < offered[b].ID })
 	kept := e.vmsForLabels(e.waitingLabels())
+	e.keepForOpenStarts(kept)
 	for _, v := range free {
 		if notOffered > needed && !kept[v] {
 			v.offered = true
--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -147,6 +147,15 @@
 	return false
 }
 
+// keepForOpenStarts adds the VMs to a set on which waiting items are to be sent again, as they may run nowhere else.
+func (e *Engine) keepForOpenStarts(kept map[*vm]bool) {
+	for it := range e.openItems {
+		if v := e.vms[it.open.vm]; v != nil && it.phase == idle && !it.done && !it.runSpent {
+			kept[v] = true
+		}
+	}
+}
+
 // restoreOpen restores the open starts that an earlier owner recorded. Its last one may have been given up just now.
 func (e *Engine) restoreOpen(j *job, list []jobs.ItemOpen, now int64) {
 	for _, o := range list {
--- a/core/shard/repeat_test.go
+++ b/core/shard/repeat_test.go
@@ -417,3 +417,15 @@
 	req, _ = e.NextPoll("a", 1630)
 	assert.Equal(t, req.AckedSeq, int64(0), "the next owner acknowledges it")
 }
+
+// TestVMOfAWaitingItemIsNotOffered guards against an item that waits for 12 s for a VM that is idle: the VM refused a repeat of its start
+// for a moment and was offered to other pools meanwhile.
+func TestVMOfAWaitingItemIsNotOffered(t *testing.T) {
+	e, _ := repeatEngine(t, shortStep, 0)
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 320, StartedAtMs: 1}, 320, 320)
+	e.HandleOrderReply(ordersAt(t, e, 321)[0], pools.Reply{Kind: pools.NoCapacity}, 325)
+	e.demand.wantedVMs = 0
+	e.updateOffers(0, 330)
+	assert.Assert(t, e.vms["A"].offered)
+	assert.Assert(t, !e.vms["a"].offered)
+}
