shard: Count open starts from the time at which they were given up

An item could wait for up to 24 s and not 12 s for a VM that restarted some seconds after a start without a reply.

Cause: the end of the lifetime counted as one more start that was given up then.

Change: the start counts once, from the time at which it was given up.

Evidence: the new case of TestOpenStartLastsUntilItsCallIsTooLate fails on the code before (17020 and not 12310).

--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -80,7 +80,7 @@
 		}
 		e.reportLostRun(it, end.cause, now)
 		if it.mayStartAgain(&end) {
-			e.markOpen(it, now)
+			e.markLastCallOpen(it, now)
 		}
 		e.release(it, now)
 	}
--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -27,9 +27,9 @@
 // item be missing for 7 s.
 const lastingWaitMs = 4000
 
-// markOpen records that the VM of an item may still execute a start that has had no reply. Copies of a speculative step may run at
-// the same time, so its items need not wait.
-func (e *Engine) markOpen(it *item, now int64) {
+// markOpen records that the VM of an item may still execute a start whose reply was given up at givenUpAt. Copies of a speculative step
+// may run at the same time, so its items need not wait.
+func (e *Engine) markOpen(it *item, givenUpAt, now int64) {
 	if it.stepDef.Speculative || it.vm == nil || it.job.state.Final() {
 		return
 	}
@@ -39,14 +39,20 @@
 		e.markDirty(it.job) // a next owner has to know of it
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start open", Reason: it.name + " may start there late", N: it.run})
 	}
-	givenUpAt := max(now, it.sentAt+orderTimeoutMs) // its reply may not be due yet
-	if it.phase == adopted {
-		givenUpAt = it.sentAt // the earlier owner's last call
-	}
 	it.open.until = max(it.open.until, givenUpAt+pools.LateCallMs)
 	it.open.calls++
 }
 
+// markLastCallOpen does the same for the last start of an item that is released, unless that had no reply already.
+func (e *Engine) markLastCallOpen(it *item, now int64) {
+	switch {
+	case it.phase == adopted:
+		e.markOpen(it, it.sentAt, now) // the earlier owner's last call
+	case it.unansweredAt == 0 || it.open.vm != it.vm.ID:
+		e.markOpen(it, max(now, it.sentAt+orderTimeoutMs), now) // its reply may not be due yet
+	}
+}
+
 // closeIfExecuted closes the open start of an item whose present run its VM has listed, if no other copy of the start is open.
 func (e *Engine) closeIfExecuted(it *item, now int64) {
 	if it.open.vm != "" && it.open.isSingle() && it.phase == sent && it.unansweredAt > 0 {
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -226,8 +226,8 @@
 		}
 		return
 	case pools.NoReply:
+		e.markOpen(it, now, now)
 		it.unansweredAt = now // the next poll shows whether it runs
-		e.markOpen(it, now)
 		return
 	case pools.StaleRun:
 		if it.open.vm == v.ID {
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -206,7 +206,7 @@
 		if absent {
 			e.addEvent(Event{JobID: it.job.ID, VM: v.ID, Name: "run missing", Reason: phaseNames[it.phase], N: it.run})
 			if it.startOpen() || it.phase == adopted {
-				e.markOpen(it, now)
+				e.markLastCallOpen(it, now)
 			}
 			e.release(it, now)
 		}
--- a/core/shard/repeat_test.go
+++ b/core/shard/repeat_test.go
@@ -266,6 +266,12 @@
 		it := e.jobs["j"].orderedItems[0]
 		assert.Assert(t, it.open.until >= 310+pools.LateCallMs, "until %d", it.open.until)
 	})
+	t.Run("its VM restarts seconds after it had no reply", func(t *testing.T) {
+		e, _ := repeatEngine(t, shortStep, 0)
+		e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 1, StartedAtMs: 2}, 5000, 5000)
+		e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 20, StartedAtMs: 2}, 5020, 5020)
+		assert.Equal(t, e.jobs["j"].orderedItems[0].open.until, int64(310+pools.LateCallMs))
+	})
 	t.Run("second copy on its way when the first is listed", func(t *testing.T) {
 		e, _ := repeatEngine(t, shortStep, 0)
 		e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 320, StartedAtMs: 1}, 320, 320)
