--- a/core/shard/fence.go
+++ b/core/shard/fence.go
@@ -52,8 +52,8 @@
 	v.earlierLeaseUntil = 0
 }
 
-// startOpen reports whether the start of an item's run may not be executed yet.
-func (it *item) startOpen() bool {
+// startUnconfirmed reports whether the start of an item's run may not be executed yet.
+func (it *item) startUnconfirmed() bool {
 	switch it.phase {
 	case sent:
 		return true
--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -52,7 +52,7 @@
 	if end.replaced {
 		return false
 	}
-	return it.startOpen() || it.phase == adopted && (end.next != nil || !it.stepDef.Persistent)
+	return it.startUnconfirmed() || it.phase == adopted && (end.next != nil || !it.stepDef.Persistent)
 }
 
 // listedIn reports whether a reply lists the present run of an item, or may do so with the ends that follow.
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -205,7 +205,7 @@
 		}
 		if absent {
 			e.addEvent(Event{JobID: it.job.ID, VM: v.ID, Name: "run missing", Reason: phaseNames[it.phase], N: it.run})
-			if it.startOpen() || it.phase == adopted {
+			if it.startUnconfirmed() || it.phase == adopted {
 				e.markLastCallOpen(it, now)
 			}
 			e.release(it, now)
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -136,7 +136,7 @@
 // mayStartLate reports whether a silent VM may run an item although all leases of its known lifetime have expired: the VM may have
 // restarted unseen, and executed the start there.
 func (it *item) mayStartLate(now int64) bool {
-	return it.startOpen() && now-it.sentAt < openStartMs
+	return it.startUnconfirmed() && now-it.sentAt < openStartMs
 }
 
 // stalled reports whether a run makes no progress.
