shard: Free adopted items whose VM was replaced at once

What callers saw: work items that stood still behind takeovers.

Cause: keeps an adopted item for a VM that is down and may come back. If the VM's entry is removed before the next owner reads it, its machine is not known, and the owner can't tell that the machine has another VM. It waited for 12 s, anew behind each takeover.

Evidence: TestItemOfAnUnlistedVMIsFreeByTheMachines fails on the code before (no start).

Change: an adopted item waits only for a VM whose machine is known to be down.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -164,7 +164,9 @@
 	for id, v := range e.vms {
 		if (v.silent || !v.listed) && byVM[id] == nil && v.knownAt < requestedAt && (len(v.runs) > 0 || v.polled) {
 			m := byID[v.Machine]
-			e.endLifetime(v, lifetimeEnd{cause: v.causeByMachine(m, now), replaced: e.isReplaced(id, m)}, now)
+			e.endLifetime(v, lifetimeEnd{
+				cause: v.causeByMachine(m, now), replaced: e.isReplaced(id, m), down: m != nil && m.State == pools.MachineDown,
+			}, now)
 		}
 	}
 	e.closeOpenByMachines(byID, byVM, requestedAt, now)
--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -33,8 +33,8 @@
 	// next is the reply of the VM's next lifetime under the same ID to a poll by which it refuses all earlier calls. It is nil if
 	// no such reply is known.
 	next *pools.PollReply
-	// replaced is true if the VM can't start again under its ID.
-	replaced bool
+	// replaced is true if the VM can't start again under its ID, down if its machine is known to be down.
+	replaced, down bool
 }
 
 // suspectRestart makes the next poll tell what runs on a VM that has restarted under its ID. Until then nothing on it is
@@ -47,12 +47,13 @@
 }
 
 // mayStartAgain reports whether a start of an item that was on a VM may still be executed in the VM's next lifetime. The start of an
-// adopted item may just have been sent. A lasting one does not wait for a VM that is down, as it has most likely been at work.
+// adopted item may just have been sent. It does not wait for a VM whose machine is not known, and a lasting one for none that is down,
+// as they have most likely been at work.
 func (it *item) mayStartAgain(end *lifetimeEnd) bool {
 	if end.replaced {
 		return false
 	}
-	return it.startUnconfirmed() || it.phase == adopted && (end.next != nil || !it.stepDef.Persistent)
+	return it.startUnconfirmed() || it.phase == adopted && (end.next != nil || end.down && !it.stepDef.Persistent)
 }
 
 // listedIn reports whether a reply lists the present run of an item, or may do so with the ends that follow.
--- a/core/shard/open_test.go
+++ b/core/shard/open_test.go
@@ -114,3 +114,20 @@
 	assert.Equal(t, acked(400, pools.RunEnd{Seq: 57, Item: o.Item, Run: o.Run, Kind: pools.EndDone}), int64(57))
 	assert.Equal(t, acked(500), int64(0), "nothing is left to forget")
 }
+
+// TestItemOfAnUnlistedVMIsFreeByTheMachines guards against an item that waits for 12 s behind each takeover: its VM has crashed and has
+// another ID now, and its entry was removed before the next owner read it, so that owner does not know its machine.
+func TestItemOfAnUnlistedVMIsFreeByTheMachines(t *testing.T) {
+	const takenOverAt = 100_000
+	e := New(Config{Service: "s", Epoch: 2, StatusRetentionMs: 1000}, &jobs.Catalog{}, takenOverAt)
+	stored := &jobs.StoredJob{Job: &jobs.Job{ID: "j", Steps: []jobs.Step{{Count: 1, CPU: 100, MemMB: 10, EstimateMs: 500}}}}
+	stored.Progress = jobs.Progress{Rev: 1, State: jobs.Running, Items: []jobs.ItemState{{Run: 1, VM: "a", VMBorn: 1}}}
+	e.LoadJob("j", stored, takenOverAt, takenOverAt)
+	e.RequireInitialPolls(takenOverAt)
+	e.SetVMs([]pools.VM{{ID: "b", Service: "s", Addr: "y", Machine: "mb", CPU: 1000, MemMB: 1000}}, takenOverAt)
+	e.HandlePollReply("b", pools.PollReply{Kind: pools.Done, ClockMs: takenOverAt, StartedAtMs: 1}, takenOverAt+1, takenOverAt+1)
+	e.SetMachines([]pools.Machine{
+		{ID: "ma", Pool: "s", VM: "a2", State: pools.MachineDown}, {ID: "mb", Pool: "s", VM: "b", State: pools.MachineUp},
+	}, takenOverAt+10, takenOverAt+20)
+	assert.DeepEqual(t, startsAt(e, takenOverAt+30), []string{"b"})
+}
