shard: Forget the waiting repeat of a start that is released

What callers saw: jobs that stand still.

Cause: a repeat of a start that waits for its record is marked at the item. If the item was released before the record was stored, the mark stayed, and each later start without a reply was taken for one whose repeat still waits: neither repeated nor stopped.

Evidence: TestRepeatIsForgottenWithItsVM fails on the code before (1 start in 3 s).

Change: releasing an item clears the mark.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -425,7 +425,7 @@
 			e.markDirty(it.job)
 		}
 	}
-	it.phase = idle
+	it.phase, it.repeatWaits = idle, false
 	it.phaseSince = now
 	it.job.readyStale = true
 	if it.job.state.Final() {
--- a/core/shard/repeat_test.go
+++ b/core/shard/repeat_test.go
@@ -435,3 +435,25 @@
 	assert.Assert(t, e.vms["A"].offered)
 	assert.Assert(t, !e.vms["a"].offered)
 }
+
+// TestRepeatIsForgottenWithItsVM guards against an item that stands still: its VM restarted while a repeat of its start waited for the
+// record, and later starts without a reply were taken for ones whose repeat still waits.
+func TestRepeatIsForgottenWithItsVM(t *testing.T) {
+	e, _ := repeatEngine(t, shortStep, 0)
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 320, StartedAtMs: 1}, 320, 320)
+	assert.Assert(t, e.jobs["j"].orderedItems[0].repeatWaits)
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 1, StartedAtMs: 2}, 330, 330)
+	e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: 10, StartedAtMs: 2}, 340, 340)
+	assert.Equal(t, len(storeBatch(t, e, 345)), 0, "the item is not on the VM any more")
+	starts := 0
+	for now := int64(360); now < 3000; now += 350 {
+		for _, o := range ordersAt(t, e, now) {
+			if o.Kind == pools.Start {
+				starts++
+				e.HandleOrderReply(o, pools.Reply{Kind: pools.NoReply}, now+301)
+			}
+		}
+		e.HandlePollReply("a", pools.PollReply{Kind: pools.Done, ClockMs: now, StartedAtMs: 2}, now+310, now+310)
+	}
+	assert.Assert(t, starts > 3, "%d starts", starts)
+}
