shard: Look items up in one place

Change: both use itemNamed, refusedAsEnded is gone, and ackIfClean stands beside the other acknowledgment code. No behavior changes.

Ruled out: making closeOpenOn part of closeOpenByMachines, since that waits for the next list where a start was given up while the list was read.

--- a/core/shard/ack.go
+++ b/core/shard/ack.go
@@ -32,3 +32,11 @@
 	v := e.vms[id]
 	return v != nil && v.ackableSeq(now) < v.seenSeq
 }
+
+// ackIfClean acknowledges the processed ends of a VM if nothing is waiting to be recorded, so that the VM may delete
+// them.
+func (e *Engine) ackIfClean(v *vm, now int64) {
+	if len(e.dirty) == 0 && !e.recording {
+		v.ackedSeq = max(v.ackedSeq, v.ackableSeq(now))
+	}
+}
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -46,9 +46,8 @@
 	open            openStart
 	repeats         int  // how often the start of the present run was repeated
 	repeatWaits     bool // the next repeat waits for the record of the open start
-	runSpent        bool // the present run was stopped or has ended, so that its number can't be sent again
+	runSpent        bool // the present run was stopped, has ended or was refused as ended, so that its number can't be sent again
 	runReused       bool // the present run was sent again after its VM was lost
-	refusedAsEnded  bool // the VM refused a repeated start since the run has ended there; a poll tells how
 
 	progressPercent   int      // work done, as last reported; 100 means that a persistent item is at work
 	tailLatencyMs     int64    // as last reported for a serving item; unused for other items
--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -107,7 +107,7 @@
 	if it.open.isSingle() && !it.runSpent {
 		e.closeOpen(it, "", now)
 	}
-	it.unansweredAt, it.refusedAsEnded, it.runSpent = now, true, true
+	it.unansweredAt, it.runSpent = now, true
 }
 
 // closeOpenOn closes the open starts on a VM that can't start again under its ID.
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -249,7 +249,7 @@
 	for _, s := range starts {
 		s.it.runReused = s.it.run == run
 		s.it.run, s.it.throttlePercent, s.it.stopAckedAt, s.it.throttleSentAt, s.it.seenRunning = run, 100, 0, 0, false
-		s.it.repeats, s.it.refusedAsEnded, s.it.runSpent = 0, false, false
+		s.it.repeats, s.it.runSpent = 0, false
 	}
 	j.begun, j.readyStale = true, true
 	e.markDirty(j)
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -219,7 +219,7 @@
 func (e *Engine) resolveUnseenStart(it *item, now int64) {
 	switch {
 	case it.repeatWaits:
-	case it.refusedAsEnded:
+	case it.runSpent: // the VM has refused a repeat, and does not list the end of the run
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start refused", Reason: replyNames[pools.StaleRun], N: it.run})
 		e.release(it, now)
 	case !it.vm.Draining && !it.vm.vacate && !it.done && !it.job.state.Final() && it.repeats < maxRepeats:
@@ -236,15 +236,11 @@
 // adoptRun assigns a run that an earlier owner started without recording it to its item. It returns nil if the run is
 // not wanted.
 func (e *Engine) adoptRun(v *vm, r *pools.RunStatus, now int64) *item {
-	id, key, ok := jobs.ParseItem(r.Item)
-	j := e.jobs[id]
-	if !ok || j == nil || j.state.Final() {
-		return nil
-	}
-	it := j.items[key]
-	if it == nil || it.done || it.phase != idle && it.phase != adopted {
+	it := e.itemNamed(r.Item)
+	if it == nil || it.done || it.phase != idle && it.phase != adopted || it.job.state.Final() {
 		return nil
 	}
+	j := it.job
 	if it.run > r.Run || it.run == r.Run && (it.phase != idle || it.open.vm != v.ID) {
 		return nil // a run that was given up, unless its open start has just been executed
 	}
@@ -256,7 +252,7 @@
 	v.attach(it)
 	e.markStarted(j, v, now)
 	e.markDirty(j)
-	e.addEvent(Event{JobID: id, VM: v.ID, Name: "run taken over", N: r.Run})
+	e.addEvent(Event{JobID: j.ID, VM: v.ID, Name: "run taken over", N: r.Run})
 	return it
 }
 
@@ -345,18 +341,11 @@
 
 // handleRunEnd applies the end of a run to its item.
 func (e *Engine) handleRunEnd(v *vm, end pools.RunEnd, now int64) {
-	id, key, ok := jobs.ParseItem(end.Item)
-	if !ok {
-		return
-	}
-	j := e.jobs[id]
-	if j == nil {
-		return
-	}
-	it := j.items[key]
+	it := e.itemNamed(end.Item)
 	if it == nil {
 		return
 	}
+	j := it.job
 	current := it.vm == v && it.run == end.Run
 	it.runSpent = it.runSpent || it.run == end.Run
 	if it.run < end.Run && (it.phase == idle || it.phase == adopted) {
@@ -506,11 +495,3 @@
 
 // markDirty schedules the progress of a job for recording.
 func (e *Engine) markDirty(j *job) { e.dirty[j.ID] = j }
-
-// ackIfClean acknowledges the processed ends of a VM if nothing is waiting to be recorded, so that the VM may delete
-// them.
-func (e *Engine) ackIfClean(v *vm, now int64) {
-	if len(e.dirty) == 0 && !e.recording {
-		v.ackedSeq = max(v.ackedSeq, v.ackableSeq(now))
-	}
-}
