shard: Count what client accounts use, and ask before each start

Cause: an owner has to keep the limit of an account (docs/accounts.md, section 3), and nothing counted what the jobs of an account run.

Change: each item on a VM counts for its account from the planned start until it is detached, and an item behind an open start as well. Starts that the engine does not wait for (of speculative steps, of jobs that are over, of persistent items that go on elsewhere, the last start of an earlier owner on a VM that is lost) and listed runs that are being stopped count until they can't be executed any more. After a takeover the capacity of the VMs that are not polled counts as unknown use. Config.Allowances is asked before each start; nil means no limit. A placement asks once for items of an account that need as much. Jobs without an account take no further step.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -61,6 +61,8 @@
 	MaxOverTargetMs   int64 // how long a serving item may exceed its target latency; the engine does not use it
 	MaxAbsenceMs      int64 // how long an item may be unavailable before this counts against its budget; the engine does not use it
 	StopEffectMs      int64 // time until a VM executes a stop that it accepted; 0 means defaultStopEffectMs
+	// Allowances limits what client accounts start; nil means no limit. It may also implement Rooms.
+	Allowances Allowances
 }
 
 // Engine holds the jobs, items and VMs of one owned shard, and the orders and records that are due. It is not safe for
@@ -87,7 +89,12 @@
 	events           []Event
 	nextThrottleAt   int64
 	nextTickAt       int64
-	openItems        map[*item]bool // items with an open start
+	openItems        map[*item]bool         // items with an open start
+	lateItems        map[*item]bool         // items with late starts
+	accounts         map[string]*accountUse // accounts with jobs or runs here
+	rooms            Rooms                  // nil if Allowances has none
+	unknown          unknownUse             // as of the last placement
+	round            int64                  // number of the last placement with accounts
 	policies         map[stepKey]*stepPolicy
 	policyQueries    []PolicyQuery
 	openQueries      int   // policy queries without a reply
@@ -123,12 +130,16 @@
 
 // New returns an engine without jobs and VMs for a newly claimed shard.
 func New(cfg Config, catalog *jobs.Catalog, now int64) *Engine {
-	return &Engine{
+	e := &Engine{
 		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
 		dirty: map[string]*job{}, createdAt: now, lastFence: cfg.Epoch * fenceNumbersPerEpoch, storeContactAt: now, policies: map[stepKey]*stepPolicy{},
 		openItems:   map[*item]bool{},
+		lateItems:   map[*item]bool{},
+		accounts:    map[string]*accountUse{},
 		startWindow: startWindow{size: initialWindow},
 	}
+	e.rooms, _ = cfg.Allowances.(Rooms)
+	return e
 }
 
 // Fenced reports whether a VM has seen a higher fence number, which means that another process owns the shard.
@@ -145,7 +156,7 @@
 			return true
 		}
 	}
-	return e.initialPolls.pending || e.needsMachinesForOpen()
+	return e.initialPolls.pending || e.needsMachinesForOpen() || e.needsMachinesForLate()
 }
 
 // SetMachines applies the platform's machine list, which was requested at requestedAt. The lifetime of a VM
@@ -170,6 +181,7 @@
 		}
 	}
 	e.closeOpenByMachines(byID, byVM, requestedAt, now)
+	e.dropLateByMachines(byID, byVM, requestedAt)
 }
 
 // MarkStoreReachable records that the store answered this owner.
@@ -216,8 +228,8 @@
 		return
 	}
 	j := newJob(stored.Job, now, wall)
-	if !j.Persistent() && now-j.arrivedAt < rateWindowMs {
-		e.demand.addArrival(stored.Job, now)
+	if j.isArrival(now) {
+		e.demand.rate.add(j.arrivingWork(), now)
 	}
 	progress := stored.FullProgress()
 	j.rev, j.base = progress.Rev, progress.Base
@@ -226,6 +238,7 @@
 		j.parts[n] = nil
 	}
 	e.jobs[id] = j
+	e.addJob(j, now)
 	j.openDueOccurrences(wall, e.cfg.MaxEarlyStartMs)
 	for _, s := range progress.Items {
 		e.restoreItem(j, s, now)
@@ -320,6 +333,7 @@
 	}
 	if e.jobs[j.ID] == j {
 		delete(e.jobs, j.ID)
+		j.removeJob()
 		e.deletePolicies(j.Job)
 		e.keepRecord(jobs.ProgressKey(j.ID), now)
 	}
--- a/core/shard/fate_test.go
+++ b/core/shard/fate_test.go
@@ -96,6 +96,9 @@
 
 // fateRun is a run that was executed.
 type fateRun struct {
+	jobID      string
+	item       string
+	epoch      int64 // of the owner that has sent the start
 	vm         *fateVM
 	life       int
 	run        int
@@ -113,7 +116,8 @@
 // fateStart is a start that was sent.
 type fateStart struct {
 	order      pools.Order
-	unrecorded bool // its owner was replaced before it was recorded
+	epoch      int64 // of its owner
+	unrecorded bool  // its owner was replaced before it was recorded
 }
 
 // fatePool plays an owner, the log and the VMs of a pool, and records violations of TWICE. An order may be executed late, also by
@@ -305,7 +309,7 @@
 // can't know of the call, and its polls refuse it only in the lifetimes that they reach.
 func (p *fatePool) started(v *fateVM, s *fateStart, late bool) {
 	o := s.order
-	r := &fateRun{vm: v, life: v.lives, run: o.Run, at: p.now, late: late, unrecorded: s.unrecorded}
+	r := &fateRun{jobID: o.JobID, item: o.Item, epoch: s.epoch, vm: v, life: v.lives, run: o.Run, at: p.now, late: late, unrecorded: s.unrecorded}
 	r.beforePoll = v.polledAt == 0 || p.now <= v.polledAt+fateSecondPollMs
 	p.logf("%s: start %s run %d, late %v, before the first poll %v", v.vm.ID, o.Item, o.Run, late, r.beforePoll)
 	for _, w := range p.vms {
@@ -440,6 +444,7 @@
 	p.e.MarkOwnershipConfirmed(p.now)
 	p.e.MarkStoreReachable(p.now)
 	p.e.Advance(p.now, p.now)
+	p.checkUses()
 	p.sendOrders(p.e.TakeOrders())
 	p.record()
 	events := p.e.TakeEvents()
@@ -497,7 +502,7 @@
 	if p.plan != nil {
 		call = p.plan(v, o)
 	}
-	start := &fateStart{order: o}
+	start := &fateStart{order: o, epoch: p.epoch}
 	if o.Kind == pools.Start {
 		p.starts = append(p.starts, start)
 		p.orderedOn[o.Item] = v
@@ -994,7 +999,8 @@
 	}
 	for n := range 12 {
 		step := jobs.Step{Count: 1 + r.IntN(3), CPU: 1000, MemMB: 100, EstimateMs: between(200, 6000)}
-		p.at(startAt+1000+between(0, 8000), func() { p.submit(&jobs.Job{ID: fmt.Sprintf("j%d", n), Steps: []jobs.Step{step}}) })
+		account := []string{"", "x", "y"}[n%3]
+		p.at(startAt+1000+between(0, 8000), func() { p.submit(&jobs.Job{ID: fmt.Sprintf("j%d", n), Account: account, Steps: []jobs.Step{step}}) })
 	}
 	p.takeOver()
 	p.run(startAt+endMs, func() bool { return p.finished() && p.now > startAt+faultMs+12_000 && p.quiet() })
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -44,6 +44,8 @@
 	stopAckedAt     int64
 	notBefore       int64 // earliest time of the next start
 	open            openStart
+	late            []lateStart
+	counted         int  // runs that the count of the account holds for the item
 	repeats         int  // how often the start of the present run was repeated
 	repeatWaits     bool // the next repeat waits for the record of the open start
 	runSpent        bool // the present run was stopped, has ended or was refused as ended, so that its number can't be sent again
@@ -102,6 +104,7 @@
 // job is a job that has not ended, or of which something still runs.
 type job struct {
 	*jobs.Job
+	use          *accountUse // count of its account, nil if it has none
 	rev          int64
 	parts        map[int][]byte // part records in the log by number: the encoded states, nil if unknown
 	stepOffsets  []int          // as returned by stepOffsets
@@ -287,3 +290,10 @@
 	}
 	return true
 }
+
+// isArrival reports whether the job has just arrived, so that it counts for the forecast of the demand.
+func (j *job) isArrival(now int64) bool { return !j.Persistent() && now-j.arrivedAt < rateWindowMs }
+
+// arrivingWork returns the core-milliseconds of the job. The work of all occurrences counts at once, also of those that are due much
+// later.
+func (j *job) arrivingWork() int64 { return j.CoreMs() * int64(j.Occurrences()) }
--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -82,11 +82,14 @@
 		e.reportLostRun(it, end.cause, now)
 		if it.mayStartAgain(&end) {
 			e.markLastCallOpen(it, now)
+		} else if !end.replaced {
+			e.addLateOfEarlierOwner(it, now)
 		}
 		e.release(it, now)
 	}
 	if end.replaced {
 		e.closeOpenOn(v.ID, "its vm is gone", now)
+		e.dropLate(func(l *lateStart) bool { return l.vm == v.ID })
 	}
 	for _, it := range poison {
 		e.giveUp(it, v, now)
--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -30,10 +30,16 @@
 // markOpen records that the VM of an item may still execute a start whose reply was given up at givenUpAt. Copies of a speculative step
 // may run at the same time, so its items need not wait.
 func (e *Engine) markOpen(it *item, givenUpAt, now int64) {
-	if it.stepDef.Speculative || it.vm == nil || it.job.state.Final() {
+	switch {
+	case it.vm == nil:
 		return
-	}
-	if it.open.vm != it.vm.ID {
+	case it.stepDef.Speculative, it.job.state.Final():
+		e.addLateCall(it, givenUpAt, now)
+		return
+	case it.open.vm != it.vm.ID:
+		if it.open.vm != "" {
+			e.addLate(it, lateStart{openStart: it.open})
+		}
 		it.open = openStart{vm: it.vm.ID, machine: it.vm.Machine, since: now}
 		e.openItems[it] = true
 		e.markDirty(it.job) // a next owner has to know of it
@@ -41,6 +47,7 @@
 	}
 	it.open.until = max(it.open.until, givenUpAt+pools.LateCallMs)
 	it.open.calls++
+	it.updateUse()
 }
 
 // markLastCallOpen does the same for the last start of an item that is released, unless that had no reply already.
@@ -67,6 +74,7 @@
 	}
 	it.open = openStart{}
 	delete(e.openItems, it)
+	it.updateUse()
 	if !it.done && !it.job.state.Final() {
 		it.job.readyStale = true
 		e.markDirty(it.job)
@@ -78,9 +86,11 @@
 	for it := range e.openItems {
 		switch v := e.vms[it.open.vm]; {
 		case it.job.state.Final(), it.done && now >= it.open.until:
+			e.addLate(it, lateStart{openStart: it.open})
 			e.closeOpen(it, "", now)
 		case it.done: // its end is held back until then
 		case it.stepDef.Persistent && it.phase == idle && now-it.phaseSince >= lastingWaitMs && (it.open.unlisted || v != nil && v.polled && !v.silent):
+			e.addLate(it, lateStart{openStart: it.open})
 			e.closeOpen(it, "it lasts, and its vm is down or takes no work", now)
 		case now < it.open.until:
 		case v != nil && v.polled && !v.silent && v.answeredSentAt >= it.open.until:
@@ -171,6 +181,7 @@
 		}
 		it.open = openStart{vm: o.VM, machine: o.Machine, since: now, until: now + pools.LateCallMs, inherited: true}
 		e.openItems[it] = true
+		it.updateUse()
 	}
 }
 
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -39,6 +39,7 @@
 // placeItems selects items to start and a VM for each. The items become planned, and their jobs are marked for
 // recording.
 func (e *Engine) placeItems(now int64) []start {
+	e.beginRound(now)
 	if e.catalog == nil || now-e.storeContactAt > maxStoreSilenceMs {
 		return nil
 	}
@@ -186,7 +187,8 @@
 }
 
 // placeJob plans the ready items of one job. A gang is planned as a whole or not at all. Once an item finds no VM, the
-// others of its step find none either, unless it waits for a VM to test it or for the one with its open start.
+// others of its step find none either, unless it waits for a VM to test it or for the one with its open start. Once the account
+// may not start an item, it may start no other of the step, unless the item had an open start.
 func (e *Engine) placeJob(c candidate, p *placement, now int64) []start {
 	var starts []start
 	for i := 0; i < len(c.ready); {
@@ -194,6 +196,13 @@
 		i += len(step)
 		if !step[0].stepDef.Gang {
 			for k := range step {
+				if !e.admits(c.job, step[k:k+1]) {
+					if step[k].open.vm != "" {
+						continue
+					}
+					c.job.use.atLimit += len(step) - k - 1
+					break
+				}
 				planned := e.placeGroup(c.job, step[k:k+1], p, now)
 				if len(planned) == 0 && !step[k].needsTest() && step[k].open.vm == "" {
 					break
@@ -202,7 +211,7 @@
 			}
 			continue
 		}
-		if len(step) == step[0].stepDef.Count { // otherwise another member still runs or is being stopped
+		if len(step) == step[0].stepDef.Count && e.admits(c.job, step) { // otherwise another member still runs or is being stopped
 			starts = append(starts, e.placeGroup(c.job, step, p, now)...)
 		}
 	}
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -134,7 +134,7 @@
 		if repeat && !s.vm.usable(now) {
 			continue // the next poll leads to another repeat
 		}
-		if it.job.state.Final() || it.done || !s.vm.takesStarts(now) {
+		if it.job.state.Final() || it.done || !s.vm.takesStarts(now) || !e.mayStart(it.job, it) {
 			e.release(it, now)
 			continue
 		}
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -177,7 +177,7 @@
 // items whose run is missing for certain are released. While the VM has further ends to list, none is: the run may be among them.
 func (e *Engine) reconcileRuns(v *vm, reply *pools.PollReply, sentAt, now int64) {
 	e.pollNum++
-	v.unknownRuns = 0
+	v.unknownRuns, v.strangerRuns = 0, 0
 	for i := range reply.Running {
 		r := &reply.Running[i]
 		it := v.runs[r.Item]
@@ -222,7 +222,7 @@
 	case it.runSpent: // the VM has refused a repeat, and does not list the end of the run
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start refused", Reason: replyNames[pools.StaleRun], N: it.run})
 		e.release(it, now)
-	case !it.vm.Draining && !it.vm.vacate && !it.done && !it.job.state.Final() && it.repeats < maxRepeats:
+	case !it.vm.Draining && !it.vm.vacate && !it.done && !it.job.state.Final() && it.repeats < maxRepeats && e.mayStart(it.job, it):
 		e.repeatStart(it, now)
 	case !it.stepDef.Persistent:
 		e.stop(it, "start unanswered", now)
@@ -325,6 +325,7 @@
 		it.notBefore, it.job.readyStale = max(it.notBefore, now+unknownRunPauseMs), true
 		it.open.until = max(it.open.until, now+unknownRunPauseMs) // it does not start elsewhere either while the run is listed
 	}
+	e.countUnknownRun(v, r, now)
 	e.orders = append(e.orders, pools.Order{
 		Kind: pools.Stop, VM: v.ID, JobID: id, Item: r.Item, Run: r.Run, Fence: v.fence,
 	})
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -52,6 +52,8 @@
 	}
 	e.startWindow.adapt(now)
 	e.updateOpen(now)
+	e.updateLate(now)
+	e.forgetAccounts()
 	e.vacateVMs(now)
 	if now >= e.nextDemandAt {
 		e.nextDemandAt = now + demandIntervalMs
@@ -126,6 +128,7 @@
 	poison := e.recordLostVM(v, endLapsed, now)
 	for _, it := range lapsed {
 		e.reportLostRun(it, endLapsed, now)
+		e.addLateOfEarlierOwner(it, now)
 		e.release(it, now)
 	}
 	for _, it := range poison {
