shard: Draw no VMs for work that its account may not start

Cause: the demand of a pool counted all waiting work, also of an account that may not start any more of it. VMs would be moved to the pool and stay empty.

Change: if Allowances has Room as well, the persistent and the batch demand of an account with a limit are cut to what it uses and may start, and its forecast of arriving work to the CPU of that. Items that their account may not start need no headroom, keep no VM with a label, open no closed VM and make the pool not more urgent.

--- a/core/shard/closed.go
+++ b/core/shard/closed.go
@@ -149,7 +149,7 @@
 }
 
 // groupWithoutRoom returns the next items of a job that have to start together, if nothing of the job runs and they have no room
-// on a list of VMs.
+// on a list of VMs. Items that the account of the job may not start need none.
 func (e *Engine) groupWithoutRoom(j *job, list []*vm, now int64) []*item {
 	if j.state.Final() || j.Persistent() || j.inherited && e.initialPolls.pending {
 		return nil
@@ -162,7 +162,7 @@
 	if !group[0].stepDef.Gang {
 		group = group[:1]
 	}
-	if countRoom(j, group, list) >= len(group) {
+	if countRoom(j, group, list) >= len(group) || !e.mayStart(j, group...) {
 		return nil
 	}
 	return group
--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -87,12 +87,6 @@
 	noRoomSince        map[*job]int64 // since when nothing of a job runs, as its next items fit on no open VM, while VMs are closed
 }
 
-// addArrival records the work of a submitted job. The work of all occurrences counts at once, also of those that are
-// due much later.
-func (t *demandTracker) addArrival(j *jobs.Job, now int64) {
-	t.rate.add(j.CoreMs()*int64(j.Occurrences()), now)
-}
-
 // addCPUSample adds a sample of the requested CPU, in thousandths of a core. It returns the rise within slopeWindowMs,
 // in thousandths of a core per second, or 0 if the CPU falls or the samples cover less than a third of the window.
 func (t *demandTracker) addCPUSample(requestedCPU, now int64) int64 {
@@ -205,31 +199,40 @@
 // CPU of one VM.
 func (e *Engine) measureDemand(vmCPU, now int64) requiredResources {
 	var d requiredResources
-	var waitingWork, requestedCPU, overdueWork, overdueCPU int64
+	var b batchDemand
+	limits := e.demandLimits(now)
 	for _, j := range e.jobs {
-		switch {
-		case j.state.Final():
-		case j.Persistent():
-			d.addPersistent(j)
-		default:
-			work, cpu := outstandingWork(j, vmCPU, now)
-			if now > j.arrivedAt+lateFactor*e.objectiveMs(j) {
-				overdueWork += work
-				overdueCPU += cpu
-				continue
+		if j.state.Final() {
+			continue
+		}
+		limit := limits[j.use]
+		if j.Persistent() {
+			if limit == nil {
+				d.addPersistent(j)
+			} else {
+				limit.addPersistent(j)
 			}
-			waitingWork += work
-			requestedCPU += cpu
+			continue
+		}
+		work, cpu := outstandingWork(j, vmCPU, now)
+		overdue := now > j.arrivedAt+lateFactor*e.objectiveMs(j)
+		if limit == nil {
+			b.add(work, cpu, overdue)
+		} else {
+			limit.addBatch(j, work, cpu, overdue)
 		}
 	}
+	forecast := e.demand.rate.forecast(now, e.forecastMs())
+	for _, limit := range limits {
+		forecast -= limit.addTo(&d, &b)
+	}
 	// Core-milliseconds per second are thousandths of a core. The present jobs can use no more CPU than their items
 	// request. A rise that comes from a few jobs is mostly chance.
 	count := e.demand.rate.countSince(now - rateWindowMs)
-	rise := e.demand.addCPUSample(requestedCPU, now) * e.forecastMs() / 1000 * count / (count + trendHalfWeightJobs)
-	maxForecast := requestedCPU*steadyForecastPercent/100 + rise
-	forecast := e.demand.rate.forecast(now, e.forecastMs())
-	d.batchCPU = max(min(waitingWork*1000/backlogDrainMs, requestedCPU), min(forecast, maxForecast)) +
-		min(overdueWork*1000/overdueDrainMs, overdueCPU)
+	rise := e.demand.addCPUSample(b.cpu, now) * e.forecastMs() / 1000 * count / (count + trendHalfWeightJobs)
+	maxForecast := b.cpu*steadyForecastPercent/100 + rise
+	d.batchCPU = max(min(b.work*1000/backlogDrainMs, b.cpu), min(forecast, maxForecast)) +
+		min(b.overdueWork*1000/overdueDrainMs, b.overdueCPU)
 	return d
 }
 
@@ -262,7 +265,7 @@
 }
 
 // longestPersistentWait returns the longest time in milliseconds that a persistent item has waited for a VM, or -1 if
-// none waits.
+// none waits. An item that its account may not start waits for no VM.
 func (e *Engine) longestPersistentWait(now int64) int64 {
 	waitMs := int64(-1)
 	for _, j := range e.jobs {
@@ -270,7 +273,7 @@
 			continue
 		}
 		for _, it := range j.orderedItems {
-			if it.phase == idle && it.stepDef.Persistent && !it.givenUp {
+			if it.phase == idle && it.stepDef.Persistent && !it.givenUp && e.mayStart(j, it) {
 				waitMs = max(waitMs, now-max(it.phaseSince, j.arrivedAt), 0)
 			}
 		}
@@ -389,7 +392,7 @@
 			continue
 		}
 		for _, it := range j.orderedItems {
-			if it.stepDef.Label != "" && it.phase == idle && !it.done && !it.givenUp && j.predecessorsDone(it) {
+			if it.stepDef.Label != "" && it.phase == idle && !it.done && !it.givenUp && j.predecessorsDone(it) && e.mayStart(j, it) {
 				labels[it.stepDef.Label] = true
 			}
 		}
@@ -426,7 +429,7 @@
 // prepareReport updates the demand report if its lists or numbers of VMs have changed. A change of Urgent alone is not
 // reported.
 func (e *Engine) prepareReport(floor int, now int64) {
-	p := jobs.DemandReport{Epoch: e.cfg.Epoch, Want: e.demand.wantedVMs, Min: floor, Rev: e.demand.report.Rev, Urgent: e.maxUrgency()}
+	p := jobs.DemandReport{Epoch: e.cfg.Epoch, Want: e.demand.wantedVMs, Min: floor, Rev: e.demand.report.Rev, Urgent: e.maxUrgency(now)}
 	for id, v := range e.vms {
 		if !v.listed || v.Draining {
 			continue
@@ -453,11 +456,11 @@
 func (e *Engine) DemandReport() jobs.DemandReport { return e.demand.report }
 
 // maxUrgency returns the urgency of the most urgent queue that has jobs which end by themselves; a higher number goes
-// first.
-func (e *Engine) maxUrgency() int64 {
+// first. Jobs that wait for an allowance don't count.
+func (e *Engine) maxUrgency(now int64) int64 {
 	var best int64
 	for _, j := range e.jobs {
-		if q := e.catalog.Queue(j.Queue); q != nil && !j.Persistent() {
+		if q := e.catalog.Queue(j.Queue); q != nil && !j.Persistent() && !e.heldByLimit(j, now) {
 			best = max(best, int64(priorityLimit-q.Priority))
 		}
 	}
