--- a/core/shard/account_fate_test.go
+++ b/core/shard/account_fate_test.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		for r := range p.runsOf(v) {
-			if run := v.life.Runs[r.item]; run != nil && run.Run == r.run && r.endAt == 0 && !(r.late && p.e.jobs[r.jobID] == nil && r.epoch < p.epoch) {
+			if run := v.life.Runs[r.item]; run != nil && run.Run == r.run && r.endAt == 0 && (!r.late || p.e.jobs[r.jobID] != nil || r.epoch == p.epoch) {
 				j := p.jobs[r.jobID]
 				executed[j.Account] = plus(executed[j.Account], amountOf(&j.Steps[0]), 1)
 			}
