jobs, assign: Serve the work within the shares of all pools first

Cause: machines are divided by all that the pools want. The flood of one account in one pool takes machines from the peak phase of another.

Change: a demand report has the number of VMs for work within the shares of the accounts (WithinShare, left out if it is Want). The machine controller divides by these numbers first, then what is left by all wants, and moves machines in the same order. A report without the number is encoded byte for byte as before and leads to the same decisions. Access is excluded from the generated codec, which did not compile once it was generated again: Access has a Queue, for which no codec is generated any more.

The tests of core/jobs and core/assign pass, the earlier ones unchanged.

--- a/core/assign/move.go
+++ b/core/assign/move.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"sort"
 
 	"sassafrasvalve/core/pools"
@@ -108,22 +109,48 @@
 	return list
 }
 
-// poolForMachine returns the pool that gets a machine: one below its minimum goes first, then the one that misses
-// most machines, then the most urgent one. It returns nil if no pool wants the machine.
+// poolForMachine returns the pool that gets a machine: one below its minimum goes first, then those that miss machines for work
+// within the shares of their accounts, then the one that misses most machines, then the most urgent one. It returns nil if no pool
+// wants the machine.
 func (c *Controller) poolForMachine(list []*shortage, m *machine) *shortage {
 	var best *shortage
 	for _, s := range list {
 		if s.missing <= 0 || s.pool.Pool == m.Pool || c.rejectedMoves[[2]string{m.ID, s.pool.Pool}] {
 			continue
 		}
-		if best == nil || belowMinimum(s) && !belowMinimum(best) || belowMinimum(s) == belowMinimum(best) &&
-			(s.missing > best.missing || s.missing == best.missing && s.urgent > best.urgent) {
+		if best == nil || cmp.Or(cmp.Compare(rankShortage(s), rankShortage(best)), cmp.Compare(missingFirst(s), missingFirst(best)),
+			cmp.Compare(s.urgent, best.urgent)) > 0 {
 			best = s
 		}
 	}
 	return best
 }
 
+// rankShortage returns 2 for a pool below its minimum, 1 for one that misses machines for work within the shares of its accounts, and
+// 0 for others.
+func rankShortage(s *shortage) int {
+	switch {
+	case belowMinimum(s):
+		return 2
+	case missingWithinShare(s) > 0:
+		return 1
+	}
+	return 0
+}
+
+// missingFirst returns the number of machines that a pool misses for work within the shares or, if it has these, for all its work.
+func missingFirst(s *shortage) int {
+	if n := missingWithinShare(s); n > 0 {
+		return n
+	}
+	return s.missing
+}
+
+// missingWithinShare returns the number of machines that a pool misses for work within the shares of its accounts.
+func missingWithinShare(s *shortage) int {
+	return min(s.target, s.pool.Report.WantWithinShare()) - (s.target - s.missing)
+}
+
 // belowMinimum reports whether a pool has fewer machines than its persistent work needs.
 func belowMinimum(s *shortage) bool { return s.target-s.missing < s.pool.Report.Min }
 
--- a/core/assign/share.go
+++ b/core/assign/share.go
@@ -20,12 +20,11 @@
 
 // divideMachines returns the number of machines that each pool may have while the pools together want more than there
 // are, and nil otherwise. What a pool needs for its persistent items comes first. The rest is divided by what the pools
-// want beyond that, so that no kind of work goes without while another has all it asks for.
+// want beyond that, so that no kind of work goes without while another has all it asks for. Work beyond the shares of its
+// accounts gets what all work within the shares leaves.
 func (c *Controller) divideMachines() map[string]int {
 	available, wanted := c.countAvailable(), 0
-	open := map[string]float64{} // weighted wants of the pools that get less than they want
 	shares := map[string]int{}
-	least := c.leastUrgency()
 	for i := range c.view.Pools {
 		p := &c.view.Pools[i]
 		if p.Spare {
@@ -34,20 +33,27 @@
 		wanted += max(p.Report.Want, p.Report.Min)
 		shares[p.Pool] = p.Report.Min
 		available -= p.Report.Min
-		if more := p.Report.Want - p.Report.Min; more > 0 {
-			open[p.Pool] = float64(more) * math.Exp2(float64(min(p.Report.Urgent-least, maxUrgencySteps)))
-		}
 	}
 	if wanted <= c.countAvailable() {
 		return nil
 	}
-	c.divideRest(shares, open, available)
+	available = c.divideRest(shares, (*jobs.DemandReport).WantWithinShare, available)
+	c.divideRest(shares, func(r *jobs.DemandReport) int { return r.Want }, available)
 	return shares
 }
 
-// divideRest adds the available machines to the shares of the open pools in proportion to their weighted wants. A pool
-// gets no more than it wants, and the others get what it leaves.
-func (c *Controller) divideRest(shares map[string]int, open map[string]float64, available int) {
+// divideRest adds the available machines to the shares of the pools that want more, in proportion to how much more, weighted by
+// urgency. A pool gets no more than it wants, and the others get what it leaves. It returns the number of machines that no pool
+// wants.
+func (c *Controller) divideRest(shares map[string]int, want func(*jobs.DemandReport) int, available int) int {
+	open := map[string]float64{} // weighted wants of the pools that get less than they want
+	least := c.leastUrgency()
+	for i := range c.view.Pools {
+		p := &c.view.Pools[i]
+		if more := want(&p.Report) - shares[p.Pool]; more > 0 && !p.Spare {
+			open[p.Pool] = float64(more) * math.Exp2(float64(min(p.Report.Urgent-least, maxUrgencySteps)))
+		}
+	}
 	for available > 0 && len(open) > 0 {
 		var sum float64
 		for _, w := range open {
@@ -55,7 +61,7 @@
 		}
 		satisfied, rest := false, available
 		for pool, w := range open {
-			if more := c.poolDemand(pool).Report.Want - shares[pool]; float64(more) <= float64(available)*w/sum {
+			if more := want(&c.poolDemand(pool).Report) - shares[pool]; float64(more) <= float64(available)*w/sum {
 				shares[pool] += more
 				rest -= more
 				delete(open, pool)
@@ -66,10 +72,11 @@
 			for pool, w := range open {
 				shares[pool] += int(float64(available) * w / sum)
 			}
-			return
+			return 0
 		}
 		available = rest
 	}
+	return available
 }
 
 // countAvailable returns the number of machines that have a VM or will soon have one.
--- a/core/assign/share_test.go
+++ b/core/assign/share_test.go
@@ -102,3 +102,35 @@
 		assert.Equal(t, o.Spec, "hold")
 	}
 }
+
+// TestWorkBeyondSharesTakesNoMachines guards against a pool that is flooded by one account and so takes machines from the work
+// within the shares of other pools.
+func TestWorkBeyondSharesTakesNoMachines(t *testing.T) {
+	flooded := PoolDemand{Pool: "flooded", Report: jobs.DemandReport{Want: 400, WithinShare: 30, Urgent: testUrgent}}
+	turn := PoolDemand{Pool: "turn", Report: jobs.DemandReport{Want: 60, Urgent: testUrgent}}
+	for _, c := range []struct {
+		name          string
+		flooded, turn int
+		within        int
+		limits        []jobs.PoolLimit
+	}{
+		{"the rest goes to the flood", 97, 3, 30, []jobs.PoolLimit{{Service: "flooded", VMs: 40}}},
+		{"all is within the shares", 97, 3, 0, []jobs.PoolLimit{{Service: "flooded", VMs: 86}}},
+		{"too few for the work within the shares", 97, 3, 140, []jobs.PoolLimit{{Service: "flooded", VMs: 70}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			flooded.Report.WithinShare = c.within
+			controller := New(Config{Epoch: 1})
+			controller.Plan(busyFleet([]PoolDemand{flooded, turn}, []int{c.flooded, c.turn}), 10_000)
+			assert.DeepEqual(t, recordedLimits(t, controller, jobs.NewDirectory()), c.limits)
+		})
+	}
+	flooded.Report.WithinShare = 30
+	v := busyFleet([]PoolDemand{flooded, turn, {Pool: "gives"}}, []int{30, 30, 40})
+	for n := range 20 {
+		v.Pools[2].Report.Offers = append(v.Pools[2].Report.Offers, fmt.Sprint("vm-gives", n))
+	}
+	for _, o := range New(Config{Epoch: 1}).Plan(v, 10_000) {
+		assert.Equal(t, o.Spec, "turn", "the pool within its shares comes first")
+	}
+}
--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -6,7 +6,7 @@
 // the process. An occurrence of a job has at most 10,000 items, of which few are open at once, and a fleet has some
 // thousand VMs.
 //msgp:limit arrays:262144 maps:262144
-//msgp:ignore Amount KeyDigest Account Accounts Catalog Queue Pool
+//msgp:ignore Amount KeyDigest Account Accounts Access Catalog Queue Pool
 
 import (
 	"fmt"
--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -199,33 +199,51 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *DemandReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "e"
-	o = append(o, 0x87, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Epoch)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt64(o, z.Rev)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt(o, z.Want)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt(o, z.Min)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt64(o, z.Urgent)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Offers)))
-	for za0001 := range z.Offers {
-		o = msgp.AppendString(o, z.Offers[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.WithinShare == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Clear)))
-	for za0002 := range z.Clear {
-		o = msgp.AppendString(o, z.Clear[za0002])
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendInt64(o, z.Epoch)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendInt64(o, z.Rev)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt(o, z.Want)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendInt(o, z.Min)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendInt64(o, z.Urgent)
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Offers)))
+		for za0001 := range z.Offers {
+			o = msgp.AppendString(o, z.Offers[za0001])
+		}
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Clear)))
+		for za0002 := range z.Clear {
+			o = msgp.AppendString(o, z.Clear[za0002])
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendInt(o, z.WithinShare)
+		}
 	}
 	return
 }
@@ -328,6 +346,12 @@
 					return
 				}
 			}
+		case "s":
+			z.WithinShare, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WithinShare")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -350,6 +374,7 @@
 	for za0002 := range z.Clear {
 		s += msgp.StringPrefixSize + len(z.Clear[za0002])
 	}
+	s += 2 + msgp.IntSize
 	return
 }
 
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -101,6 +101,16 @@
 	Urgent int64    `msg:"u"` // value of another VM for the pool; pools with higher values are served first
 	Offers []string `msg:"o"` // VMs without runs that the pool does not use
 	Clear  []string `msg:"c"` // VMs to vacate that no longer run anything
+	// WithinShare is the number of VMs that the pool can use now for work within the shares of its accounts. It is 0 if that is Want.
+	WithinShare int `msg:"s,omitempty"`
+}
+
+// WantWithinShare returns the number of VMs that the pool can use now for work within the shares of its accounts, at most Want.
+func (p *DemandReport) WantWithinShare() int {
+	if p.WithinShare <= 0 {
+		return p.Want
+	}
+	return min(p.WithinShare, p.Want)
 }
 
 // NewerThan reports whether p was made after o: in a later epoch, or with a higher Rev in the same epoch.
