shard: Place work within the shares of accounts first

Cause: within a tier, candidates are ordered by slack only, so that the jobs of an account that sends 12 times its usual come before those of other accounts in proportion to their number.

Change: if the configuration has accounts and the ready items exceed the free room, orderByShare moves what is beyond the share of its account behind all other work of the same tier. The items of a job may be on both sides; a gang is not divided. Work is the item's dominant resource times its time, sampled each 100 ms over the last 4 s. The demand report gets the VMs wanted for work within the shares: an account counts with at most its part, by weight, of the largest pool of the last turns (or of the fleet, SetFleetVMs). Accounts that had work within the last 20 s take part, so that a flood is not within its share once the others' turn is over. SetServedElsewhere adds the work of other pools. Without accounts, order and report are unchanged.

--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -124,6 +124,7 @@
 
 // updateDemand computes the number of wanted VMs, and updates the offers and the demand report.
 func (e *Engine) updateDemand(now int64) {
+	e.sampleShares(now)
 	vmCPU, vmMemMB := e.vmSize()
 	if vmCPU == 0 || vmMemMB == 0 {
 		return
@@ -142,6 +143,7 @@
 	}
 	wanted := max(floor, int((d.batchCPU*100/targetUsePercent+d.persistentCPU+vmCPU-1)/vmCPU))
 	e.demand.wantedVMs = max(e.addWantedSample(wanted, now), e.updateHeldDemand(now))
+	e.updateShareDemand(d, floor, vmCPU, now)
 	e.updateOffers(floor, now)
 	e.prepareReport(floor, now)
 }
@@ -206,6 +208,7 @@
 func (e *Engine) measureDemand(vmCPU, now int64) requiredResources {
 	var d requiredResources
 	var waitingWork, requestedCPU, overdueWork, overdueCPU int64
+	e.shares.resetDemand()
 	for _, j := range e.jobs {
 		switch {
 		case j.state.Final():
@@ -213,6 +216,7 @@
 			d.addPersistent(j)
 		default:
 			work, cpu := outstandingWork(j, vmCPU, now)
+			e.addShareDemand(j, work, cpu, now)
 			if now > j.arrivedAt+lateFactor*e.objectiveMs(j) {
 				overdueWork += work
 				overdueCPU += cpu
@@ -311,15 +315,20 @@
 // addWantedSample adds a value of wanted VMs and returns the largest one within offerDelayMs, so that a short lull
 // releases no VM.
 func (e *Engine) addWantedSample(wanted int, now int64) int {
-	kept := e.demand.recentWanted[:0]
-	for _, p := range e.demand.recentWanted {
+	return addRecent(&e.demand.recentWanted, wanted, now)
+}
+
+// addRecent adds a number of VMs to samples and returns the largest one within offerDelayMs.
+func addRecent(recent *[]sample, wanted int, now int64) int {
+	kept := (*recent)[:0]
+	for _, p := range *recent {
 		if p.at > now-offerDelayMs {
 			kept = append(kept, p)
 		}
 	}
 	kept = append(kept, sample{now, int64(wanted)})
-	e.demand.recentWanted = kept
-	for _, p := range e.demand.recentWanted {
+	*recent = kept
+	for _, p := range kept {
 		wanted = max(wanted, int(p.value))
 	}
 	return wanted
@@ -426,7 +435,7 @@
 // prepareReport updates the demand report if its lists or numbers of VMs have changed. A change of Urgent alone is not
 // reported.
 func (e *Engine) prepareReport(floor int, now int64) {
-	p := jobs.DemandReport{Epoch: e.cfg.Epoch, Want: e.demand.wantedVMs, Min: floor, Rev: e.demand.report.Rev, Urgent: e.maxUrgency()}
+	p := jobs.DemandReport{Epoch: e.cfg.Epoch, Want: e.demand.wantedVMs, Min: floor, Rev: e.demand.report.Rev, Urgent: e.maxUrgency(), WithinShare: e.shares.demand.vms}
 	for id, v := range e.vms {
 		if !v.listed || v.Draining {
 			continue
@@ -442,7 +451,7 @@
 	sort.Strings(p.Clear)
 	last := &e.demand.report
 	listsChanged := !slices.Equal(p.Offers, last.Offers) || !slices.Equal(p.Clear, last.Clear)
-	if !listsChanged && (p.Want == last.Want && p.Min == last.Min || now-e.demand.reportedAt < reportIntervalMs) {
+	if !listsChanged && (!wantsChanged(&p, last) || now-e.demand.reportedAt < reportIntervalMs) {
 		return
 	}
 	p.Rev++
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -100,6 +100,7 @@
 	crashes          []vmCrash // crashes of VMs within crashMemoryMs, as of the last one
 
 	demand demandTracker
+	shares poolShares
 }
 
 // keptRecord is a record that is kept until deleteAt: the state of an ended job, for callers, the exclusion of a job, or the
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -48,6 +48,7 @@
 	}
 	p := newPlacement(e.usableVMs(now))
 	e.addClosedVMs(p, now)
+	list = e.orderByShare(list, p, now)
 	var starts []start
 	for _, c := range list {
 		if len(starts) >= e.startWindow.available() {
