owner, node: Report what accounts use, and apply the allocator's grants

Change: each owner of a pool reports to the process of the machine controller, over jsonrpc2, and starts items within the allowance that it is granted. The machine controller records the number of machines if the configuration has accounts, so that owners know what the accounts share. Without limits in the configuration no report is sent.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -65,6 +65,7 @@
 	ListedAtMs int64 // local ms at which the machine list was requested, 0 before the first
 	Pools      []PoolDemand
 	Upkeeps    map[jobs.Upkeep]bool // recorded upkeeps: false if ordered, true if done
+	Accounts   bool                 // the configuration has client accounts, among which owners divide their pools
 }
 
 // Controller holds the machines, waves and open orders of one machine controller. It is not safe for concurrent use.
@@ -86,6 +87,7 @@
 	limits          []jobs.PoolLimit // as last recorded
 	joinMs          int64            // time that a move takes, 0 if unknown
 	recordedJoinMs  int64            // joinMs as last recorded
+	fleet           int              // machines of all pools as last recorded, 0 without client accounts
 }
 
 // Event is a decision or observation that is logged and counted.
@@ -147,7 +149,7 @@
 	}
 	c.upkeepsToRecord = nil
 	if c.vacateDirty {
-		v := jobs.VacateRequest{VMs: c.vmsToVacate, JoinMs: c.joinMs, Limits: c.limits}
+		v := jobs.VacateRequest{VMs: c.vmsToVacate, JoinMs: c.joinMs, Limits: c.limits, Machines: c.fleet}
 		value, err := v.MarshalMsg(nil)
 		if err != nil {
 			return nil, err
@@ -170,6 +172,7 @@
 	c.quota.refill(now)
 	have := c.countMachines()
 	c.updateLimits(have)
+	c.updateFleet()
 	c.shortages = c.findShortages(have)
 	vacate := c.planWaves(now)
 	if !slices.Equal(vacate, c.vmsToVacate) {
@@ -254,6 +257,24 @@
 	}
 }
 
+// fleetChangePercent is the change of the number of machines that is recorded.
+const fleetChangePercent = 5
+
+// updateFleet counts the machines of all pools, and has the number recorded after a large change if owners need it.
+func (c *Controller) updateFleet() {
+	n := 0
+	if c.view.Accounts {
+		for _, m := range c.machines {
+			if m.listed {
+				n++
+			}
+		}
+	}
+	if max(n-c.fleet, c.fleet-n)*100 > c.fleet*fleetChangePercent {
+		c.fleet, c.vacateDirty = n, true
+	}
+}
+
 // updateOffers tracks since when the owner of its pool has offered each machine.
 func (c *Controller) updateOffers(now int64) {
 	offered := map[string]bool{}
--- a/core/jobs/account.go
+++ b/core/jobs/account.go
@@ -34,6 +34,7 @@
 	list   []Account
 	byName map[string]int
 	byKey  map[KeyDigest]int
+	limits bool // an account has a limit
 }
 
 // NewAccounts returns the accounts of a list, in its order. It returns an error if an account has no name, a name or a key occurs
@@ -55,6 +56,7 @@
 			return Accounts{}, fmt.Errorf("client account %q is listed twice", acc.Name)
 		}
 		a.byName[acc.Name] = i
+		a.limits = a.limits || acc.Max != Amount{}
 		for _, k := range acc.Keys {
 			if k == empty {
 				return Accounts{}, fmt.Errorf("client account %q has an empty API key", acc.Name)
@@ -71,6 +73,9 @@
 // Len returns the number of accounts. Without accounts callers need no key.
 func (a *Accounts) Len() int { return len(a.list) }
 
+// HasLimits reports whether an account has a limit.
+func (a *Accounts) HasLimits() bool { return a.limits }
+
 // All returns all accounts. The caller must not change them.
 func (a *Accounts) All() []Account { return a.list }
 
--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -1949,27 +1949,45 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *VacateRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "v"
-	o = append(o, 0x83, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
-	for za0001 := range z.VMs {
-		o = msgp.AppendString(o, z.VMs[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Machines == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	// string "j"
-	o = append(o, 0xa1, 0x6a)
-	o = msgp.AppendInt64(o, z.JoinMs)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
-	for za0002 := range z.Limits {
-		// map header, size 2
-		// string "s"
-		o = append(o, 0x82, 0xa1, 0x73)
-		o = msgp.AppendString(o, z.Limits[za0002].Service)
-		// string "n"
-		o = append(o, 0xa1, 0x6e)
-		o = msgp.AppendInt(o, z.Limits[za0002].VMs)
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.VMs)))
+		for za0001 := range z.VMs {
+			o = msgp.AppendString(o, z.VMs[za0001])
+		}
+		// string "j"
+		o = append(o, 0xa1, 0x6a)
+		o = msgp.AppendInt64(o, z.JoinMs)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+		for za0002 := range z.Limits {
+			// map header, size 2
+			// string "s"
+			o = append(o, 0x82, 0xa1, 0x73)
+			o = msgp.AppendString(o, z.Limits[za0002].Service)
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendInt(o, z.Limits[za0002].VMs)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendInt(o, z.Machines)
+		}
 	}
 	return
 }
@@ -2081,6 +2099,12 @@
 					}
 				}
 			}
+		case "n":
+			z.Machines, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Machines")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2103,5 +2127,6 @@
 	for za0002 := range z.Limits {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Limits[za0002].Service) + 2 + msgp.IntSize
 	}
+	s += 2 + msgp.IntSize
 	return
 }
--- a/core/jobs/progress.go
+++ b/core/jobs/progress.go
@@ -124,6 +124,8 @@
 	VMs    []string    `msg:"v"` // VMs that are due for upkeep and must be vacated
 	JoinMs int64       `msg:"j"` // time from a move order until the machine has a VM in its new pool, 0 if unknown
 	Limits []PoolLimit `msg:"l"` // pools that have more VMs than their share while there are too few machines
+	// Machines is the number of machines of all pools. It is recorded only if the configuration has client accounts.
+	Machines int `msg:"n,omitempty"`
 }
 
 // PoolLimit is the largest number of VMs that a pool should keep.
--- a/core/shard/account.go
+++ b/core/shard/account.go
@@ -1,6 +1,10 @@
 package shard
 
-import "sassafrasvalve/core/jobs"
+import (
+	"cmp"
+
+	"sassafrasvalve/core/jobs"
+)
 
 // Allowances tells what client accounts may start in this shard. It is asked for jobs that belong to an account only.
 type Allowances interface {
@@ -30,6 +34,7 @@
 	// Incomplete is true while Unknown may be too low, because it is not known which VMs an earlier owner may have used.
 	Incomplete bool
 	Want       jobs.Amount // Used and the items that may start now, at most NoLimit of each resource
+	Item       jobs.Amount // the smallest of these items by its CPU and memory, zero if there is none
 	Running    int         // runs that Used counts
 	Waiting    int         // items that may start now
 	AtLimit    int         // those of them that the last placement left out because of the allowance
@@ -232,6 +237,7 @@
 		}
 		a := uses[j.use.name]
 		a.Waiting += len(ready)
+		a.Item = smallerItem(a.Item, ready)
 		for _, it := range ready {
 			if it.open.vm == "" { // otherwise it counts as used
 				a.Want = within(plus(a.Want, amountOf(it.stepDef), 1))
@@ -242,6 +248,17 @@
 	return uses
 }
 
+// smallerItem returns the smallest of an amount, unless it is zero, and those of items.
+func smallerItem(smallest jobs.Amount, items []*item) jobs.Amount {
+	for _, it := range items {
+		a := amountOf(it.stepDef)
+		if smallest == (jobs.Amount{}) || cmp.Or(cmp.Compare(a.CPU, smallest.CPU), cmp.Compare(a.MemMB, smallest.MemMB)) < 0 {
+			smallest = a
+		}
+	}
+	return smallest
+}
+
 // UnknownUse returns what each account may use in this shard without the engine's knowledge, also one without jobs here, and false
 // if it may be more.
 func (e *Engine) UnknownUse(now int64) (amount jobs.Amount, complete bool) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -321,11 +321,12 @@
 	if service == controllerShard {
 		return owner.NewControllerRunner(owner.ControllerConfig{
 			Cloud: n.cloud, Waves: n.waves.list, Demands: n.demands, Upkeeps: n.directory.Upkeeps,
-			ReportWave: n.waves.reportStatus, SettleMs: n.cfg.Times.LeaseMs, OrdersPerS: n.cfg.Cloud.CallsPerS, Stats: n.stats,
+			Accounts: n.accounts, ShardEpochs: n.shardEpochs, ReportWave: n.waves.reportStatus, SettleMs: n.cfg.Times.LeaseMs, OrdersPerS: n.cfg.Cloud.CallsPerS, Stats: n.stats,
 		})
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
-		Service: service, Registry: n.registry, Catalog: n.catalog.Current,
+		Service: service, Registry: n.registry, Catalog: n.catalog.Current, CatalogFresh: n.catalogFresh,
+		Allocation: &allocation{n}, FleetVMs: n.directory.Machines,
 		VMsToVacate: n.directory.VMsToVacate, JoinMs: n.directory.JoinMs, VMLimit: n.directory.VMLimit, ReportDemand: n.reportDemand, Relay: n.relayClient, DirectVMs: n.peers.relaySet.DirectVMs(),
 		ListMachines: n.cloud.ListMachines, QueryPolicy: n.policy.Query, Stats: n.stats,
 		Engine: shard.Config{
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -168,6 +168,7 @@
 		return o.excludeLocal(ctx, req.Part, req.ID)
 	})
 	handle(s, methodWaiting, func(_ context.Context, req waitingRequest) any { return o.localQueueLength(req.Part, req.Queue) })
+	handle(s, methodAllowance, func(_ context.Context, req allowanceRequest) any { return o.localAllowance(req.Part, req.Report) })
 	handle(s, relay.MethodOffer, func(_ context.Context, req relay.Offer) any { return o.relaySet.Offer(req) })
 	handle(s, methodOwns, func(_ context.Context, req ownsRequest) any {
 		own := o.find(req.Part)
--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -14,6 +14,7 @@
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
+	"sassafrasvalve/core/quota"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/io/wire"
 	"sassafrasvalve/platform"
@@ -47,7 +48,11 @@
 	Demands    func() []assign.PoolDemand    // newest demand reports of the pools
 	Upkeeps    func() map[jobs.Upkeep]bool   // recorded upkeeps, true if done
 	ReportWave func(wave int, complete bool) // called for each wave in each tick
-	SettleMs   int64                         // time without orders after the takeover from a silent machine controller
+	// Accounts returns the configuration and whether it is certainly in force.
+	Accounts func() (c *jobs.Catalog, fresh bool)
+	// ShardEpochs returns the epochs of the owners of all shards that have or had one.
+	ShardEpochs func() map[int]int64
+	SettleMs    int64                         // time without orders after the takeover from a silent machine controller
 	OrdersPerS float64                       // orders per second that the platform accepts, 0 for no limit
 	Stats      *stats.Stats
 }
@@ -83,6 +88,10 @@
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.wg.Wait()
 	defer r.cancel()
+	r.allocator = quota.NewAllocator(quota.AllocatorConfig{Epoch: o.Epoch()})
+	o.controller.Store(r)
+	defer o.controller.Store(nil)
+	go r.catchUpLoop()
 	go r.listLoop()
 	for range orderLoopCount {
 		r.wg.Add(1)
@@ -113,6 +122,10 @@
 	controller *assign.Controller
 	machines   []pools.Machine
 	listedAtMs int64 // local ms at which the read of machines began
+
+	allocatorMu sync.Mutex // guards the following
+	allocator   *quota.Allocator
+	caughtUp    bool // the owners' partition was read up to this claim, so that all owners of shards are known
 }
 
 // loop runs ticks until ctx ends, then returns true. It returns false if a tick fails.
@@ -137,9 +150,11 @@
 	now := clock.BootMs()
 	waves := r.cfg.Waves()
 	upkeeps := r.cfg.Upkeeps()
+	catalog, _ := r.cfg.Accounts()
 	r.mu.Lock()
 	orders := r.controller.Plan(assign.View{
 		Waves: waves, Machines: r.machines, ListedAtMs: r.listedAtMs, Pools: r.cfg.Demands(), Upkeeps: upkeeps,
+		Accounts: catalog != nil && catalog.Accounts.Len() > 0,
 	}, now)
 	records, err := r.controller.TakeRecords()
 	events := r.controller.TakeEvents()
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -132,6 +132,7 @@
 	lost            atomic.Bool                       // another process owns the shard
 	inbox           chan *pendingRecords              // records that this and other entries submitted
 	run             atomic.Pointer[poolRun]           // nil while this process does not run the shard's pool
+	controller      atomic.Pointer[controllerRun]     // nil while this process is not the machine controller
 	demand          atomic.Pointer[jobs.DemandReport] // newest report, written with the next renewal
 	ownership       atomic.Pointer[ownership]         // nil while this process does not own the shard
 	// claimRequest is signalled when another process released the shard for this one. Its capacity is 1.
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -57,6 +57,12 @@
 	Service  string
 	Registry VMRegistry
 	Catalog  func() *jobs.Catalog
+	// CatalogFresh reports whether the configuration is certainly in force.
+	CatalogFresh func() bool
+	// Allocation calls the allocator of the accounts' allowances.
+	Allocation Allocation
+	// FleetVMs returns the number of machines of all pools, 0 if it is unknown.
+	FleetVMs func() int
 	// Relay returns a client that calls a VM through another entry. It is used for the VMs beyond the first DirectVMs.
 	// Nil means that this process calls all VMs itself.
 	Relay     func(vm pools.VM) VMClient
@@ -112,8 +118,9 @@
 	cancel        context.CancelFunc
 	wg            sync.WaitGroup // of the loops that send orders or append; loops that only query end by their deadlines
 
-	mu     sync.Mutex // guards engine
-	engine *shard.Engine
+	mu         sync.Mutex // guards the following
+	engine     *shard.Engine
+	allowances *poolAllowances
 
 	// The following are written by the loop only. Other goroutines read the atomic ones.
 	sessions     map[string]*vmSession
@@ -217,6 +224,9 @@
 	now, unixMs := clock.BootMs(), time.Now().UnixMilli()
 	cfg := r.cfg.Engine
 	cfg.Service, cfg.Epoch = r.cfg.Service, r.o.Epoch()
+	r.allowances = newPoolAllowances(r.cfg.Allocation, r.o)
+	r.allowances.holder.SetConfig(r.cfg.Catalog(), r.cfg.CatalogFresh())
+	cfg.Allowances = r.allowances
 	r.engine = shard.New(cfg, r.cfg.Catalog(), now)
 	r.engine.MarkOwnershipConfirmed(r.o.health.confirmedAtMs.Load())
 	r.engine.RestoreDemand(r.o.cfg.Directory.Shard(r.o.cfg.Part).Demand, now)
@@ -249,6 +259,7 @@
 	go r.appendLoop(calls, appended)
 	go r.machineListLoop()
 	go r.policyLoop()
+	go r.allowanceLoop()
 	for {
 		select {
 		case ok := <-appended:
@@ -353,7 +364,10 @@
 	now, unixMs := clock.BootMs(), time.Now().UnixMilli()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.engine.SetCatalog(r.cfg.Catalog())
+	catalog := r.cfg.Catalog()
+	r.engine.SetCatalog(catalog)
+	r.allowances.holder.SetConfig(catalog, r.cfg.CatalogFresh())
+	r.engine.SetFleetVMs(r.cfg.FleetVMs())
 	r.engine.SetVMsToVacate(r.cfg.VMsToVacate())
 	r.engine.SetJoinMs(r.cfg.JoinMs())
 	r.engine.SetVMLimit(r.cfg.VMLimit(r.cfg.Service))
--- a/io/tail/directory.go
+++ b/io/tail/directory.go
@@ -94,6 +94,13 @@
 	return d.fold.Vacate.JoinMs
 }
 
+// Machines returns the number of machines of all pools, 0 if the machine controller has not recorded it.
+func (d *Directory) Machines() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fold.Vacate.Machines
+}
+
 // VMLimit returns the largest number of VMs that the pool of a service should keep, or 0 if there is no limit.
 func (d *Directory) VMLimit(service string) int {
 	d.mu.Lock()
