--- a/io/owner/stop_test.go
+++ b/io/owner/stop_test.go
@@ -12,6 +12,7 @@
 	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
+	"sassafrasvalve/core/quota"
 	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/stats"
 	"sassafrasvalve/io/tail"
@@ -40,6 +41,13 @@
 
 func (p *singleVMRegistry) Client(pools.VM) VMClient { return &p.vm }
 
+// noAllocation is an Allocation without an allocator.
+type noAllocation struct{}
+
+func (noAllocation) Allowance(context.Context, quota.Report) (quota.Grant, error) { return quota.Grant{}, nil }
+
+func (noAllocation) AllocatorEpoch() int64 { return 0 }
+
 // newTestRun returns a run of a pool whose shard this process owns.
 func newTestRun(l Store, registry VMRegistry, catalog func() *jobs.Catalog) *poolRun {
 	directory := tail.NewDirectory(l, false, zap.NewNop())
@@ -49,7 +57,8 @@
 		Service: "s", Registry: registry, Catalog: catalog, Stats: stats.New(),
 		ListMachines: func(time.Time) ([]pools.Machine, error) { return nil, nil },
 		ReportDemand: func(string, jobs.DemandReport) {}, VMsToVacate: func() []string { return nil }, JoinMs: func() int64 { return 0 },
-		VMLimit: func(string) int { return 0 },
+		VMLimit: func(string) int { return 0 }, FleetVMs: func() int { return 0 },
+		CatalogFresh: func() bool { return true }, Allocation: noAllocation{},
 		Engine:  shard.Config{StatusRetentionMs: 1000},
 	}, o)
 	r.writer.store = l
