owner, node, stats: Show the client accounts of each pool

Cause: an operator could not see what an account runs, waits for and may use, nor why a job waits.

Change: gauges of items by state, of the amounts in use and of the allowances, for 50 accounts by name and the others together; the accounts with most waiting items in the line 'pool state'; and /explain/ID beside the metrics, which tells why a job waits. Without accounts in the configuration nothing is added.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -59,24 +59,26 @@
 
 // Node runs one entry on the platform.
 type Node struct {
-	cfg        *Settings
-	log        *zap.Logger
-	level      zap.AtomicLevel
-	sink       *logs.Sink
-	member     string
-	store      *platform.Store
-	cloud      *platform.Cloud
-	policy     *platform.Policy
-	catalog    *catalog
-	shards     *shardMap
-	waves      *waves
-	registry   *vmreg.Registry
-	peers      *shardOwners
-	directory  *tail.Directory
-	stats      *stats.Stats
-	ownedCount atomic.Int64 // number of shards that owners in this process own
-	claimMu    sync.Mutex   // held by an owner in this process while it claims a shard
-	leaving    atomic.Bool  // the entry is stopping
+	cfg       *Settings
+	log       *zap.Logger
+	level     zap.AtomicLevel
+	sink      *logs.Sink
+	member    string
+	store     *platform.Store
+	cloud     *platform.Cloud
+	policy    *platform.Policy
+	catalog   *catalog
+	shards    *shardMap
+	waves     *waves
+	registry  *vmreg.Registry
+	peers     *shardOwners
+	directory *tail.Directory
+	stats     *stats.Stats
+	// accountStates holds the client accounts of the pools whose shards owners in this process own.
+	accountStates *owner.AccountStates
+	ownedCount    atomic.Int64 // number of shards that owners in this process own
+	claimMu       sync.Mutex   // held by an owner in this process while it claims a shard
+	leaving       atomic.Bool  // the entry is stopping
 
 	ctx          context.Context // of all goroutines of the entry
 	owners       sync.WaitGroup  // of the owners' goroutines
@@ -119,6 +121,8 @@
 	n.catalog.feed = feed.New(feed.Config{
 		Store: n.store, Topic: platform.TopicOperator, Wait: configReadWait(s.Times.ConfigMs), Log: log, Apply: n.catalog.apply,
 	})
+	n.accountStates = &owner.AccountStates{}
+	n.accountStates.AddGauges(n.stats)
 	n.addGauges()
 	n.shards = newShardMap(shardMapConfig{Store: n.store, Parts: s.Store.Parts, Log: log, Open: n.openShard})
 	return n, nil
@@ -326,7 +330,7 @@
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
 		Service: service, Registry: n.registry, Catalog: n.catalog.Current, CatalogFresh: n.catalogFresh,
-		Allocation: &allocation{n}, FleetVMs: n.directory.Machines,
+		Allocation: &allocation{n}, AccountStates: n.accountStates, FleetVMs: n.directory.Machines,
 		VMsToVacate: n.directory.VMsToVacate, JoinMs: n.directory.JoinMs, VMLimit: n.directory.VMLimit, ReportDemand: n.reportDemand, Relay: n.relayClient, DirectVMs: n.peers.relaySet.DirectVMs(),
 		ListMachines: n.cloud.ListMachines, QueryPolicy: n.policy.Query, Stats: n.stats,
 		Engine: shard.Config{
@@ -429,7 +433,21 @@
 			n.log.Info("write metrics failed", zap.Error(err))
 		}
 	})
+	mux.HandleFunc("/explain/{id}", n.explainJob)
 	go n.serve(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, l, failed)
 }
 
+// explainJob answers an operator's request with the reason for which a job waits, if this process owns its shard.
+func (n *Node) explainJob(w http.ResponseWriter, r *http.Request) {
+	for _, part := range n.shards.Parts() {
+		if own := n.peers.find(part); own != nil {
+			if text := own.Explain(r.PathValue("id")); text != "" {
+				_, _ = fmt.Fprintln(w, text) // a write error means that the operator has disconnected
+				return
+			}
+		}
+	}
+	http.Error(w, "this entry owns no shard that has the job", http.StatusNotFound)
+}
+
 var _ jobapi.Catalog = (*catalog)(nil)
--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -52,9 +52,9 @@
 	Accounts func() (c *jobs.Catalog, fresh bool)
 	// ShardEpochs returns the epochs of the owners of all shards that have or had one.
 	ShardEpochs func() map[int]int64
-	SettleMs    int64                         // time without orders after the takeover from a silent machine controller
-	OrdersPerS float64                       // orders per second that the platform accepts, 0 for no limit
-	Stats      *stats.Stats
+	SettleMs    int64   // time without orders after the takeover from a silent machine controller
+	OrdersPerS  float64 // orders per second that the platform accepts, 0 for no limit
+	Stats       *stats.Stats
 }
 
 // ControllerRunner assigns machines to pools and orders their upkeep while this process is the machine controller.
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -61,6 +61,8 @@
 	CatalogFresh func() bool
 	// Allocation calls the allocator of the accounts' allowances.
 	Allocation Allocation
+	// AccountStates gets the states of the pool's client accounts.
+	AccountStates *AccountStates
 	// FleetVMs returns the number of machines of all pools, 0 if it is unknown.
 	FleetVMs func() int
 	// Relay returns a client that calls a VM through another entry. It is used for the VMs beyond the first DirectVMs.
@@ -192,6 +194,7 @@
 	defer r.wg.Wait()
 	defer r.cancel()
 	defer r.cfg.Registry.Watch(r.wake)()
+	defer r.cfg.AccountStates.set(r.cfg.Service, nil)
 	if !r.takeOver(ctx) {
 		return r.o.recordsComplete() // nothing was done, also about what an earlier owner left unrecorded
 	}
--- a/io/owner/stop_test.go
+++ b/io/owner/stop_test.go
@@ -44,7 +44,9 @@
 // noAllocation is an Allocation without an allocator.
 type noAllocation struct{}
 
-func (noAllocation) Allowance(context.Context, quota.Report) (quota.Grant, error) { return quota.Grant{}, nil }
+func (noAllocation) Allowance(context.Context, quota.Report) (quota.Grant, error) {
+	return quota.Grant{}, nil
+}
 
 func (noAllocation) AllocatorEpoch() int64 { return 0 }
 
@@ -58,8 +60,8 @@
 		ListMachines: func(time.Time) ([]pools.Machine, error) { return nil, nil },
 		ReportDemand: func(string, jobs.DemandReport) {}, VMsToVacate: func() []string { return nil }, JoinMs: func() int64 { return 0 },
 		VMLimit: func(string) int { return 0 }, FleetVMs: func() int { return 0 },
-		CatalogFresh: func() bool { return true }, Allocation: noAllocation{},
-		Engine:  shard.Config{StatusRetentionMs: 1000},
+		AccountStates: &AccountStates{}, CatalogFresh: func() bool { return true }, Allocation: noAllocation{},
+		Engine: shard.Config{StatusRetentionMs: 1000},
 	}, o)
 	r.writer.store = l
 	return r
--- a/io/owner/summary.go
+++ b/io/owner/summary.go
@@ -32,6 +32,10 @@
 		r.summaryAtMs = now
 		c := r.engine.Counts(now)
 		r.load.Store(int64(c.Runs + c.Jobs))
+		accounts := zap.Skip()
+		if list := r.updateAccounts(now); len(list) > 0 {
+			accounts = zap.Any("accounts", list)
+		}
 		r.log.Info("pool state", zap.Int("jobs", c.Jobs), zap.Int("waiting", c.Waiting), zap.Int("runs", c.Runs),
 			zap.Int("waitingItems", c.WaitingItems), zap.Int("noRoom", c.NoRoom),
 			zap.Int("vms", c.VMs), zap.Int("usable", c.Usable), zap.Int("want", c.Want), zap.Int64("freeCPU", c.FreeCPU),
@@ -39,7 +43,7 @@
 			zap.Int("starting", c.Starting), zap.Int("mostStarting", c.MostStarting), zap.Int("held", c.Held),
 			zap.Int("unasked", c.Unasked), zap.Int("unrecorded", c.Unrecorded), zap.Duration("turns", r.ticks.total),
 			zap.Int("turnCount", r.ticks.count), zap.Duration("longestTurn", r.ticks.longest),
-			zap.Int64("confirmedAgo", now-r.o.health.confirmedAtMs.Load()), zap.Int64("readAgo", now-r.jobLog.Position().ReadAtMs))
+			zap.Int64("confirmedAgo", now-r.o.health.confirmedAtMs.Load()), zap.Int64("readAgo", now-r.jobLog.Position().ReadAtMs), accounts)
 		r.ticks = tickStats{}
 	}
 	for _, ev := range r.engine.TakeEvents() {
