--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -196,9 +196,15 @@
 		if !l.hasLimit() {
 			continue
 		}
-		allowance, soon := a.grant(acc, self, l, a.undivided(name, now), now)
-		if allowance.Max != (jobs.Amount{}) || allowance.Extra {
-			g.Accounts[name] = allowance
+		if a.undivided(name, now) {
+			if _, found := r.Accounts[name]; found {
+				g.Accounts[name] = Allowance{Keep: true}
+			}
+			continue
+		}
+		allowance, soon := a.grant(acc, self, l, now)
+		if allowance != nil {
+			g.Accounts[name] = *allowance
 		}
 		g.Soon = g.Soon || soon
 	}
@@ -262,9 +268,9 @@
 	return p.held.max(p.grant).max(p.use).max(a.sources[i].unknown)
 }
 
-// grant returns the allowance of a shard for an account, and whether another shard waits for what this one gives up. While the
-// account is undivided, nothing rises.
-func (a *Allocator) grant(acc *account, self int, limit vector, undivided bool, now int64) (Allowance, bool) {
+// grant returns the allowance of a shard for an account, and whether another shard waits for what this one gives up. The allowance
+// is nil if nothing may start: the others are above the limit already, or the account is not in use here and nothing is left.
+func (a *Allocator) grant(acc *account, self int, limit vector, now int64) (*Allowance, bool) {
 	p := &acc.parts[self]
 	others := vector{}
 	for i := range acc.parts {
@@ -275,9 +281,6 @@
 	a.divide(acc, limit, now)
 	most := limit.sub(others).max(vector{})
 	allowance := acc.targets[self].min(most)
-	if undivided {
-		allowance = allowance.min(p.held)
-	}
 	for r := range allowance {
 		if limit[r] == unlimited {
 			allowance[r] = 0
@@ -286,14 +289,19 @@
 	if p.held.below(allowance) {
 		p.raisedAt = now
 	}
-	fits := others.add(allowance).within(limit, limit)
-	extra := fits && !undivided && a.mayExceed(acc, self, allowance, limit, now)
+	fits := others.within(limit, limit)
+	extra := fits && a.mayExceed(acc, self, allowance, limit, now)
 	gaveUp := allowance.below(p.held) || p.extra && !extra
 	if extra && !p.extra {
 		p.extraAt = now
 	}
 	p.grant, p.extra = allowance, p.extra || extra
-	return Allowance{Max: allowance.amount(), Limit: limit.limitAmount(), Extra: extra}, gaveUp && a.othersWait(acc, self, limit, now)
+	soon := gaveUp && a.othersWait(acc, self, limit, now)
+	// An account in use is granted nothing explicitly: items may need none of the resources that have a limit.
+	if !fits || !extra && allowance == (vector{}) && p.want == (vector{}) {
+		return nil, soon
+	}
+	return &Allowance{Max: allowance.amount(), Limit: limit.limitAmount(), Extra: extra}, soon
 }
 
 // mayExceed reports whether a shard is to have the right to the extra item. It passes on the right once it has used it, or has not
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -155,8 +155,8 @@
 			continue
 		}
 		interval = min(interval, activeMs)
-		a := h.held[name]
-		if u.Want != u.Used && (limit.below(a.limit) || !toVector(u.Want).add(toVector(u.Unknown)).add(h.unknown).within(a.max, limit)) {
+		a, found := h.held[name]
+		if u.Want != u.Used && (!found || limit.below(a.limit) || !toVector(u.Want).add(toVector(u.Unknown)).add(h.unknown).within(a.max, limit)) {
 			return true
 		}
 	}
@@ -223,9 +223,13 @@
 	if g.Keep {
 		return true
 	}
-	clear(h.held)
+	for name := range h.held {
+		if !g.Accounts[name].Keep {
+			delete(h.held, name)
+		}
+	}
 	for name, a := range g.Accounts {
-		if h.limit(name).hasLimit() && g.Version >= max(h.first, h.since[name]) {
+		if !a.Keep && h.limit(name).hasLimit() && g.Version >= max(h.first, h.since[name]) {
 			h.held[name] = held{max: toVector(a.Max), limit: toLimit(a.Limit), extra: a.Extra}
 		}
 	}
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -51,4 +51,5 @@
 	Max   jobs.Amount `json:",omitzero"`
 	Limit jobs.Amount `json:",omitzero"`  // limit of the account from which Max was computed; 0 means no limit
 	Extra bool        `json:",omitempty"` // one item may exceed Max
+	Keep  bool        `json:",omitempty"` // the allowance stays as it is
 }
