admis: Take the share at its max-min level, and admit a job without a backlog

Cause: what the others get was bounded by the account's own work in proportion to the weights. With an account far above its share that left nothing of its share, and its Retry-After was the bound of 60 s. In the play with 200 small accounts beside a large one, 155 of 200 jobs of the small ones were refused: a single job is more than a small share does within the limit, though the account asks for less than its share over time.

Change: the share is computed by water-filling. A job of an account without a backlog is admitted; that includes a job on an idle pool.

--- a/core/admis/admis.go
+++ b/core/admis/admis.go
@@ -44,35 +44,25 @@
 
 // Admit reports whether the share of a job's account can finish the job within its limit, after the work that the account has already.
 // If it cannot, waitMs is the time after which it could, at the present rate of the account's share and provided that no further work of
-// the account is accepted; it is infinite if the others leave nothing to an account without a weight. A job is always admitted if there
-// is no other work.
+// the account is accepted; it is infinite if the others leave nothing to an account without a weight. A job of an account without a
+// backlog is always admitted: the share of a small account may be too little for any job within the limit, but it adds up between two.
 func (p *Pool) Admit(j *Job) (waitMs float64, ok bool) {
-	if p.idle() {
+	own := p.Accounts[j.Account].Backlog
+	if own == (Amount{}) {
 		return 0, true
 	}
 	for r := range resources {
-		backlog := p.Accounts[j.Account].Backlog[r]
-		waitMs = max(waitMs, p.lateMs(r, j.Account, backlog+j.Work[r], j.LimitMs))
-		if backlog > 0 { // the longest chain of the job may begin behind it only
-			waitMs = max(waitMs, p.lateMs(r, j.Account, backlog, j.LimitMs-j.ChainMs))
+		waitMs = max(waitMs, p.lateMs(r, j.Account, own[r]+j.Work[r], j.LimitMs))
+		if own[r] > 0 { // the longest chain of the job may begin behind it only
+			waitMs = max(waitMs, p.lateMs(r, j.Account, own[r], j.LimitMs-j.ChainMs))
 		}
 	}
 	return waitMs, waitMs == 0
 }
 
-// idle reports whether the pool has no work.
-func (p *Pool) idle() bool {
-	for i := range p.Accounts {
-		if p.Accounts[i].Backlog != (Amount{}) {
-			return false
-		}
-	}
-	return p.First.Backlog == Amount{}
-}
-
 // lateMs returns by how much the share of an account takes longer than a time for an amount of its work, 0 if it does not.
 func (p *Pool) lateMs(r, account int, work, withinMs float64) float64 {
-	got := p.shareWithin(r, account, work, withinMs)
+	got := p.shareWithin(r, account, withinMs)
 	switch {
 	case work <= got:
 		return 0
@@ -82,20 +72,31 @@
 	return withinMs * (work/got - 1)
 }
 
-// shareWithin returns the work that the share of an account can do within a time while it has an amount of work: what the others leave
-// which get no more in proportion to their weights, and no more than they need.
-func (p *Pool) shareWithin(r, account int, work, withinMs float64) float64 {
+// shareWithin returns the work that the share of an account can do within a time, if it has as much: by weighted max-min, what the
+// others leave that need less than their share, in proportion to the weights of the rest.
+func (p *Pool) shareWithin(r, account int, withinMs float64) float64 {
 	weight := p.Accounts[account].Weight
-	got := p.Capacity[r]*withinMs - p.First.needWithin(r, withinMs)
-	for i := range p.Accounts {
-		a := &p.Accounts[i]
-		switch {
-		case i == account || a.Weight <= 0 && weight > 0:
-		case weight <= 0:
-			got -= a.needWithin(r, withinMs)
-		default:
-			got -= min(a.needWithin(r, withinMs), work*a.Weight/weight)
+	level := 0.0 // work per unit of weight
+	for {
+		left, sum := p.Capacity[r]*withinMs-p.First.needWithin(r, withinMs), weight
+		for i := range p.Accounts {
+			a := &p.Accounts[i]
+			switch need := a.needWithin(r, withinMs); {
+			case i == account || a.Weight <= 0 && weight > 0:
+			case weight <= 0 || need <= a.Weight*level:
+				left -= need
+			default:
+				sum += a.Weight
+			}
+		}
+		if weight <= 0 {
+			return left
+		}
+		// Each round finds further accounts that need less than the share of the last one.
+		if next := left / sum; next > level {
+			level = next
+			continue
 		}
+		return level * weight
 	}
-	return got
 }
--- a/core/admis/admis_test.go
+++ b/core/admis/admis_test.go
@@ -258,7 +258,7 @@
 			for i := range accounts {
 				p.Accounts = append(p.Accounts, Account{Weight: 1, Backlog: Amount{float64(i) * 1000, float64(i) * 1e6}})
 			}
-			j := Job{Work: Amount{8000, 8e6}, ChainMs: 640, LimitMs: 4800}
+			j := Job{Account: accounts / 2, Work: Amount{8000, 8e6}, ChainMs: 640, LimitMs: 4800}
 			for b.Loop() {
 				p.Admit(&j)
 			}
