owner, node: Refuse jobs beyond the share of their account before they are appended

Cause: an owner appended every job that an entry passed on.

Change: entries pass the load of a job (account, work, longest chain, objective) beside its record, and the owner asks its Admission after the check whether the job is stored. A refusal has the verdict NotRun and RetryAfterMs; nothing was appended. Both fields are left out if they are empty, so calls without accounts have the same bytes, and a peer of the version before neither refuses nor is refused.

--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -12,6 +12,7 @@
 
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
+	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/owner"
 	"sassafrasvalve/io/peer"
 	"sassafrasvalve/io/relay"
@@ -45,6 +46,9 @@
 	Part     int
 	Records  []jobs.Record
 	WithinMs int64 // time that the caller waits for the answer, 0 if unknown
+	// Load is set if Records is the record of a job that may be refused for the backlog of its client account. Earlier versions
+	// neither send nor read it.
+	Load *shard.Load `json:",omitempty"`
 }
 
 // replyReserveDivisor divides the caller's time into the part that is reserved for the latency of the reply.
@@ -155,7 +159,7 @@
 	handle(s, methodStore, func(ctx context.Context, req storeRequest) any {
 		ctx, cancel := req.deadlineFor(ctx)
 		defer cancel()
-		return o.storeLocal(ctx, req.Part, req.Records)
+		return o.storeLocal(ctx, &req)
 	})
 	handle(s, methodPost, func(_ context.Context, req postRequest) any {
 		o.recordDemand(req.Service, req.Post)
@@ -189,14 +193,20 @@
 
 // Store passes a record to the owner of a shard. StoreResult.Owner is false if no owner accepted it.
 func (o *shardOwners) Store(ctx context.Context, part int, rec jobs.Record) owner.StoreResult {
+	return o.StoreJob(ctx, part, rec, nil)
+}
+
+// StoreJob passes the record of a job to the owner of a shard, which may refuse the job for its load unless that is nil.
+func (o *shardOwners) StoreJob(ctx context.Context, part int, rec jobs.Record, load *shard.Load) owner.StoreResult {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	claim := o.directory.Shard(part).Claim
+	req := storeRequest{Part: part, Records: []jobs.Record{rec}, Load: load}
 	switch claim.Owner {
 	case "":
 		return owner.StoreResult{Verdict: retry.NotRun}
 	case o.member:
-		return o.storeLocal(ctx, part, []jobs.Record{rec})
+		return o.storeLocal(ctx, &req)
 	}
 	probe := time.AfterFunc(storeProbeAfter, func() {
 		probeCtx, cancelProbe := context.WithTimeout(ctx, probeTimeout)
@@ -207,7 +217,6 @@
 	})
 	defer probe.Stop()
 	var s owner.StoreResult
-	req := storeRequest{Part: part, Records: []jobs.Record{rec}}
 	if until, ok := ctx.Deadline(); ok {
 		req.WithinMs = time.Until(until).Milliseconds()
 	}
@@ -223,12 +232,16 @@
 	return owner.StoreResult{Owner: true, Verdict: retry.MayHaveRun}
 }
 
-// storeLocal stores records if this process owns the shard.
-func (o *shardOwners) storeLocal(ctx context.Context, part int, records []jobs.Record) owner.StoreResult {
-	if own := o.find(part); own != nil {
-		return own.AppendRecords(ctx, records)
+// storeLocal stores the records of a request if this process owns the shard.
+func (o *shardOwners) storeLocal(ctx context.Context, req *storeRequest) owner.StoreResult {
+	own := o.find(req.Part)
+	switch {
+	case own == nil:
+		return owner.StoreResult{Verdict: retry.NotRun}
+	case req.Load != nil && len(req.Records) == 1:
+		return own.AppendJob(ctx, req.Records[0], req.Load)
 	}
-	return owner.StoreResult{Verdict: retry.NotRun}
+	return own.AppendRecords(ctx, req.Records)
 }
 
 // ownerCall is a call of the owner of a shard.
--- a/io/owner/pending.go
+++ b/io/owner/pending.go
@@ -10,6 +10,7 @@
 
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
+	"sassafrasvalve/core/shard"
 )
 
 // maxPending bounds the calls of Store that wait in the inbox of a shard.
@@ -22,6 +23,9 @@
 type StoreResult struct {
 	Owner   bool // this process is the owner; otherwise nothing was stored
 	Verdict retry.Verdict
+	// RetryAfterMs is above 0 if the owner refuses a job for the backlog of its client account: the time in ms after which the caller
+	// should return. The verdict is NotRun then.
+	RetryAfterMs int64 `json:",omitempty"`
 }
 
 // pendingRecords are records that an entry submitted and that wait for the owner's next append.
@@ -46,6 +50,11 @@
 // AppendRecords appends records with the owner's next append call. The records must be safe to store twice. If ctx ends before an
 // append includes them, they are withdrawn and the verdict is NotRun.
 func (o *Owner) AppendRecords(ctx context.Context, records []jobs.Record) StoreResult {
+	return o.appendRecords(ctx, records, nil)
+}
+
+// appendRecords does what AppendRecords says. The records of a job with a load are appended only if the job is admitted.
+func (o *Owner) appendRecords(ctx context.Context, records []jobs.Record, load *shard.Load) StoreResult {
 	if !o.owning.Load() {
 		return StoreResult{Verdict: retry.NotRun}
 	}
@@ -65,7 +74,15 @@
 		case r.excludes(records):
 			return StoreResult{Owner: true, Verdict: retry.NotRun}
 		}
+		if load != nil {
+			return o.appendAdmitted(ctx, r, records, load)
+		}
 	}
+	return o.awaitAppend(ctx, records)
+}
+
+// awaitAppend passes records to the owner's next append and waits for the result.
+func (o *Owner) awaitAppend(ctx context.Context, records []jobs.Record) StoreResult {
 	p := &pendingRecords{records: records, done: make(chan StoreResult, 1)}
 	select {
 	case o.inbox <- p:
--- a/io/owner/run.go
+++ b/io/owner/run.go
@@ -112,8 +112,9 @@
 	cancel        context.CancelFunc
 	wg            sync.WaitGroup // of the loops that send orders or append; loops that only query end by their deadlines
 
-	mu     sync.Mutex // guards engine
-	engine *shard.Engine
+	mu        sync.Mutex // guards engine
+	engine    *shard.Engine
+	admission *shard.Admission
 
 	// The following are written by the loop only. Other goroutines read the atomic ones.
 	sessions     map[string]*vmSession
@@ -127,6 +128,7 @@
 	nextTickAt              time.Time    // end of the pause behind a long tick
 	batchDue                bool         // the last tick found an append in progress
 	reportedRev             int64        // revision of the last demand report sent to the machine controller
+	admissionAtMs           int64        // local ms of the last update of admission
 	summaryAtMs             int64        // local ms of the last summary in the log
 	load                    atomic.Int64 // runs and jobs as of that summary
 	ticks                   tickStats    // of the ticks since that summary
@@ -138,7 +140,7 @@
 	r := &poolRun{
 		cfg: cfg, o: o, log: log, sessions: map[string]*vmSession{}, wake: make(chan struct{}, 1),
 		timeStart: cfg.Stats.Timer("sassafrasvalve_start_seconds", nil), policyQueries: make(chan shard.PolicyQuery, maxPolicyQueries),
-		jobLog: tail.NewJobLog(o.cfg.Store, o.cfg.Part, log),
+		jobLog: tail.NewJobLog(o.cfg.Store, o.cfg.Part, log), admission: shard.NewAdmission(),
 		writer: writer{
 			store: o.cfg.Store, topic: platform.TopicJobs, part: o.cfg.Part, producer: shardProducer(o.cfg.Part), epoch: o.Epoch(),
 			seq: rand.Int64N(maxFirstSeq), timeout: appendTimeout, health: &o.health, log: log, stats: cfg.Stats,
@@ -383,6 +385,7 @@
 	}
 	r.engine.MarkOwnershipConfirmed(r.o.health.confirmedAtMs.Load())
 	r.engine.Advance(now, unixMs)
+	r.updateAdmission(now)
 	if p := r.engine.DemandReport(); p.Rev != r.reportedRev {
 		r.reportedRev = p.Rev
 		r.o.demand.Store(&p)
