jobapi, stats: Answer 429 with Retry-After to jobs beyond the share of their account

Cause: the caller of a refused job must learn when to return, and an entry must not append the job itself.

Change: Submit passes the load to owners that take one, and answers 429 with the owner's Retry-After, logged as "job refused" and counted in sassafrasvalve_jobs_refused_total by account and reason. Stats.AccountLabel bounds the accounts with series of their own to 50 over all metrics of a process. The Retry-After of 503 after an outage of the log stays one second: that a spread to 2 s costs no accepted job was not shown.

--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -14,6 +14,7 @@
 
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
+	"sassafrasvalve/core/shard"
 	"sassafrasvalve/io/owner"
 	"sassafrasvalve/platform"
 )
@@ -179,13 +180,16 @@
 		return &platform.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the job is too large: " + err.Error()}
 	}
 	startedAt := time.Now()
-	verdict := a.store(ctx, part, rec)
+	verdict, refusedMs := a.store(ctx, part, rec, shard.LoadOf(j, q))
 	a.cfg.Stats.Timer("sassafrasvalve_submit_seconds", stats.Labels{{Name: "queue", Value: q.Name}})(time.Since(startedAt))
 	a.cfg.Stats.Count("sassafrasvalve_submitted_total",
 		stats.Labels{{Name: "queue", Value: q.Name}, {Name: "verdict", Value: verdict.String()}}, 1)
 	a.cfg.Log.Info("job handed in", zap.String("job", j.ID), zap.String("queue", q.Name), zap.Int("shard", part),
 		zap.Int("steps", len(j.Steps)), zap.Int64("workMs", j.CoreMs()), zap.Stringer("stored", verdict),
 		zap.Duration("took", time.Since(startedAt)), accountField(j.Account))
+	if refusedMs > 0 {
+		return a.refuseForBacklog(j, refusedMs)
+	}
 	return refusal(verdict)
 }
 
@@ -237,13 +241,14 @@
 
 // store stores a record, which must be idempotent since it may be stored twice. It sends the record to the owner of the
 // shard, which stores the records of many callers with one append. If no owner answers, it appends the record directly.
-// The verdict is Ran if the record is stored, NotRun if it never will be, and MayHaveRun if that is not known.
-func (a *API) store(ctx context.Context, part int, rec jobs.Record) retry.Verdict {
+// The verdict is Ran if the record is stored, NotRun if it never will be, and MayHaveRun if that is not known. With a load, the
+// record is that of a job that the owner may refuse; refusedMs is then the time after which the caller should return, otherwise 0.
+func (a *API) store(ctx context.Context, part int, rec jobs.Record, load *shard.Load) (v retry.Verdict, refusedMs int64) {
 	limit := time.Now().Add(maxStoreTime)
 	if dl, ok := ctx.Deadline(); ok {
 		left := time.Until(dl)
 		if left < minStoreTime || ctx.Err() != nil {
-			return retry.NotRun
+			return retry.NotRun, 0
 		}
 		if dl = dl.Add(-min(replyReserve, left/replyReserveDivisor)); dl.Before(limit) {
 			limit = dl
@@ -251,18 +256,18 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	s := a.cfg.Owners.Store(ctx, part, rec)
+	s := a.storeAtOwner(ctx, part, rec, load)
 	if s.Owner && s.Verdict != retry.MayHaveRun {
-		return s.Verdict
+		return s.Verdict, s.RetryAfterMs
 	}
 	verdict := retry.NotRun
 	if s.Owner {
 		verdict = retry.MayHaveRun
 	}
 	if ctx.Err() != nil {
-		return verdict
+		return verdict, 0
 	}
-	return a.directWriter(part).Append(ctx, rec, verdict)
+	return a.directWriter(part).Append(ctx, rec, verdict), 0
 }
 
 // directWriter returns the writer of records to a shard whose owner does not answer.
@@ -344,7 +349,7 @@
 	}
 	for _, part := range parts {
 		startedAt := time.Now()
-		verdict := a.store(ctx, part, jobs.Record{Key: jobs.CancelKey(id), Value: []byte{1}})
+		verdict, _ := a.store(ctx, part, jobs.Record{Key: jobs.CancelKey(id), Value: []byte{1}}, nil)
 		a.cfg.Log.Info("job cancelled", zap.String("job", id), zap.String("queue", q.Name), zap.Int("shard", part),
 			zap.Stringer("stored", verdict), zap.Duration("took", time.Since(startedAt)))
 		if err := refusal(verdict); err != nil {
--- a/io/stats/stats.go
+++ b/io/stats/stats.go
@@ -51,6 +51,7 @@
 	dropped       metrics.Counter
 	attempts      metrics.Counter
 	requestGroups atomic.Pointer[requestGroups]
+	accounts      Names
 
 	mu      sync.Mutex
 	infos   map[string]*info  // by metric
@@ -59,7 +60,7 @@
 
 // New returns metrics with the series of the runtime and no requests.
 func New() *Stats {
-	s := &Stats{registry: metrics.NewRegistry(), infos: map[string]*info{}, sources: map[string]Source{}}
+	s := &Stats{registry: metrics.NewRegistry(), accounts: Names{Max: maxAccountNames}, infos: map[string]*info{}, sources: map[string]Source{}}
 	s.Describe(metricDropped, "Series left out because their metric has too many, or another type.")
 	s.dropped = s.Counter(metricDropped, nil)
 	s.describeRequests()
