shard: Count only what an earlier owner may have started after a takeover

Cause: until all VMs were polled, the whole capacity of those that were not counted as used by each account. A rack of 12 dark VMs has 768 GB, more than the limit of any account, so that all accounts with limits stood still for up to 11.5 s after a takeover.

Ruled out: leaving the unpolled VMs out (items that an earlier owner started without a record run there).

Change: an earlier owner can have started without a record only items of the jobs that it left, each once, so what an account may use unknown is at most the sum of those, and at most the capacity of the unpolled VMs. The list of machines need not be known for that. The fate test checks at each turn that what VMs run is within the count, as before; its exception for an unknown list of machines is gone. Runs of jobs that had ended before the takeover are not counted until a VM lists them, as before in the fate test's exception.

--- a/core/shard/account.go
+++ b/core/shard/account.go
@@ -29,15 +29,13 @@
 	// Used is the sum over all items that are or may be on a VM: planned, started, being stopped, or behind a start that may still
 	// be executed. An item that may run on two VMs counts twice.
 	Used jobs.Amount
-	// Unknown is what the account may use beside that: the capacity of the VMs that have not listed their runs since a takeover.
+	// Unknown is what the account may use beside that, by what an earlier owner may have started without recording it.
 	Unknown jobs.Amount
-	// Incomplete is true while Unknown may be too low, because it is not known which VMs an earlier owner may have used.
-	Incomplete bool
-	Want       jobs.Amount // Used and the items that may start now, at most NoLimit of each resource
-	Item       jobs.Amount // the smallest of these items by its CPU and memory, zero if there is none
-	Running    int         // runs that Used counts
-	Waiting    int         // items that may start now
-	AtLimit    int         // those of them that the last placement left out because of the allowance
+	Want    jobs.Amount // Used and the items that may start now, at most NoLimit of each resource
+	Item    jobs.Amount // the smallest of these items by its CPU and memory, zero if there is none
+	Running int         // runs that Used counts
+	Waiting int         // items that may start now
+	AtLimit int         // those of them that the last placement left out because of the allowance
 }
 
 // accountUse is what the engine counts for an account with jobs in this shard.
@@ -224,7 +222,7 @@
 	unknown := e.measureUnknown(now)
 	for name, u := range e.accounts {
 		uses[name] = AccountUse{
-			Used: u.used, Unknown: unknown.known(u), Incomplete: unknown.incomplete, Want: u.used, Running: u.running, AtLimit: e.itemsAtLimit(u),
+			Used: u.used, Unknown: unknown.of(u), Want: u.used, Running: u.running, AtLimit: e.itemsAtLimit(u),
 		}
 	}
 	for _, j := range e.jobs {
@@ -259,9 +257,9 @@
 	return smallest
 }
 
-// UnknownUse returns what each account may use in this shard without the engine's knowledge, also one without jobs here, and false
-// if it may be more.
-func (e *Engine) UnknownUse(now int64) (amount jobs.Amount, complete bool) {
+// StrangerUse returns what any account may use in this shard in addition, also one without jobs here: VMs have listed runs of jobs that
+// had ended before the takeover.
+func (e *Engine) StrangerUse(now int64) jobs.Amount {
 	u := e.measureUnknown(now)
-	return within(u.total), !u.incomplete
+	return within(u.strangers)
 }
--- a/core/shard/account_fate_test.go
+++ b/core/shard/account_fate_test.go
@@ -63,7 +63,7 @@
 	}
 	uses := p.e.AccountUses(p.now)
 	for account, amount := range executed {
-		if u := uses[account]; account != "" && !u.Incomplete && !atLeast(plus(u.Used, u.Unknown, 1), amount) {
+		if u := uses[account]; account != "" && !atLeast(plus(u.Used, u.Unknown, 1), amount) {
 			p.violate("account %s runs %+v, the owner counts %+v and %+v unknown", account, amount, u.Used, u.Unknown)
 		}
 	}
--- a/core/shard/account_test.go
+++ b/core/shard/account_test.go
@@ -54,13 +54,12 @@
 		Ends   []string // ends as done that it lists
 	}
 
-	Starts     []string         // starts that the engine sends then, as item/run VM, sorted
-	Used       map[string]int64 // CPU by account, of those that use any
-	Unknown    int64            // CPU of each account
-	Incomplete bool
-	Waiting    map[string]int    // items by account, of those that have any; not checked if it is nil
-	AtLimit    map[string]int    // likewise
-	Explain    map[string]string // by job
+	Starts  []string          // starts that the engine sends then, as item/run VM, sorted
+	Used    map[string]int64  // CPU by account, of those that use any
+	Unknown int64             // CPU of each account
+	Waiting map[string]int    // items by account, of those that have any; not checked if it is nil
+	AtLimit map[string]int    // likewise
+	Explain map[string]string // by job
 }
 
 // accountReplies holds the replies to orders that a script names.
@@ -225,7 +224,6 @@
 			atLimit[account] = u.AtLimit
 		}
 		assert.Equal(t, u.Unknown.CPU, s.Unknown, "%d ms: unknown use of %s", s.At, account)
-		assert.Equal(t, u.Incomplete, s.Incomplete, "%d ms", s.At)
 	}
 	if s.Used == nil {
 		s.Used = map[string]int64{}
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -108,6 +108,8 @@
 
 	demand demandTracker
 	shares poolShares
+	idle   map[*accountUse]jobs.Amount // as of idleAt, see inheritedIdle
+	idleAt int64
 }
 
 // keptRecord is a record that is kept until deleteAt: the state of an ended job, for callers, the exclusion of a job, or the
--- a/core/shard/unknown.go
+++ b/core/shard/unknown.go
@@ -2,39 +2,48 @@
 
 import "sassafrasvalve/core/jobs"
 
-// unknownUse is what accounts may use without the engine's knowledge after a takeover.
+// idleIntervalMs is how long the sums of the items that an earlier owner may have started are used.
+const idleIntervalMs = 100
+
+// unknownUse is what accounts may use without the engine's knowledge after a takeover. An earlier owner may have started any item
+// that it had not recorded as started, but each of them once at most, and only on a VM that has not listed its runs since.
 type unknownUse struct {
-	total      jobs.Amount // capacity of the VMs whose runs are not known
-	incomplete bool        // there may be more of these VMs
-	own        map[*accountUse]jobs.Amount
+	unpolled   jobs.Amount                 // capacity of the VMs that have not listed their runs
+	incomplete bool                        // there may be more of these VMs
+	own        map[*accountUse]jobs.Amount // what is counted on these VMs
+	idle       map[*accountUse]jobs.Amount // inherited items that are not counted
+	// strangers is the capacity of the VMs that have listed runs of jobs which had ended before the takeover. Nothing tells to which
+	// account these belong.
+	strangers jobs.Amount
+	strange   map[*accountUse]jobs.Amount // what is counted there
 }
 
-// of returns what an account may use beside what is counted, for decisions.
+// of returns what an account may use beside what is counted.
 func (u *unknownUse) of(a *accountUse) jobs.Amount {
-	if u.incomplete {
-		return jobs.Amount{CPU: NoLimit, MemMB: NoLimit, GPU: NoLimit}
+	started := u.idle[a]
+	if !u.incomplete {
+		started = least(started, within(plus(u.unpolled, u.own[a], -1)))
 	}
-	return u.known(a)
+	return within(plus(within(plus(u.strangers, u.strange[a], -1)), started, 1))
 }
 
-// known returns what an account may use on the known VMs beside what is counted there.
-func (u *unknownUse) known(a *accountUse) jobs.Amount { return within(plus(u.total, u.own[a], -1)) }
+// least returns the lower amount of each resource.
+func least(a, b jobs.Amount) jobs.Amount {
+	return jobs.Amount{CPU: min(a.CPU, b.CPU), MemMB: min(a.MemMB, b.MemMB), GPU: min(a.GPU, b.GPU)}
+}
 
-// add adds a VM whose runs are not known.
-func (u *unknownUse) add(v *vm) {
-	u.total = plus(u.total, v.capacity(), 1)
+// addVM adds the capacity of a VM to a sum, and what is counted there to the accounts.
+func addVM(sum *jobs.Amount, counted map[*accountUse]jobs.Amount, v *vm) {
+	*sum = plus(*sum, v.capacity(), 1)
 	for _, it := range v.runs {
 		if a := it.job.use; a != nil {
-			if u.own == nil {
-				u.own = map[*accountUse]jobs.Amount{}
-			}
-			u.own[a] = plus(u.own[a], amountOf(it.stepDef), 1)
+			counted[a] = plus(counted[a], amountOf(it.stepDef), 1)
 		}
 	}
 }
 
 // measureUnknown returns what accounts may use on VMs that have not listed their runs to this owner, and on VMs that have listed runs
-// of jobs that had ended before the takeover. Nothing tells to which account these belong.
+// of jobs that had ended before the takeover.
 func (e *Engine) measureUnknown(now int64) unknownUse {
 	var u unknownUse
 	p := &e.initialPolls
@@ -42,13 +51,17 @@
 	if !p.pending && !recent {
 		return u
 	}
+	u.own, u.strange = map[*accountUse]jobs.Amount{}, map[*accountUse]jobs.Amount{}
 	u.incomplete = p.pending && p.vms == nil
 	var largest jobs.Amount
 	for _, v := range e.vms {
 		c := v.capacity()
 		largest = jobs.Amount{CPU: max(largest.CPU, c.CPU), MemMB: max(largest.MemMB, c.MemMB), GPU: max(largest.GPU, c.GPU)}
-		if p.pending && (p.vms == nil || p.vms[v.ID]) || recent && v.strangerRuns > 0 {
-			u.add(v)
+		switch {
+		case recent && v.strangerRuns > 0:
+			addVM(&u.strangers, u.strange, v)
+		case p.pending && p.vms[v.ID]:
+			addVM(&u.unpolled, u.own, v)
 		}
 	}
 	if !p.pending {
@@ -56,9 +69,29 @@
 	}
 	for id := range p.vms {
 		if v := e.vms[id]; v == nil || v.CPU == 0 { // on a machine, but not in the VM list
-			u.total = plus(u.total, largest, 1)
+			u.unpolled = plus(u.unpolled, largest, 1)
 			u.incomplete = u.incomplete || largest.CPU == 0
 		}
 	}
+	u.idle = e.inheritedIdle(now)
 	return u
 }
+
+// inheritedIdle returns for each account the sum of the items that an earlier owner may have started without recording it.
+func (e *Engine) inheritedIdle(now int64) map[*accountUse]jobs.Amount {
+	if e.idle != nil && now < e.idleAt+idleIntervalMs {
+		return e.idle
+	}
+	e.idle, e.idleAt = map[*accountUse]jobs.Amount{}, now
+	for _, j := range e.jobs {
+		if j.use == nil || !j.inherited {
+			continue
+		}
+		for _, it := range j.orderedItems {
+			if !it.done && it.counted == 0 {
+				e.idle[j.use] = plus(e.idle[j.use], amountOf(it.stepDef), 1)
+			}
+		}
+	}
+	return e.idle
+}
--- a/io/owner/allowance.go
+++ b/io/owner/allowance.go
@@ -98,18 +98,13 @@
 	now := clock.BootMs()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	unknown, complete := r.engine.UnknownUse(now)
-	if !complete {
-		// The engine starts nothing of accounts with limits until the list of machines has come, and the allocator goes on to count
-		// what the earlier owner held.
-		return quota.Report{}, false
-	}
 	uses := usesOf(r.engine.AccountUses(now))
 	if !r.allowances.holder.Due(now, uses) {
 		return quota.Report{}, false
 	}
+	strangers := r.engine.StrangerUse(now)
 	report := r.allowances.holder.Report(uses, now)
-	report.Unknown = unknown
+	report.Unknown = strangers
 	return report, true
 }
 
