--- a/io/owner/allowance.go
+++ b/io/owner/allowance.go
@@ -63,12 +63,11 @@
 // allowanceLoop reports what accounts use to the allocator, and applies its grants, until the run ends.
 func (r *poolRun) allowanceLoop() {
 	failed := false
-	for pause := allowanceInterval; r.ctx.Err() == nil; wire.Sleep(r.ctx, pause) {
+	for ; r.ctx.Err() == nil; wire.Sleep(r.ctx, allowanceInterval) {
 		if c := r.cfg.Catalog(); c == nil || !c.Accounts.HasLimits() {
-			pause = noLimitsInterval
+			wire.Sleep(r.ctx, noLimitsInterval)
 			continue
 		}
-		pause = allowanceInterval
 		report, due := r.nextReport()
 		if !due {
 			continue
