spec: Add API keys and limits of tenants and public services

One spelling is accepted, so that digests can be compared as text. Validation reports malformed and repeated digests, that of the empty key, and limits out of range; it never repeats the value, since a malformed digest may be a key.

Diff compares whole digests and shows their first 8 digits. The new fields are omitted from records while they have no value, so records of configurations without them stay as they are.

--- a/core/spec/diff.go
+++ b/core/spec/diff.go
@@ -79,7 +79,7 @@
 func diffFields(kind, name string, old, cur []field) []Change {
 	var out []Change
 	for i := range old {
-		if old[i].value != cur[i].value {
+		if old[i].compared() != cur[i].compared() {
 			out = append(out, Change{
 				Path: PathOf(kind, name, old[i].path), Kind: Changed, Old: old[i].value, New: cur[i].value,
 			})
@@ -88,13 +88,17 @@
 	return out
 }
 
-// field is a scalar field of an element, formatted as text.
+// field is a field of an element that is not a struct, formatted as text.
 type field struct {
 	path  string
 	value string
+	whole string // value without abbreviation; empty if nothing is abbreviated
 	zero  bool
 }
 
+// compared returns the text by which two values of a field are compared.
+func (f field) compared() string { return cmp.Or(f.whole, f.value) }
+
 // fieldsByName returns the fields of each element by the element's name.
 func fieldsByName[T any](list []T, name func(T) string) map[string][]field {
 	out := make(map[string][]field, len(list))
@@ -104,11 +108,16 @@
 	return out
 }
 
-// flatten appends the scalar fields of a struct and its nested structs, in the order of declaration. It omits the field Name.
+// flatten appends the fields of a struct and its nested structs, in the order of declaration. It omits the field Name.
 func flatten(prefix string, v reflect.Value, out []field) []field {
 	for i := range v.NumField() {
 		path := prefix + v.Type().Field(i).Name
 		f := v.Field(i)
+		if keys, ok := f.Interface().([]KeyDigest); ok {
+			keys = slices.Sorted(slices.Values(keys)) // their order has no meaning
+			out = append(out, field{path: path, value: fmt.Sprint(keys), whole: fmt.Sprintf("%q", toStrings(keys)), zero: len(keys) == 0})
+			continue
+		}
 		if m, ok := f.Interface().(encoding.TextMarshaler); ok {
 			if text, err := m.MarshalText(); err == nil {
 				out = append(out, field{path: path, value: string(text), zero: f.IsZero()})
@@ -128,6 +137,15 @@
 	return out
 }
 
+// toStrings returns digests without abbreviation.
+func toStrings(keys []KeyDigest) []string {
+	out := make([]string, len(keys))
+	for i, k := range keys {
+		out[i] = string(k)
+	}
+	return out
+}
+
 // joinFields formats the non-zero fields on one line.
 func joinFields(fields []field) string {
 	var parts []string
--- a/core/spec/lookup.go
+++ b/core/spec/lookup.go
@@ -68,12 +68,21 @@
 	return maxOut
 }
 
-// Normalize returns a copy of f with the defaults filled in.
-func Normalize(f Fleet) Fleet {
+// Clone returns a copy that shares no memory with f.
+func (f Fleet) Clone() Fleet {
 	f.Pools = slices.Clone(f.Pools)
 	f.Services = slices.Clone(f.Services)
 	f.Classes = slices.Clone(f.Classes)
 	f.Tenants = slices.Clone(f.Tenants)
+	for i := range f.Tenants {
+		f.Tenants[i].Keys = slices.Clone(f.Tenants[i].Keys)
+	}
+	return f
+}
+
+// Normalize returns a copy of f with the defaults filled in.
+func Normalize(f Fleet) Fleet {
+	f = f.Clone()
 	for i := range f.Pools {
 		p := &f.Pools[i]
 		p.Slots = orDefault(p.Slots, DefaultSlots)
--- a/core/spec/spec.go
+++ b/core/spec/spec.go
@@ -2,7 +2,10 @@
 package spec
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -34,6 +37,7 @@
 type Service struct {
 	Name   string
 	Pool   string
+	Public bool `json:",omitempty"` // callers need no API key
 	Budget Budget
 }
 
@@ -64,6 +68,40 @@
 	Weight int     // share among the tenants of a class; 0 means 1
 	Rate   float64 // accepted requests per second over all entries; 0 means no limit
 	Burst  int     // requests accepted at once above Rate; 0 means the requests of one second at Rate
+
+	// Digests of the API keys of the tenant's callers. If any tenant has keys, callers of services that are not public need one.
+	Keys []KeyDigest `json:",omitempty"`
+
+	// Limits of what the tenant may use at once over all pools; 0 means no limit.
+	MaxCPU   int `json:",omitempty"` // thousandths of a core
+	MaxMemMB int `json:",omitempty"`
+	MaxGPU   int `json:",omitempty"`
+}
+
+// KeyDigest is the SHA-256 digest of an API key as 64 lower-case hexadecimal digits. A configuration holds digests, since
+// its files are reviewed and stored in the log.
+type KeyDigest string
+
+// DigestKey returns the digest of an API key.
+func DigestKey(key string) KeyDigest {
+	sum := sha256.Sum256([]byte(key))
+	return KeyDigest(hex.EncodeToString(sum[:]))
+}
+
+// shownDigits is the number of digits of a digest that String keeps. They tell apart the keys of a tenant.
+const shownDigits = 8
+
+// String returns the first digits of the digest, so that formatted configurations do not contain whole digests.
+func (d KeyDigest) String() string {
+	if len(d) <= shownDigits {
+		return string(d)
+	}
+	return string(d[:shownDigits]) + "…"
+}
+
+// valid reports whether the digest has the format that DigestKey returns.
+func (d KeyDigest) valid() bool {
+	return len(d) == hex.EncodedLen(sha256.Size) && strings.Trim(string(d), "0123456789abcdef") == ""
 }
 
 // Duration is a duration that is encoded as text, such as "2.5s".
--- a/core/spec/spec_test.go
+++ b/core/spec/spec_test.go
@@ -145,3 +145,22 @@
 	}
 	return f
 }
+
+// Guards against a changed key that the diff does not show because the first digits are equal, a digest in formatted text, a clone
+// whose keys are those of the original, and records of configurations without keys that differ from those of earlier versions.
+func TestKeys(t *testing.T) {
+	f := validFleet()
+	f.Tenants[0].Keys = []KeyDigest{DigestKey("a"), DigestKey("b")}
+	c := f.Clone()
+	c.Tenants[0].Keys[1] = c.Tenants[0].Keys[1][:60] + "0000"
+	assert.Equal(t, f.Tenants[0].Keys[1], DigestKey("b"))
+	assert.DeepEqual(t, Diff(f, c), []Change{
+		{Path: `Tenants["t"].Keys`, Kind: Changed, Old: "[3e23e816… ca978112…]", New: "[3e23e816… ca978112…]"},
+	})
+	assert.Assert(t, !strings.Contains(fmt.Sprintf("%v %+v", f, f), string(DigestKey("a"))))
+	old, err := json.Marshal(validFleet())
+	assert.NilError(t, err)
+	for _, key := range []string{"Keys", "Public", "MaxCPU", "MaxMemMB", "MaxGPU"} {
+		assert.Assert(t, !strings.Contains(string(old), key), "%s is written without a value, which changes the record", key)
+	}
+}
--- a/core/spec/validate.go
+++ b/core/spec/validate.go
@@ -21,6 +21,8 @@
 	MaxWeight      = 1000           // of a tenant
 	MaxRate        = 100000         // requests per second of a tenant
 	MaxBurst       = 1000000        // requests of a tenant
+	MaxKeys        = 100            // API keys of a tenant; a change of keys needs two
+	MaxAmount      = 1000000000     // thousandths of a core, MB or GPUs of a tenant
 	MaxElements    = 1000           // of each kind; the design target is 29 pools and 25 tenants
 	MaxNameLength  = 63             // bytes; names appear in headers and metrics
 )
@@ -331,9 +333,10 @@
 	}
 }
 
-// checkTenants checks the values of each tenant.
+// checkTenants checks the values of each tenant, and that each API key belongs to one tenant only.
 func (c *checker) checkTenants() {
 	c.checkNames(KindTenants, namesOf(c.fleet.Tenants, func(t Tenant) string { return t.Name }))
+	first := map[KeyDigest]string{} // path of the list with the first occurrence
 	for _, t := range c.fleet.Tenants {
 		e := elementChecker{c, KindTenants, t.Name}
 		e.checkInt("Weight", t.Weight, MaxWeight)
@@ -341,5 +344,32 @@
 		if e.checkInt("Burst", t.Burst, MaxBurst) && t.Burst > 0 && t.Rate == 0 {
 			e.report("Burst", "a burst above no rate bounds nothing: set Rate or remove Burst", e.path("Rate"))
 		}
+		e.checkInt("MaxCPU", t.MaxCPU, MaxAmount)
+		e.checkInt("MaxMemMB", t.MaxMemMB, MaxAmount)
+		e.checkInt("MaxGPU", t.MaxGPU, MaxAmount)
+		e.checkKeys(t.Keys, first)
+	}
+}
+
+// checkKeys checks the digests of the API keys of a tenant and adds the path of the list to first for each new one.
+// The messages do not contain the values, since a malformed digest may be a key.
+func (e elementChecker) checkKeys(keys []KeyDigest, first map[KeyDigest]string) {
+	if len(keys) > MaxKeys {
+		e.report("Keys", fmt.Sprintf("%d keys are too many: configure at most %d for a tenant", len(keys), MaxKeys))
+	}
+	empty := DigestKey("")
+	for i, k := range keys {
+		field := fmt.Sprintf("Keys[%d]", i)
+		other, found := first[k]
+		switch {
+		case !k.valid():
+			e.report(field, "this is not the SHA-256 digest of a key: write 64 lower-case hexadecimal digits, as config digest prints them")
+		case k == empty:
+			e.report(field, "this is the digest of an empty key, which no caller can send: remove it")
+		case found:
+			e.report(field, "the same key is configured twice, and a key belongs to one tenant: remove one of them", other)
+		default:
+			first[k] = e.path("Keys")
+		}
 	}
 }
--- a/io/admin/read.go
+++ b/io/admin/read.go
@@ -19,21 +19,13 @@
 func (s *Server) getConfig(_ *http.Request, _ string) (any, error) {
 	out := view(s, func(st *fleet.State) ConfigStatus {
 		c := st.Config
-		return ConfigStatus{Version: c.Version, Offset: c.Offset, Writer: c.Writer, Fleet: copyFleet(c.Fleet)}
+		return ConfigStatus{Version: c.Version, Offset: c.Offset, Writer: c.Writer, Fleet: c.Fleet.Clone()}
 	})
 	out.Entries = slices.Clone(s.cfg.Entries.Entries())
 	slices.SortFunc(out.Entries, func(a, b EntryStatus) int { return cmp.Compare(a.Member, b.Member) })
 	return out, nil
 }
 
-// copyFleet copies a configuration. Its elements hold no references, so a copy of each slice is enough.
-func copyFleet(f spec.Fleet) spec.Fleet {
-	return spec.Fleet{
-		Pools: slices.Clone(f.Pools), Services: slices.Clone(f.Services),
-		Classes: slices.Clone(f.Classes), Tenants: slices.Clone(f.Tenants),
-	}
-}
-
 func (s *Server) getRecord(_ *http.Request, id string) (any, error) {
 	return view(s, func(st *fleet.State) RecordStatus {
 		res, ok := st.ResultOf(id)
--- a/io/config/value.go
+++ b/io/config/value.go
@@ -92,15 +92,16 @@
 		d.mismatch(n, v, loc)
 		return false
 	}
-	list := []string{}
+	list := reflect.MakeSlice(n.value.Type(), 0, 0)
 	for it := v.Children(); it.Next(); {
 		if it.Node().Kind != unstable.String {
 			d.mismatch(n, it.Node(), loc)
 			return false
 		}
-		list = append(list, string(it.Node().Data))
+		text := reflect.ValueOf(string(it.Node().Data))
+		list = reflect.Append(list, text.Convert(n.value.Type().Elem()))
 	}
-	n.value.Set(reflect.ValueOf(list))
+	n.value.Set(list)
 	return true
 }
 
