config: Add the command config digest

It prints the digest of an API key on standard input for Keys of a tenant. The key is not an argument, since other users of the machine can see the arguments of a process.

--- a/cmds/config.go
+++ b/cmds/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,7 @@
 func (b builder) configs() *cli.Command {
 	return b.group("config", "Check, compare and apply the fleet configuration",
 		b.command("check", "DIR", "Report every problem of a configuration folder", configCheck),
+		b.command("digest", "", "Print the digest of an API key on standard input, for Keys of a tenant", configDigest),
 		b.command("diff", "DIR", "Show what a configuration folder changes in the configuration in force", configDiff),
 		b.command("apply", "DIR", "Put a configuration folder in force", configApply, writeFlags(
 			&cli.IntFlag{Name: "base", Value: -1, DefaultText: "the one in force", Usage: "version that the folder replaces; rejected if another is in force"},
@@ -67,6 +69,27 @@
 	return nil
 }
 
+// maxKeyBytes is the largest API key. It fits into the request header at the lowest Limits.MaxHeaderBytes.
+const maxKeyBytes = 2048
+
+// digestResult is the output of config digest.
+type digestResult struct{ Digest string }
+
+// configDigest prints the digest of the API key on standard input. The line break that ends the input does not belong to the key.
+func configDigest(_ context.Context, s *session) error {
+	data, err := io.ReadAll(io.LimitReader(s.streams.In, maxKeyBytes+int64(len("\r\n"))+1))
+	if err != nil {
+		return failed(ExitFailed, "read the key: %v", err)
+	}
+	key := strings.TrimSuffix(strings.TrimSuffix(string(data), "\n"), "\r")
+	isVisible := func(r rune) bool { return r > ' ' && r <= '~' }
+	if key == "" || len(key) > maxKeyBytes || strings.TrimFunc(key, isVisible) != "" {
+		return failed(ExitUsage, "standard input does not hold an API key: give one line of 1 to %d visible ASCII characters", maxKeyBytes)
+	}
+	digest := string(spec.DigestKey(key))
+	return s.print(digestResult{digest}, func(w *strings.Builder) { fmt.Fprintln(w, digest) })
+}
+
 // diffResult is the output of config diff.
 type diffResult struct {
 	Version int // version in force, for --base of config apply
