entry: Ask callers for the API keys of the configuration

If any tenant has keys, a request to a service that is not public needs one. The key determines the tenant; another tenant in the header is refused with 403, and anything else than one known key with 401. Service and key are looked up in the same version of the configuration. The key is removed from the request before it is forwarded or stored, since the record of a job holds the header of its request, and workers get the tenant instead.

The status of a job needs a key of its tenant. It is refused while the view lease has lapsed, since the key may have been revoked meanwhile.

Without keys in the configuration nothing changes.

--- a/io/daemon/jobs.go
+++ b/io/daemon/jobs.go
@@ -89,7 +89,7 @@
 		if ok = js != nil; !ok {
 			return
 		}
-		out = entry.JobStatus{ID: id, State: jobState(js.Phase), Runs: js.Run, Deadline: js.Deadline}
+		out = entry.JobStatus{ID: id, State: jobState(js.Phase), Runs: js.Run, Deadline: js.Deadline, Service: js.Service, Tenant: js.Tenant}
 		if js.Phase == fleet.JobEnded {
 			verdict := js.Outcome.Verdict
 			out.Verdict, out.Status = &verdict, js.Outcome.Status
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -12,6 +13,8 @@
 	"sassafrasvalve/core/fleet"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/io/proxy"
+	"sassafrasvalve/io/stats"
+	"sassafrasvalve/platform"
 )
 
 const jobPath = "/-/jobs/"
@@ -34,9 +37,13 @@
 	Status   int            `json:",omitempty"` // HTTP status of the worker's answer
 	Runs     int
 	Deadline time.Time
+
+	// Of the job, to check who may read its status.
+	Service string `json:"-"`
+	Tenant  string `json:"-"`
 }
 
-// unknownJob is the body of a 404. It carries no verdict, since a job that is unknown to this entry may have run.
+// unknownJob is the body of an answer without a status. It carries no verdict, since a job that is unknown to this entry may have run.
 type unknownJob struct {
 	ID     string
 	Detail string
@@ -107,16 +114,37 @@
 	_ = json.NewEncoder(x.w).Encode(JobStatus{ID: job.ID, State: JobQueued, Deadline: job.Deadline})
 }
 
-// getJob answers with the status of a job, or with 404 if it is unknown.
+// getJob answers with the status of a job, with 404 if the job is unknown or belongs to another tenant, and with 401 if the
+// caller needs an API key and has sent none that is known.
 func (s *Server) getJob(ctx iris.Context) {
 	id := ctx.Params().Get("id")
 	ctx.Header("Cache-Control", "no-store")
+	var st JobStatus
+	known := false
 	if s.cfg.Jobs != nil {
-		if st, ok := s.cfg.Jobs.Status(ctx.Request().Context(), id); ok {
-			_ = ctx.JSON(st)
-			return
-		}
+		st, known = s.cfg.Jobs.Status(ctx.Request().Context(), id)
+	}
+	visible, ref := s.checkReader(ctx.Request(), st)
+	switch {
+	case ref != nil:
+		s.refuseReader(ctx, id, ref)
+	case known && visible:
+		_ = ctx.JSON(st)
+	default:
+		ctx.StatusCode(http.StatusNotFound)
+		_ = ctx.JSON(unknownJob{ID: id, Detail: "no such job is known here; it may have been forgotten after its end"})
+	}
+}
+
+// refuseReader refuses to answer with the status of a job. The answer carries no verdict, since it would be taken for that of the job.
+func (s *Server) refuseReader(ctx iris.Context, id string, ref *refusal) {
+	s.observe(newID(), stats.Observation{Verdict: ref.verdict, Status: ref.status, Reason: ref.reason})
+	if ref.keyless {
+		ctx.Header("WWW-Authenticate", platform.KeyScheme)
+	}
+	if !ref.retryAt.IsZero() {
+		ctx.Header("Retry-After", strconv.FormatInt(retryAfter(ref.retryAt, s.now()), 10))
 	}
-	ctx.StatusCode(http.StatusNotFound)
-	_ = ctx.JSON(unknownJob{ID: id, Detail: "no such job is known here; it may have been forgotten after its end"})
+	ctx.StatusCode(ref.status)
+	_ = ctx.JSON(unknownJob{ID: id, Detail: ref.detail})
 }
--- a/io/entry/parse.go
+++ b/io/entry/parse.go
@@ -10,6 +10,7 @@
 
 	"sassafrasvalve/core/spec"
 	"sassafrasvalve/io/proxy"
+	"sassafrasvalve/platform"
 )
 
 // Request headers.
@@ -54,6 +55,9 @@
 	if q.service, ok = v.services[r.Header.Get(headerService)]; !ok {
 		return nil, newRefusal(http.StatusNotFound, "unknown-service", "service %q does not exist", r.Header.Get(headerService))
 	}
+	if ref := v.authenticate(r, q.service); ref != nil {
+		return nil, ref
+	}
 	if q.class, ok = v.classes[r.Header.Get(headerClass)]; !ok {
 		return nil, newRefusal(http.StatusBadRequest, "unknown-class", "class %q does not exist", r.Header.Get(headerClass))
 	}
@@ -179,7 +183,7 @@
 // be able to remove it or to send it as a trailer.
 func isInterpreted(name string) bool {
 	switch textproto.CanonicalMIMEHeaderKey(name) {
-	case headerKey, "X-Idempotency-Key", "Content-Length", "Transfer-Encoding", "Host", "Expect", "Via", "X-Forwarded-For", "Authorization":
+	case headerKey, "X-Idempotency-Key", "Content-Length", "Transfer-Encoding", "Host", "Expect", "Via", "X-Forwarded-For", platform.HeaderAPIKey:
 		return true
 	}
 	return isReserved(name)
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sassafrasvalve/core/retry"
+	"sassafrasvalve/platform"
 )
 
 // headerReplayed marks an answer that repeats the stored outcome of an earlier request with the same idempotency key.
@@ -25,6 +26,7 @@
 	retryAt time.Time
 	stored  bool   // repeats the outcome of an earlier request with the same idempotency key
 	job     string // ID of a job whose status the caller can query
+	keyless bool   // the caller has sent no known API key
 }
 
 func newRefusal(status int, reason, format string, args ...any) *refusal {
@@ -58,6 +60,9 @@
 	if ref.job != "" {
 		h.Set("Location", jobPath+ref.job)
 	}
+	if ref.keyless {
+		h.Set("WWW-Authenticate", platform.KeyScheme)
+	}
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
 	w.WriteHeader(ref.status)
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -234,6 +234,7 @@
 	services map[string]spec.Service
 	classes  map[string]spec.Class
 	tenants  map[string]spec.Tenant
+	keys     map[spec.KeyDigest]string // name of the tenant by the digest of each API key; empty if callers need no key
 }
 
 func newView(f spec.Fleet) *view {
@@ -241,6 +242,7 @@
 		services: make(map[string]spec.Service, len(f.Services)),
 		classes:  make(map[string]spec.Class, len(f.Classes)),
 		tenants:  make(map[string]spec.Tenant, len(f.Tenants)),
+		keys:     map[spec.KeyDigest]string{},
 	}
 	for _, x := range f.Services {
 		v.services[x.Name] = x
@@ -250,6 +252,9 @@
 	}
 	for _, x := range f.Tenants {
 		v.tenants[x.Name] = x
+		for _, k := range x.Keys {
+			v.keys[k] = x.Name
+		}
 	}
 	return v
 }
