fake/plat: Add client accounts, their keys and the check of their limits

The soak can't play accounts as long as the stand-in writes no account list. Config.Accounts adds the list `tenants` of docs/accounts.md; without accounts the configuration has the same content as before. Keys can be added and revoked, and limits changed; each change is a new version. MoveQueue toggles the service itself instead of deriving it from the version, since versions are also written for accounts now; the order of services is unchanged.

Each start of a job with an account is checked against what the account has running over all VMs, including late starts and runs that are being stopped.

Ended tells whether all items of a job have ended as done, for jobs whose account has no key to ask with.

--- a/fake/plat/plat.go
+++ b/fake/plat/plat.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	// UncheckedFences makes the platform carry out orders about machines with any fence number. An order with a lower number
 	// than an earlier one is a violation then.
 	UncheckedFences bool
+	Accounts        []Account // client accounts; without any the configuration has no account list
 }
 
 // Names in the configuration of the fake platform.
@@ -75,7 +77,12 @@
 	crashes    map[string]int         // crashes of VMs under an item, by item
 	store      string
 	cloud      string
-	version    int // of the configuration
+	version    int    // of the configuration
+	service    string // to which the configuration sends the queue
+	accounts   []Account
+	keys       map[string]Key    // all keys that a version has had, by their text
+	jobAccount map[string]string // account by job
+	limits     limitHistory
 	stopped    chan struct{}
 	wg         sync.WaitGroup
 }
@@ -104,6 +111,11 @@
 	p := &Platform{
 		cfg: cfg, Log: NewLog(), startedAt: time.Now(), startedJobs: map[string]time.Time{},
 		steps: map[string][]jobs.Step{}, poison: map[string]*poisonItem{}, crashes: map[string]int{}, starts: map[string][]*start{}, polled: map[*pool.VM]int64{}, stopped: make(chan struct{}),
+		service: Service, keys: map[string]Key{}, jobAccount: map[string]string{},
+	}
+	for _, a := range cfg.Accounts {
+		a.Keys = slices.Clone(a.Keys) // they change with each version
+		p.accounts = append(p.accounts, a)
 	}
 	var err error
 	if p.store, err = p.listen(p.Log.Handler()); err != nil {
@@ -130,7 +142,7 @@
 			}
 		}
 	}
-	p.configure(Service)
+	p.configure()
 	p.wg.Add(1)
 	go p.loop()
 	return p, nil
@@ -177,7 +189,12 @@
 func (p *Platform) MoveQueue() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.configure([]string{Service, SecondService}[p.version%2])
+	if p.service == Service {
+		p.service = SecondService
+	} else {
+		p.service = Service
+	}
+	p.configure()
 }
 
 // ExpireEntries removes the entries of all VMs from the log, as an outage does, and stops their reports until RenewEntry is
@@ -206,8 +223,8 @@
 	}
 }
 
-// configure appends the operator's next configuration to the log. It sends the queue to a service.
-func (p *Platform) configure(service string) {
+// configure appends the operator's next configuration to the log.
+func (p *Platform) configure() {
 	p.version++
 	services := []any{
 		map[string]any{"name": Service, "admission_check": true},
@@ -219,16 +236,20 @@
 	config := map[string]any{
 		"version": p.version,
 		"routes": []any{map[string]any{
-			"name": Queue, "host": Host, "prefix": Prefix, "service": service, "attempts": 4, "stretch": 1.6, "slo_ms": 600,
+			"name": Queue, "host": Host, "prefix": Prefix, "service": p.service, "attempts": 4, "stretch": 1.6, "slo_ms": 600,
 		}},
 		"services": services,
 		"limits":   map[string]any{"header_bytes": 16384, "body_bytes": 262144},
 	}
+	if len(p.accounts) > 0 {
+		config["tenants"] = wireAccounts(p.accounts)
+	}
 	b, err := json.Marshal(config)
 	if err != nil {
 		panic(err) // the literal above can always be encoded
 	}
 	p.Log.Put("keyed.op", "config", b)
+	p.noteAccounts()
 }
 
 // boot starts the next lifetime of a machine's VM. After Start the caller holds mu.
--- a/fake/plat/start.go
+++ b/fake/plat/start.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
+	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/pools"
 	"sassafrasvalve/fake/pool"
 )
@@ -52,6 +54,7 @@
 		}
 	}
 	p.noteStart(v, r)
+	p.checkLimit(v, r)
 }
 
 // startedBeside records a violation by a start of an item of which another run goes on.
@@ -99,6 +102,21 @@
 	return nil
 }
 
+// Ended reports whether each item of a job with SetSteps has a run that ended as done, whether or not an owner knows of it.
+func (p *Platform) Ended(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n, step := range p.steps[id] {
+		for i := range step.Count {
+			starts := p.starts[jobs.Item{Step: n, Index: i}.Name(id)]
+			if !slices.ContainsFunc(starts, func(s *start) bool { return s.end == endNames[pools.EndDone] }) {
+				return false
+			}
+		}
+	}
+	return len(p.steps[id]) > 0
+}
+
 // history describes all starts of an item, for messages about violations.
 func (p *Platform) history(item string) string {
 	var b strings.Builder
