soak: Play client accounts with changing keys and limits

Requests carry a key of the account of their job. New faults: a key or all keys of an account are revoked, keys are added, limits lowered and raised, an account is hot. Requests without a key, with an unknown one, another scheme, two headers, 64 KB or bytes that are not text must be answered 401 or 503 and never run; revoked keys and keys of other accounts are used too.

A submission with a key that was revoked over 3 s before it was sent must not be accepted, and a key that was written over 3 s before must not be answered 401; 9 s if the log, the entry or its connection was disturbed since the change. After the faults each key is tried at each entry. Jobs of accounts without keys must end by the record of the stand-in; then their accounts get keys again and the states are queried as usual.

QUOTA violations are counted and logged, but don't fail a seed while limitsEnforced is false: entries don't enforce limits yet.

Entries of these seeds have ConfigMs = 3000, which the settings of the soak lacked.

--- a/system/soak/fault_test.go
+++ b/system/soak/fault_test.go
@@ -27,23 +27,32 @@
 	if s.restRng.IntN(restartEvery) == 0 {
 		s.injectVMFault()
 	}
+	s.injectAccountFault()
 	switch s.rng.IntN(8) {
 	case 0:
 		s.logEvent("kill %s", e.name)
+		s.noteDisturbed(e.name)
 		e.replace(syscall.SIGKILL)
 	case 1:
 		s.logEvent("stop %s", e.name)
+		s.noteDisturbed(e.name)
 		go e.replace(syscall.SIGTERM)
 	case 2:
 		s.logEvent("pause %s", e.name)
+		s.setDisturbed(e.name, true)
 		e.signal(syscall.SIGSTOP)
-		time.AfterFunc(time.Duration(500+s.rng.IntN(4000))*time.Millisecond, func() { e.signal(syscall.SIGCONT) })
+		time.AfterFunc(time.Duration(500+s.rng.IntN(4000))*time.Millisecond, func() {
+			e.signal(syscall.SIGCONT)
+			s.setDisturbed(e.name, false)
+		})
 	case 3:
 		f := fault(s.rng.Int32N(int32(faultKinds)))
 		s.logEvent("store of %s: fault %d", e.name, f)
 		e.store.fault.Store(int32(f))
+		s.setDisturbed(e.store.addr(), f != healthy)
 	case 4:
 		s.logEvent("store of %s: reset", e.name)
+		s.noteDisturbed(e.name)
 		e.store.reset()
 	case 5:
 		vms := s.listVMProxies()
@@ -60,6 +69,7 @@
 		s.logEvent("log down %v, lost answers silent %v", down, silent)
 		s.plat.Log.SetSilent(silent)
 		s.plat.Log.SetFaults(down, []int{0, 3, 9}[s.rng.IntN(3)])
+		s.setDisturbed(logSource, down)
 	}
 }
 
@@ -118,7 +128,16 @@
 		}
 		s.logEvent("partition %d of %s down", part, topic)
 		s.plat.Log.SetPartDown(topic, part, true)
-		time.AfterFunc(time.Duration(1000+s.platRng.IntN(4000))*time.Millisecond, func() { s.plat.Log.SetPartDown(topic, part, false) })
+		isConfig := topic == platform.TopicOperator
+		if isConfig {
+			s.setDisturbed(topicSource, true)
+		}
+		time.AfterFunc(time.Duration(1000+s.platRng.IntN(4000))*time.Millisecond, func() {
+			s.plat.Log.SetPartDown(topic, part, false)
+			if isConfig {
+				s.setDisturbed(topicSource, false)
+			}
+		})
 	case 1:
 		s.logEvent("queue moved")
 		s.plat.MoveQueue()
@@ -131,6 +150,7 @@
 // kills some of the entries of the system. The VMs are listed again within 2 s.
 func (s *soak) expireInOutage() {
 	s.plat.Log.SetFaults(true, 0)
+	s.setDisturbed(logSource, true)
 	time.Sleep(300 * time.Millisecond) // owners start items without a record meanwhile
 	s.plat.ExpireEntries()
 	time.Sleep(time.Duration(500+s.platRng.IntN(2500)) * time.Millisecond)
@@ -138,12 +158,14 @@
 	for _, e := range s.entries {
 		if s.platRng.IntN(3) > 0 {
 			killed = append(killed, e.name)
+			s.noteDisturbed(e.name)
 			go e.replace(syscall.SIGKILL)
 		}
 	}
 	s.logEvent("entries of the VMs expired in an outage of the log; kill %s", strings.Join(killed, ", "))
 	time.Sleep(time.Duration(s.platRng.IntN(400)) * time.Millisecond)
 	s.plat.Log.SetFaults(false, 0)
+	s.setDisturbed(logSource, false)
 	for i := range s.plat.MachineCount() {
 		time.AfterFunc(time.Duration(s.platRng.IntN(maxListingMs))*time.Millisecond, func() { s.plat.RenewEntry(i) })
 	}
@@ -181,6 +203,8 @@
 	s.plat.SetLateStarts(0)
 	s.plat.Log.SetFaults(false, 0)
 	s.plat.Log.ClearPartsDown()
+	s.setDisturbed(logSource, false)
+	s.setDisturbed(topicSource, false)
 	for i := range s.plat.MachineCount() {
 		s.plat.RenewEntry(i)
 	}
@@ -188,6 +212,8 @@
 		e.signal(syscall.SIGCONT)
 		e.store.fault.Store(int32(healthy))
 		e.store.reset()
+		s.setDisturbed(e.name, false)
+		s.setDisturbed(e.store.addr(), false)
 	}
 	for _, v := range s.listVMProxies() {
 		v.fault.Store(int32(healthy))
--- a/system/soak/process_test.go
+++ b/system/soak/process_test.go
@@ -54,7 +54,8 @@
 	return relayCPUShare * float64(seed%2)
 }
 
-func newProcess(t *testing.T, bin, dir, name string, share float64, p *plat.Platform) *process {
+// newProcess returns a process that is not started yet. times are further lines of the section Times of its settings.
+func newProcess(t *testing.T, bin, dir, name string, share float64, p *plat.Platform, times string) *process {
 	store, err := newProxy(p.Store())
 	assert.NilError(t, err)
 	e := &process{t: t, bin: bin, dir: dir, name: name, front: freeAddr(t), peer: freeAddr(t), store: store, settings: filepath.Join(dir, name+".toml")}
@@ -73,7 +74,7 @@
 StatusMs = 120000
 GraceMs = 6000
 LeaseMs = 300
-`, name, e.front, freeAddr(t), e.peer, share, store.addr(), p.Cloud())
+%s`, name, e.front, freeAddr(t), e.peer, share, store.addr(), p.Cloud(), times)
 	assert.NilError(t, os.WriteFile(e.settings, []byte(text), 0o600))
 	return e
 }
--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -67,7 +67,8 @@
 	cancelMu  sync.Mutex
 	cancelled map[string]time.Time // time at which the cancel of a job was acknowledged
 	cancels   sync.WaitGroup
-	events    []string // the injected faults in order, for failure messages
+	events    []string  // the injected faults in order, for failure messages
+	accounts  *accounts // nil for a seed without client accounts
 }
 
 // listVMProxies returns the proxies of all VM lifetimes until now.
@@ -81,13 +82,29 @@
 	s.events = append(s.events, fmt.Sprintf(format, args...))
 }
 
-// call sends a request to an entry. It returns the status and the body, or 0 and the error if there is no answer.
-func (s *soak) call(e *process, method, path string, body any) (int, string) {
+// call sends a request with headers Authorization to an entry. It returns the status and the body, or 0 and the error if there is
+// no answer.
+func (s *soak) call(e *process, method, path string, auth []string, body any) (int, string) {
+	if s.accounts == nil || len(auth) != 1 {
+		return s.send(e, method, path, auth, body)
+	}
+	_, key, _ := strings.Cut(auth[0], "Bearer ")
+	before, sentAt := s.plat.Key(key), time.Now()
+	status, text := s.send(e, method, path, auth, body)
+	s.accounts.checkKey(e, method, key, before, s.plat.Key(key), sentAt, status)
+	return status, text
+}
+
+// send sends a request to an entry.
+func (s *soak) send(e *process, method, path string, auth []string, body any) (int, string) {
 	b, err := json.Marshal(body)
 	assert.NilError(s.t, err)
 	req, err := http.NewRequest(method, "http://"+e.front+path, bytes.NewReader(b))
 	assert.NilError(s.t, err)
 	req.Host = plat.Host
+	for _, a := range auth {
+		req.Header.Add("Authorization", a)
+	}
 	res, err := s.client.Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -106,11 +123,12 @@
 	ms := 50 + s.rng.Int64N(600)
 	steps := []jobs.Step{{Count: n, CPU: 2000, MemMB: 1000, EstimateMs: ms}, {Count: 1, CPU: 1000, MemMB: 500, EstimateMs: ms, After: []int{0}}}
 	s.plat.SetSteps(id, steps)
+	s.assign(id)
 	body := map[string]any{"spec": "x", "steps": []any{
 		map[string]any{"count": n, "cpu": 2000, "mem_mb": 1000, "estimate_ms": ms},
 		map[string]any{"count": 1, "cpu": 1000, "mem_mb": 500, "estimate_ms": ms, "after": []int{0}},
 	}}
-	status, _ := s.call(s.entries[s.rng.IntN(len(s.entries))], http.MethodPost, plat.Prefix+id, body)
+	status, _ := s.call(s.entries[s.rng.IntN(len(s.entries))], http.MethodPost, plat.Prefix+id, s.auth(id), body)
 	if status == http.StatusOK {
 		s.submitted[id] = body
 	}
@@ -124,7 +142,7 @@
 		return
 	}
 	id := ids[s.platRng.IntN(len(ids))]
-	s.call(s.entries[s.platRng.IntN(len(s.entries))], http.MethodPost, plat.Prefix+id, s.submitted[id])
+	s.call(s.entries[s.platRng.IntN(len(s.entries))], http.MethodPost, plat.Prefix+id, s.auth(id), s.submitted[id])
 }
 
 // run runs one seed. It submits jobs while faults are injected, and checks after the end of the faults that all
@@ -135,7 +153,13 @@
 		restRng: rand.New(rand.NewPCG(seed, 17)), submitted: map[string]any{}, cancelled: map[string]time.Time{},
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
-	p, err := plat.Start(plat.Config{VMs: vmCount, Spare: 2, SecondVMs: secondVMCount, UncheckedFences: seed%2 == 0, Route: func(addr string) (string, error) {
+	var list []plat.Account
+	s.accounts, list = newAccounts(seed)
+	var times string
+	if s.accounts != nil {
+		times = fmt.Sprintf("ConfigMs = %d\n", configMs)
+	}
+	p, err := plat.Start(plat.Config{VMs: vmCount, Spare: 2, SecondVMs: secondVMCount, UncheckedFences: seed%2 == 0, Accounts: list, Route: func(addr string) (string, error) {
 		v, err := newProxy(addr)
 		if err != nil {
 			return "", err
@@ -149,7 +173,7 @@
 	s.plat = p
 	dir := logDir(t, seed)
 	for i := range entryCount {
-		s.entries = append(s.entries, newProcess(t, bin, dir, "e"+strconv.Itoa(i), cpuShare(seed, i), p))
+		s.entries = append(s.entries, newProcess(t, bin, dir, "e"+strconv.Itoa(i), cpuShare(seed, i), p, times))
 		s.entries[i].start()
 	}
 	defer func() {
@@ -161,13 +185,17 @@
 	accepted, poison, refused := s.submitJobs()
 	s.clearFaults()
 	calm := time.Now().Add(calmAfter)
+	s.takeOutcomes(accepted, refused)
+	s.awaitEnds(accepted)
 	s.awaitState(accepted, "complete")
 	s.awaitState(poison, "failed")
 	for id := range refused {
 		assert.Assert(t, p.LastStart(id).IsZero(), "seed %d: job %s was refused and ran: %s", seed, id, strings.Join(s.events, "; "))
 	}
 	s.checkCancelled(calm)
-	assert.Equal(t, len(p.Violations()), 0, "seed %d: %v: %s", seed, p.Violations(), strings.Join(s.events, "; "))
+	s.checkAccounts(calm)
+	violations := s.violations()
+	assert.Equal(t, len(violations), 0, "seed %d: %v: %s", seed, violations, strings.Join(s.events, "; "))
 	t.Logf("seed %d: %d accepted, %d with a poison item, %d refused, %d faults", seed, len(accepted), len(poison), len(refused), len(s.events))
 }
 
@@ -191,6 +219,7 @@
 		if s.restRng.IntN(earlyCancelEvery) == 0 {
 			s.cancelEarly(fmt.Sprintf("%016x", 0x9000+n))
 		}
+		s.actAsCallers()
 		n++
 		id := fmt.Sprintf("%016x", 0x1000+n)
 		expected := accepted
@@ -201,10 +230,10 @@
 		if s.platRng.IntN(repeatEvery) == 0 {
 			s.repeatRequest()
 		}
-		switch s.submit(id) {
-		case http.StatusOK:
+		switch status := s.submit(id); {
+		case status == http.StatusOK:
 			expected[id] = true
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		case isRefused(status):
 			refused[id] = true
 		}
 	}
@@ -232,13 +261,14 @@
 		wire = append(wire, map[string]any{"count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 400, "after": []int{i}})
 	}
 	s.plat.SetSteps(id, steps)
+	s.assign(id)
 	first, giveUp := s.restRng.IntN(len(s.entries)), time.Duration(s.restRng.IntN(60))*time.Millisecond
 	s.cancels.Go(func() {
-		hasty := &soak{t: s.t, client: &http.Client{Timeout: giveUp, Transport: s.client.Transport}}
-		hasty.call(s.entries[first], http.MethodPost, plat.Prefix+id, map[string]any{"spec": "x", "steps": wire})
+		hasty := &soak{t: s.t, plat: s.plat, accounts: s.accounts, client: &http.Client{Timeout: giveUp, Transport: s.client.Transport}}
+		hasty.call(s.entries[first], http.MethodPost, plat.Prefix+id, s.auth(id), map[string]any{"spec": "x", "steps": wire})
 		for until := time.Now().Add(completionLimit); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 			first = (first + 1) % len(s.entries)
-			if status, _ := s.call(s.entries[first], http.MethodDelete, plat.Prefix+id, nil); status == http.StatusOK || status == http.StatusGone {
+			if status, _ := s.call(s.entries[first], http.MethodDelete, plat.Prefix+id, s.auth(id), nil); status == http.StatusOK || status == http.StatusGone {
 				s.cancelMu.Lock()
 				s.cancelled[id] = time.Now()
 				s.cancelMu.Unlock()
@@ -269,7 +299,7 @@
 	}
 	for until := time.Now().Add(completionLimit); len(left) > 0 && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 		for id := range left {
-			status, body := s.call(s.entries[s.rng.IntN(len(s.entries))], http.MethodGet, plat.Prefix+id, nil)
+			status, body := s.call(s.entries[s.rng.IntN(len(s.entries))], http.MethodGet, plat.Prefix+id, s.auth(id), nil)
 			assert.Assert(s.t, status != http.StatusGone, "job %s was accepted and is not known: %s", id, strings.Join(s.events, "; "))
 			left[id] = fmt.Sprintf("%d %s", status, strings.TrimSpace(body))
 			if status == http.StatusOK && (strings.Contains(body, state) || strings.Contains(body, "failed") && s.plat.MayFail(id)) {
