--- a/system/soak/keys_test.go
+++ b/system/soak/keys_test.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// logProblems logs the wrong answers to the requests of accounts if the seed has failed, as they may be the cause of another failure.
+func (s *soak) logProblems() {
+	if s.accounts == nil || !s.t.Failed() {
+		return
+	}
+	s.accounts.mu.Lock()
+	defer s.accounts.mu.Unlock()
+	s.t.Logf("answers to accounts: %v; wrong ones: %s", s.accounts.counts, strings.Join(s.accounts.problems, "; "))
+}
+
 // checkAccounts checks each key at each entry once all changes must be in force, and the answers until then.
 func (s *soak) checkAccounts(calm time.Time) {
 	a := s.accounts
--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -182,6 +182,7 @@
 		}
 		p.Close()
 	}()
+	defer s.logProblems()
 	accepted, poison, refused := s.submitJobs()
 	s.clearFaults()
 	calm := time.Now().Add(calmAfter)
