--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -89,6 +89,12 @@
 	return Record{Key: string(keyRoute) + strconv.Itoa(shard) + "/" + route[:min(len(route), maxRouteBytes)], Value: []byte{1}}
 }
 
+// CancelRecord returns the record that cancels a job of a client account, or of any if the account is empty. A job of another account
+// is not cancelled: an entry that stores the record may not know whose job it is.
+func CancelRecord(id, account string) Record {
+	return Record{Key: CancelKey(id), Value: append([]byte{1}, account...)}
+}
+
 // CancelKey returns the key of the cancel record of a job.
 func CancelKey(id string) string { return string(keyCancel) + id }
 
--- a/core/jobs/table.go
+++ b/core/jobs/table.go
@@ -12,7 +12,9 @@
 	Progress  Progress
 	Parts     map[int]*Progress // part records by number, nil for a job without any
 	Cancelled bool
-	Excluded  bool // the shard refuses the job, because it may be stored in another shard
+	// CancelledBy is the client account whose job was cancelled before the job record was read; empty if it may be any.
+	CancelledBy string
+	Excluded    bool // the shard refuses the job, because it may be stored in another shard
 }
 
 // State returns the state that is reported to callers. A final state takes precedence over a cancellation.
@@ -88,8 +90,12 @@
 		if s.Progress.State.Final() {
 			return Change{ID: id, Stale: true}, nil
 		}
+		account := string(r.Value[1:])
+		if s.Job != nil && !mayCancel(account, s.Job) {
+			return Change{}, nil // the record is deleted with the job
+		}
 		first := !s.Cancelled
-		s.Cancelled = true
+		s.Cancelled, s.CancelledBy = true, account
 		return Change{ID: id, Cancelled: first}, nil
 	case keyExclude:
 		s := t.storedJob(id)
@@ -125,9 +131,17 @@
 		return Change{}, fmt.Errorf("record of job %s: %w", id, err)
 	}
 	s.Job = j
+	if s.Cancelled && !mayCancel(s.CancelledBy, j) {
+		s.Cancelled = false
+	}
 	return Change{ID: id, Submitted: true}, nil
 }
 
+// mayCancel reports whether callers of an account may cancel a job.
+func mayCancel(account string, j *Job) bool {
+	return account == "" || j.Account == "" || account == j.Account
+}
+
 func (t *JobTable) applyProgress(id string, value []byte) (Change, error) {
 	var p Progress
 	if _, err := p.UnmarshalMsg(value); err != nil {
--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -282,22 +282,34 @@
 	return w
 }
 
-// find asks the owners for a job and returns its state and shard. It asks the owner of the queue's service first, then
-// the others, since a new configuration may have moved the queue to another service after the job was accepted.
-func (a *API) find(ctx context.Context, access *jobs.Access, id string) (jobs.State, int, error) {
+// errNoJob refuses a request for a job that no shard has.
+var errNoJob = &platform.Refusal{Status: http.StatusGone, Reason: "no such job"}
+
+// errForeignJob refuses a request for a job of another client account, in the same words.
+var errForeignJob = &platform.Refusal{Status: errNoJob.Status, Reason: errNoJob.Reason}
+
+// foundJob is a job that an owner knows. Part is also set if there is none.
+type foundJob struct {
+	owner.JobAnswer
+	Part int // shard
+}
+
+// find asks the owners for a job. It asks the owner of the queue's service first, then the others, since a new configuration may have
+// moved the queue to another service after the job was accepted.
+func (a *API) find(ctx context.Context, access *jobs.Access, id string) (foundJob, error) {
 	first, err := a.part(access.Queue)
 	if err != nil {
-		return 0, 0, err
+		return foundJob{}, err
 	}
-	noJob := &platform.Refusal{Status: http.StatusGone, Reason: "no such job"}
+	none := foundJob{Part: first}
 	ans := a.cfg.Owners.JobState(ctx, first, id)
 	switch {
 	case ans.Known && !access.Allows(ans.Account):
-		return 0, first, noJob
+		return none, errForeignJob
 	case ans.Known:
-		return ans.State, first, nil
+		return foundJob{ans, first}, nil
 	case !ans.Sure: // asking the other owners would only add to their load while this shard has no owner
-		return 0, first, unavailable("the owner of the job's shard does not answer at present")
+		return none, unavailable("the owner of the job's shard does not answer at present")
 	}
 	sure := true
 	for _, part := range a.cfg.Shards.Parts() {
@@ -305,35 +317,43 @@
 			continue
 		}
 		ans := a.cfg.Owners.JobState(ctx, part, id)
-		if ans.Known && access.Allows(ans.Account) {
-			return ans.State, part, nil
+		switch {
+		case ans.Known && !access.Allows(ans.Account):
+			return none, errForeignJob
+		case ans.Known:
+			return foundJob{ans, part}, nil
 		}
 		sure = sure && ans.Sure
 	}
 	if !sure {
-		return 0, first, unavailable("the owner of the job's shard does not answer at present")
+		return none, unavailable("the owner of the job's shard does not answer at present")
 	}
-	return 0, first, noJob
+	return none, errNoJob
 }
 
 // JobState returns the state of a job. An unknown job is refused with status 410 Gone only if all owners answered that
 // they do not have it.
 func (a *API) JobState(ctx context.Context, access *jobs.Access, id string) (jobs.State, error) {
-	s, _, err := a.find(ctx, access, id)
-	return s, err
+	j, err := a.find(ctx, access, id)
+	return j.State, err
 }
 
 // Cancel stores the cancellation of a job. If an owner does not answer, it does so in all shards that may have the job, since
 // the cancellation of a job that does not exist has no effect. A job that no shard has may still be on its way into the log: it
-// is refused with status 410 Gone only once its shards refuse to take it.
+// is refused with status 410 Gone only once its shards refuse to take it. The record names the caller's account, as the job may be of
+// another one, which only the fold of its shard knows then.
 func (a *API) Cancel(ctx context.Context, access *jobs.Access, id string) error {
 	q := access.Queue
-	s, part, err := a.find(ctx, access, id)
+	j, err := a.find(ctx, access, id)
 	var refused *platform.Refusal
-	parts := []int{part}
+	account, parts := access.Account, []int{j.Part}
 	switch {
-	case err == nil && s.Final():
+	case err == nil && j.State.Final():
 		return nil
+	case err == nil:
+		account = j.Account // that of the caller, or one that the configuration no longer has
+	case errors.Is(err, errForeignJob):
+		return err
 	case errors.As(err, &refused) && refused.Status == http.StatusGone:
 		var excludeErr error
 		if parts, excludeErr = a.exclude(ctx, q, id); excludeErr != nil {
@@ -349,7 +369,7 @@
 	}
 	for _, part := range parts {
 		startedAt := time.Now()
-		verdict, _ := a.store(ctx, part, jobs.Record{Key: jobs.CancelKey(id), Value: []byte{1}}, nil)
+		verdict, _ := a.store(ctx, part, jobs.CancelRecord(id, account), nil)
 		a.cfg.Log.Info("job cancelled", zap.String("job", id), zap.String("queue", q.Name), zap.Int("shard", part),
 			zap.Stringer("stored", verdict), zap.Duration("took", time.Since(startedAt)))
 		if err := refusal(verdict); err != nil {
