node, shard, assign, owner, docs: Read the platform's bounds from the settings

The longest lease of a VM (10,000 ms), the wait after a takeover (11,500 ms) and the times of a move (1,500 ms) and of an upkeep cycle (5,000 ms) were constants. On a deployment whose VMs hold a lease for 6,000 ms a takeover waited longer than any lease lasts.

[Times] has the optional keys HoldMaxMs, RestoreMs, CheckpointMs or CheckpointS, MoveMs or MoveS, UpkeepMs or UpkeepS, and RemoteFactor. Values out of range and both units of one bound are reported with the other problems. A HoldMaxMs above 10,000 is refused: no longer lease is waited for. The bounds in force are logged in one line.

Without the keys, or with 10,000, all times are as before. With 6,000 the wait for the leases of an earlier owner is 9,200 ms (leases of 5,000 ms, granted until 4,000 ms after the contact was lost, on a clock that is 2% slow), and a start without a reply counts for 18,623 ms, not 22,705.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -4,6 +4,7 @@
 package assign
 
 import (
+	"cmp"
 	"slices"
 
 	"sassafrasvalve/core/jobs"
@@ -12,9 +13,9 @@
 
 // Timeouts and retry intervals of the machine controller, in milliseconds.
 const (
-	// spareAfterMs is how long an offered machine waits for a pool that wants it before it is moved to the spare pool.
-	// About a second in a pool costs as much as a move.
-	spareAfterMs = 1500
+	// DefaultMoveMs and DefaultUpkeepMs are the times that a move and an upkeep take if the settings do not say it.
+	DefaultMoveMs   = 1500
+	DefaultUpkeepMs = 2000
 	// orderRetryMs is the delay before an order that was refused or had no reply is sent again.
 	orderRetryMs = 600
 	// removedAfterMs is how long a machine must be missing from the list before it counts as removed for good.
@@ -23,8 +24,8 @@
 	maxListAgeMs = 3000
 	// listLagMs is how long after an executed order the list may still show the state before it.
 	listLagMs = 300
-	// maxJoinMs bounds how long a moved machine counts for its new pool before its VM is listed.
-	maxJoinMs = 5000
+	// joinReserveMs is the time beyond three moves for which a moved machine counts for its new pool before its VM is listed.
+	joinReserveMs = 500
 	// quotaBurstMs is the time for which unused orders accumulate.
 	quotaBurstMs = 250
 	// earlyRetryMs is the delay before an order is sent again that was not sent, or that the platform refused because of
@@ -49,8 +50,20 @@
 	StartAtMs  int64
 	OrdersPerS float64 // rate limit of the platform for the orders of all processes together, 0 for none
 	JoinMs     int64   // time that a move takes, as an earlier machine controller measured it; 0 if unknown
+	MoveMs     int64   // time that a move takes by the settings, 0 for DefaultMoveMs
+	UpkeepMs   int64   // time that an upkeep takes by the settings, 0 for DefaultUpkeepMs
 }
 
+// upkeepCycleMs returns the time that the upkeep of one machine takes, including the moves out of and into its pool.
+func (c *Config) upkeepCycleMs() int64 { return c.UpkeepMs + 2*c.MoveMs }
+
+// spareAfterMs returns how long an offered machine waits for a pool that wants it before it is moved to the spare pool. That time in
+// a pool costs about as much as a move.
+func (c *Config) spareAfterMs() int64 { return c.MoveMs }
+
+// maxJoinMs returns how long a moved machine counts at most for its new pool before its VM is listed.
+func (c *Config) maxJoinMs() int64 { return 3*c.MoveMs + joinReserveMs }
+
 // PoolDemand holds the newest demand report of a pool's owner.
 type PoolDemand struct {
 	Pool   string // name of the pool, as in pools.Machine.Pool
@@ -116,6 +129,8 @@
 
 // New returns a machine controller that has sent no order yet.
 func New(cfg Config) *Controller {
+	cfg.MoveMs = cmp.Or(cfg.MoveMs, DefaultMoveMs)
+	cfg.UpkeepMs = cmp.Or(cfg.UpkeepMs, DefaultUpkeepMs)
 	return &Controller{
 		cfg: cfg, machines: map[string]*machine{}, finishedUpkeeps: map[jobs.Upkeep]bool{}, rejectedMoves: map[[2]string]bool{},
 		quota:  quota{perS: cfg.OrdersPerS * orderSharePercent / 100},
@@ -199,7 +214,7 @@
 			c.measureJoin(c.view.ListedAtMs - m.movedAt)
 			m.movedAt = 0
 		}
-		if m.targetPool != "" && (l.Pool == m.targetPool || now-m.orderDoneAt > maxJoinMs) && c.listIsCurrent(m) {
+		if m.targetPool != "" && (l.Pool == m.targetPool || now-m.orderDoneAt > c.cfg.maxJoinMs()) && c.listIsCurrent(m) {
 			m.targetPool = ""
 		}
 		if m.upkeepWave > 0 && l.State == pools.MachineUp && c.listIsCurrent(m) {
--- a/core/assign/move.go
+++ b/core/assign/move.go
@@ -42,7 +42,7 @@
 		return
 	}
 	for _, m := range unwanted {
-		if m.offeredSince == 0 || now-m.offeredSince <= spareAfterMs || c.rejectedMoves[[2]string{m.ID, spare}] {
+		if m.offeredSince == 0 || now-m.offeredSince <= c.cfg.spareAfterMs() || c.rejectedMoves[[2]string{m.ID, spare}] {
 			continue
 		}
 		if !c.quota.take() {
--- a/core/assign/wave.go
+++ b/core/assign/wave.go
@@ -10,8 +10,6 @@
 
 // Parameters of the speed of a wave.
 const (
-	// upkeepCycleMs is the time that the upkeep of one machine takes, including the moves out of and into its pool.
-	upkeepCycleMs = 5000
 	// waveMarginPercent is the speed of a wave as a percentage of the speed needed to end in time.
 	waveMarginPercent = 140
 	// waveReserveMs is the time reserved at the end of a wave for machines whose VMs cannot be vacated at once.
@@ -163,7 +161,7 @@
 	}
 	share := float64(minWaveSharePercent) / 100
 	if w.DueMs != 0 && c.quota.perS > 0 {
-		seconds := float64(max(w.DueMs-now-waveReserveMs, upkeepCycleMs)) / 1000
+		seconds := float64(max(w.DueMs-now-waveReserveMs, c.cfg.upkeepCycleMs())) / 1000
 		share = max(share, float64(remaining)*waveMarginPercent/100/seconds/c.quota.perS)
 	}
 	return c.quota.share(share)
@@ -176,8 +174,8 @@
 	if w.DueMs == 0 || len(c.shortages) == 0 {
 		return limit
 	}
-	remainingMs := max(w.DueMs-now-waveReserveMs, upkeepCycleMs)
-	needed := (int64(remaining)*upkeepCycleMs*waveMarginPercent/100 + remainingMs - 1) / remainingMs
+	remainingMs := max(w.DueMs-now-waveReserveMs, c.cfg.upkeepCycleMs())
+	needed := (int64(remaining)*c.cfg.upkeepCycleMs()*waveMarginPercent/100 + remainingMs - 1) / remainingMs
 	return min(limit, max(int(needed), 1))
 }
 
--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -15,8 +15,8 @@
 
 // Leases, timeouts and retry intervals of orders.
 const (
-	// leaseMs is how long a VM keeps its runs after its last contact with the owner. It is longer than the detection
-	// of a lost owner and the takeover take together, and shorter than the platform's longest lease.
+	// leaseMs is how long a VM keeps its runs after its last contact with the owner, unless the platform's longest lease is
+	// shorter. It is longer than the detection of a lost owner and the takeover take together.
 	leaseMs = 5000
 	// startTimeoutMs is the time within which a start order must be executed. The VM refuses one that it would execute
 	// later.
@@ -32,6 +32,7 @@
 	// earlierLeaseMs bounds the remaining lease that a VM may hold from an earlier owner, on a clock that is up to 2% slow. That
 	// owner may have granted leaseMs until maxStoreSilenceMs after it lost contact with the store. It may also have started items
 	// until earlyStartConfirmationMs after that, on a VM that holds a lease of maxLeaseMs from a call to its last lifetime.
+	// With a shorter longest lease the wait is shorter, see bounds.
 	earlierLeaseMs = 11_500
 	// minClockRate is the rate of the slowest VM clock relative to true time.
 	minClockRate = 0.98
@@ -60,13 +61,16 @@
 	ThrottleEffectMs  int64 // time until a throttle order takes effect; the engine does not use it
 	MaxOverTargetMs   int64 // how long a serving item may exceed its target latency; the engine does not use it
 	MaxAbsenceMs      int64 // how long an item may be unavailable before this counts against its budget; the engine does not use it
-	StopEffectMs      int64 // time until a VM executes a stop that it accepted; 0 means defaultStopEffectMs
+	StopEffectMs      int64 // time until a VM executes a stop that it accepted; 0 means DefaultStopEffectMs
+	HoldMaxMs         int64 // longest lease that a VM grants; 0 means DefaultHoldMaxMs, and no more than that is supported
+	RestoreMs         int64 // time until an item has loaded its checkpoint, 0 if unknown
 }
 
 // Engine holds the jobs, items and VMs of one owned shard, and the orders and records that are due. It is not safe for
 // concurrent use.
 type Engine struct {
 	cfg         Config
+	bounds      bounds
 	catalog     *jobs.Catalog
 	jobs        map[string]*job
 	vms         map[string]*vm
@@ -124,7 +128,7 @@
 // New returns an engine without jobs and VMs for a newly claimed shard.
 func New(cfg Config, catalog *jobs.Catalog, now int64) *Engine {
 	return &Engine{
-		cfg: cfg, catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
+		cfg: cfg, bounds: newBounds(&cfg), catalog: catalog, jobs: map[string]*job{}, vms: map[string]*vm{},
 		dirty: map[string]*job{}, createdAt: now, lastFence: cfg.Epoch * fenceNumbersPerEpoch, storeContactAt: now, policies: map[stepKey]*stepPolicy{},
 		openItems:   map[*item]bool{},
 		startWindow: startWindow{size: initialWindow},
@@ -258,7 +262,7 @@
 	if v.startedAtMs == 0 {
 		v.startedAtMs = s.VMBorn
 	}
-	v.earlierLeaseUntil = max(v.earlierLeaseUntil, now+earlierLeaseMs)
+	v.earlierLeaseUntil = max(v.earlierLeaseUntil, now+e.bounds.earlierLeaseMs)
 	v.attach(it)
 	it.phase = adopted
 	it.phaseSince, it.sentAt, it.startUnknown = now, now, true
@@ -399,7 +403,7 @@
 	if v == nil {
 		v = &vm{VM: pools.VM{ID: id}, runs: map[string]*item{}, knownAt: now}
 		e.raiseFence(v, now-1) // it may have been known before
-		if now-e.createdAt < earlierLeaseMs {
+		if now-e.createdAt < e.bounds.earlierLeaseMs {
 			v.staleDeadlineMs = unknownDeadlineMs
 		}
 		e.vms[id] = v
--- a/core/shard/fence.go
+++ b/core/shard/fence.go
@@ -1,17 +1,13 @@
 package shard
 
-import (
-	"math"
-
-	"sassafrasvalve/core/pools"
-)
+import "math"
 
 // fenceNumbersPerEpoch is how many fence numbers an owner has. Those of a later owner are higher than all of an earlier one.
 const fenceNumbersPerEpoch = 1 << 28
 
 // Bounds on what calls of an earlier lifetime of a VM can do in the next one.
 const (
-	// maxLeaseMs is the longest lease that a VM grants, whatever the deadline in the call.
+	// maxLeaseMs is the longest lease that a VM grants, whatever the deadline in the call, if the settings name none.
 	maxLeaseMs = 10_000
 	// maxSlowLeaseMs is the same by a local clock, if the VM's clock is slow.
 	maxSlowLeaseMs = maxLeaseMs*100/98 + 1
@@ -22,9 +18,7 @@
 	maxRepeats = 8
 	// refusedRepeatMs is the delay before an item with an open start is sent again to the VM that has refused it.
 	refusedRepeatMs = 200
-	// openStartMs is how long after a start without a reply its run may hold a lease, if the VM has restarted unseen: the call
-	// is given up before orderTimeoutMs is over, and may be executed until pools.LateCallMs later.
-	openStartMs    = orderTimeoutMs + pools.LateCallMs + maxSlowLeaseMs
+	// orderTimeoutMs is the time within which an order is given up. It may be executed until pools.LateCallMs later.
 	orderTimeoutMs = 500
 	// maxClockLagMs is how far the clock in the reply to an order may be behind that in the reply to a later poll.
 	maxClockLagMs = 3000
@@ -44,10 +38,10 @@
 func (v *vm) fencedBy(sentAt int64) bool { return sentAt > v.fenceRaisedAt }
 
 // limitLease sets the latest end of the lease that the VM may hold at its first reply to a poll with the present fence number.
-// Earlier calls may have set one up to maxLeaseMs from then on. No call has done so to a VM that is new to all owners.
-func (v *vm) limitLease(clockMs int64) {
+// Earlier calls may have set one up to longestMs from then on, the longest lease that a VM grants. No call has done so to a VM that is new to all owners.
+func (v *vm) limitLease(clockMs, longestMs int64) {
 	if v.staleDeadlineMs > 0 {
-		v.leaseEndMs = max(v.leaseEndMs, min(v.staleDeadlineMs, clockMs+maxLeaseMs))
+		v.leaseEndMs = max(v.leaseEndMs, min(v.staleDeadlineMs, clockMs+longestMs))
 	}
 	v.earlierLeaseUntil = 0
 }
--- a/core/shard/lifetime.go
+++ b/core/shard/lifetime.go
@@ -42,7 +42,7 @@
 func (e *Engine) suspectRestart(v *vm, now int64) {
 	e.addEvent(Event{VM: v.ID, Name: "vm restarted", N: len(v.runs)})
 	v.silent, v.silentSince, v.restartSuspected = true, now, true
-	v.earlierLeaseUntil = now + pools.LateCallMs + maxSlowLeaseMs
+	v.earlierLeaseUntil = now + pools.LateCallMs + e.bounds.maxSlowLeaseMs
 	e.raiseFence(v, now)
 }
 
--- a/core/shard/open.go
+++ b/core/shard/open.go
@@ -85,20 +85,20 @@
 		case now < it.open.until:
 		case v != nil && v.polled && !v.silent && v.answeredSentAt >= it.open.until:
 			e.closeOpen(it, "its vm was polled since", now)
-		case now >= it.open.leaseOverAt(v):
+		case now >= it.open.leaseOverAt(v, e.bounds.maxSlowLeaseMs):
 			e.closeOpen(it, "lease over", now)
 		}
 	}
 }
 
 // leaseOverAt returns the time from which a run by the open start can't hold a lease any more on a VM that is out of touch, which may
-// be nil. A late poll from before its silence may have extended the lease.
-func (o *openStart) leaseOverAt(v *vm) int64 {
+// be nil. A late poll from before its silence may have extended the lease. longestMs is the longest lease on a slow clock.
+func (o *openStart) leaseOverAt(v *vm, longestMs int64) int64 {
 	until := o.until
 	if v != nil && v.silentSince > 0 {
 		until = max(until, v.silentSince+pools.LateCallMs)
 	}
-	return until + maxSlowLeaseMs
+	return until + longestMs
 }
 
 // handleEndedRepeat handles the refusal of a repeated start whose run has been stopped or has ended on the VM: an earlier copy was
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -44,7 +44,7 @@
 		c.AckedSeq = 0 // this process stood still, and the VM may have restarted meanwhile
 	}
 	if now-e.storeContactAt < maxStoreSilenceMs {
-		c.LeaseEndMs = v.estimateClock(now) + leaseMs
+		c.LeaseEndMs = v.estimateClock(now) + e.bounds.leaseMs
 		v.leaseEndMs = max(v.leaseEndMs, c.LeaseEndMs)
 	}
 	if v.ackedSeq >= v.ackableSeq(now) {
@@ -112,7 +112,7 @@
 	}
 	if !v.polled {
 		v.firstPolledAt = now
-		v.limitLease(reply.ClockMs)
+		v.limitLease(reply.ClockMs, e.bounds.maxLeaseMs)
 	}
 	if v.moreEnds = reply.MoreEnds; !v.moreEnds {
 		v.allEndsListed = true
--- a/core/shard/takeover.go
+++ b/core/shard/takeover.go
@@ -14,8 +14,8 @@
 	vms map[string]bool
 }
 
-// newInitialPolls returns the state at a takeover.
-func newInitialPolls(now int64) initialPolls {
+// newInitialPolls returns the state at a takeover, after which leases of an earlier owner last for up to earlierLeaseMs.
+func newInitialPolls(now, earlierLeaseMs int64) initialPolls {
 	return initialPolls{requiredAt: now, leasesEndAt: now + earlierLeaseMs, pending: true}
 }
 
@@ -51,7 +51,7 @@
 // owners have expired. It is called unless the earlier owner recorded all its work before it released the shard, as that
 // owner may have started some of these items. SetMachines tells which VMs the pool has.
 func (e *Engine) RequireInitialPolls(now int64) {
-	e.initialPolls = newInitialPolls(now)
+	e.initialPolls = newInitialPolls(now, e.bounds.earlierLeaseMs)
 	for _, j := range e.jobs {
 		j.inherited = true
 	}
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -115,7 +115,7 @@
 func (e *Engine) releaseLapsed(v *vm, now int64) {
 	var lapsed []*item
 	for _, it := range v.runs {
-		if it.phase != planned && !it.mayStartLate(now) {
+		if it.phase != planned && !it.mayStartLate(now, e.bounds.openStartMs) {
 			lapsed = append(lapsed, it)
 		}
 	}
@@ -135,7 +135,7 @@
 
 // mayStartLate reports whether a silent VM may run an item although all leases of its known lifetime have expired: the VM may have
 // restarted unseen, and executed the start there.
-func (it *item) mayStartLate(now int64) bool {
+func (it *item) mayStartLate(now, openStartMs int64) bool {
 	return it.startUnconfirmed() && now-it.sentAt < openStartMs
 }
 
@@ -148,8 +148,8 @@
 	// late.
 	unchangedMs := it.vm.lastPollAt - it.progressChangedAt
 	if it.stepDef.Persistent {
-		return it.progressPercent < 100 && it.throttlePercent == 100 && now-it.startedAt > maxStartupMs &&
-			unchangedMs > maxStartupMs && e.mayInterrupt(it, now)
+		return it.progressPercent < 100 && it.throttlePercent == 100 && now-it.startedAt > e.bounds.maxStartupMs &&
+			unchangedMs > e.bounds.maxStartupMs && e.mayInterrupt(it, now)
 	}
 	return unchangedMs > stallMs && unchangedMs > stallFactor*it.stepDef.EstimateMs && it.progressPercent < 100
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -134,6 +134,7 @@
 // Run serves until ctx ends, then releases the shards, finishes open requests and returns.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("entry starts", zap.String("member", n.member), zap.String("dc", n.cfg.DC))
+	n.log.Info("bounds in force", n.cfg.Times.boundFields()...)
 	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	n.ctx = base
@@ -321,21 +322,33 @@
 	if service == controllerShard {
 		return owner.NewControllerRunner(owner.ControllerConfig{
 			Cloud: n.cloud, Waves: n.waves.list, Demands: n.demands, Upkeeps: n.directory.Upkeeps,
-			ReportWave: n.waves.reportStatus, SettleMs: n.cfg.Times.LeaseMs, OrdersPerS: n.cfg.Cloud.CallsPerS, Stats: n.stats,
+			ReportWave: n.waves.reportStatus, SettleMs: n.cfg.Times.LeaseMs, OrdersPerS: n.cfg.Cloud.CallsPerS, MoveMs: n.cfg.Times.MoveMs, UpkeepMs: n.cfg.Times.UpkeepMs, Stats: n.stats,
 		})
 	}
 	return owner.NewPoolRunner(owner.PoolConfig{
 		Service: service, Registry: n.registry, Catalog: n.catalog.Current,
-		VMsToVacate: n.directory.VMsToVacate, JoinMs: n.directory.JoinMs, VMLimit: n.directory.VMLimit, ReportDemand: n.reportDemand, Relay: n.relayClient, DirectVMs: n.peers.relaySet.DirectVMs(),
+		VMsToVacate: n.directory.VMsToVacate, JoinMs: n.joinMs, VMLimit: n.directory.VMLimit, ReportDemand: n.reportDemand, Relay: n.relayClient, DirectVMs: n.peers.relaySet.DirectVMs(),
 		ListMachines: n.cloud.ListMachines, QueryPolicy: n.policy.Query, Stats: n.stats,
 		Engine: shard.Config{
 			StatusRetentionMs: n.cfg.Times.StatusMs + statusMarginMs, MaxEarlyStartMs: n.cfg.Times.EarlyMs,
 			ThrottleEffectMs: n.cfg.Times.PaceMs, MaxOverTargetMs: n.cfg.Times.HarmMs, MaxAbsenceMs: n.cfg.Times.NoticeMs,
-			StopEffectMs: n.cfg.Times.StopMs,
+			StopEffectMs: n.cfg.Times.StopMs, HoldMaxMs: n.cfg.Times.HoldMaxMs, RestoreMs: n.cfg.Times.RestoreMs,
 		},
 	})
 }
 
+// joinMs returns the time that a move takes, as the machine controller measured it, or by the settings before that. It returns 0 if
+// both are unknown.
+func (n *Node) joinMs() int64 {
+	if ms := n.directory.JoinMs(); ms > 0 || n.cfg.Times.MoveMs == 0 {
+		return ms
+	}
+	return n.cfg.Times.MoveMs + joinLagMs
+}
+
+// joinLagMs is the time from the end of a move until the machine list shows the machine's VM.
+const joinLagMs = 300
+
 // demands returns the newest demand report of each pool in the configuration.
 func (n *Node) demands() []assign.PoolDemand {
 	c := n.catalog.Current()
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -64,6 +64,17 @@
 	StopMs   int64 // time until a stop that a VM has accepted takes effect, 0 if unknown
 	ConfigMs int64 // time within which a new configuration must be in force, 0 if unknown
 	LeaseMs  int64 // time for which a machine controller that replaces a silent one sends no orders
+
+	// The following are optional. 0 means the constant that stands for the bound otherwise. Times in seconds may have fractions.
+	HoldMaxMs    int64   // longest lease that a VM grants
+	CheckpointMs int64   // interval of the checkpoints of an item
+	CheckpointS  float64 // the same in seconds
+	RestoreMs    int64   // time until an item has loaded its checkpoint
+	MoveMs       int64   // time from the order of a move until the machine has a VM in its new pool
+	MoveS        float64 // the same in seconds
+	UpkeepMs     int64   // time from the order of an upkeep until the machine has a VM again
+	UpkeepS      float64 // the same in seconds
+	RemoteFactor float64 // factor by which work takes longer away from its data
 }
 
 // LoadSettings reads and checks the settings file at path. The error lists all problems.
@@ -79,6 +90,7 @@
 	if problems := s.problems(); len(problems) > 0 {
 		return nil, fmt.Errorf("the settings in %s are not valid:\n%s", path, strings.Join(problems, "\n"))
 	}
+	s.Times.convertSeconds()
 	return s, nil
 }
 
@@ -105,5 +117,5 @@
 	if s.Times.StatusMs < 1 || s.Times.GraceMs < 1 {
 		list = append(list, "Times.StatusMs and Times.GraceMs must be above 0")
 	}
-	return list
+	return append(list, s.Times.problems()...)
 }
--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -49,6 +49,8 @@
 	ReportWave func(wave int, complete bool) // called for each wave in each tick
 	SettleMs   int64                         // time without orders after the takeover from a silent machine controller
 	OrdersPerS float64                       // orders per second that the platform accepts, 0 for no limit
+	MoveMs     int64                         // time that a move takes, 0 for assign.DefaultMoveMs
+	UpkeepMs   int64                         // time that an upkeep takes, 0 for assign.DefaultUpkeepMs
 	Stats      *stats.Stats
 }
 
@@ -79,6 +81,7 @@
 	}
 	r.controller = assign.New(assign.Config{
 		Epoch: o.Epoch(), StartAtMs: start, OrdersPerS: c.cfg.OrdersPerS, JoinMs: o.cfg.Directory.JoinMs(),
+		MoveMs: c.cfg.MoveMs, UpkeepMs: c.cfg.UpkeepMs,
 	})
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	defer r.wg.Wait()
