assign: Vacate the VMs with persistent items of a wave first and once

Idle machines took all places of a wave, and VMs that were being vacated left the request: their items came back, some on a machine whose upkeep was already ordered, and then counted against the budget of their step for about 7 s. A machine in its upkeep left the request before its owner knew. The limit of one machine in four counted offered machines, and machines that the controller was moving counted as down.

Change: VMs that are being vacated go on before all others, and the VM of an ordered upkeep stays in the request until the machine is up again. VMs in use are vacated beside the machines that are down, at the pace that their pool needs. Idle machines take the other places. Moves take machines that are not due first.

Ruled out: a longer reserve at the end (6 and 9 s).

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -99,6 +99,7 @@
 	limits          []jobs.PoolLimit // as last recorded
 	joinMs          int64            // time that a move takes, 0 if unknown
 	recordedJoinMs  int64            // joinMs as last recorded
+	progress        map[int]*WaveProgress
 }
 
 // Event is a decision or observation that is logged and counted.
@@ -122,7 +123,10 @@
 	uncertainUntil int64        // local ms until which an order without a reply may still be executed
 	openMoveUntil  int64        // the same of a move, whether or not a repeat of it was executed
 	orderDoneAt    int64        // local ms at which the last order was executed
+	recoveredAt    int64        // local ms at which it was listed as up after it had been down, 0 before
 	upkeepWave     int          // wave of the upkeep in progress, 0 if there is none
+	due            bool         // a wave has its upkeep still to order
+	wasInUse       bool         // its VM was in use until it was vacated for the last upkeep
 	targetPool     string       // pool of an executed move until the list shows it there, empty otherwise
 	retryAt        int64        // local ms before which no order is sent
 }
@@ -133,8 +137,9 @@
 	cfg.UpkeepMs = cmp.Or(cfg.UpkeepMs, DefaultUpkeepMs)
 	return &Controller{
 		cfg: cfg, machines: map[string]*machine{}, finishedUpkeeps: map[jobs.Upkeep]bool{}, rejectedMoves: map[[2]string]bool{},
-		quota:  quota{perS: cfg.OrdersPerS * orderSharePercent / 100},
-		joinMs: cfg.JoinMs, recordedJoinMs: cfg.JoinMs,
+		progress: map[int]*WaveProgress{},
+		quota:    quota{perS: cfg.OrdersPerS * orderSharePercent / 100},
+		joinMs:   cfg.JoinMs, recordedJoinMs: cfg.JoinMs,
 		vacateDirty: true, // replaces the request of an earlier machine controller
 	}
 }
@@ -208,6 +213,9 @@
 		}
 		if l.State != m.State {
 			c.addEvent(l.ID, "state "+stateNames[l.State], l.Pool+" "+l.VM, 0)
+			if m.State == pools.MachineDown && l.State == pools.MachineUp {
+				m.recoveredAt = now
+			}
 		}
 		m.Machine, m.listed, m.missingSince = l, true, 0
 		if m.movedAt > 0 && l.State == pools.MachineUp && l.Pool == m.order.Spec && c.listIsCurrent(m) {
--- a/core/assign/move.go
+++ b/core/assign/move.go
@@ -128,7 +128,7 @@
 func belowMinimum(s *shortage) bool { return s.target-s.missing < s.pool.Report.Min }
 
 // movableMachines returns the machines that may be moved to another pool: offered ones first, then those of the spare
-// pool. A machine stays while an earlier move may still be executed, which would take it back out of the pool that it is
+// pool, and those that are due for upkeep after the others. A machine stays while an earlier move may still be executed, which would take it back out of the pool that it is
 // moved to now.
 func (c *Controller) movableMachines(now int64) []*machine {
 	var list []*machine
@@ -142,6 +142,9 @@
 		if x != y {
 			return x
 		}
+		if list[a].due != list[b].due {
+			return list[b].due // an idle machine that is due has its upkeep at no cost, if it stays
+		}
 		return list[a].ID < list[b].ID
 	})
 	return list
--- a/core/assign/wave.go
+++ b/core/assign/wave.go
@@ -14,6 +14,12 @@
 	waveMarginPercent = 140
 	// waveReserveMs is the time reserved at the end of a wave for machines whose VMs cannot be vacated at once.
 	waveReserveMs = 4000
+	// vacateMs is the time in which a VM with persistent items is vacated: each of its items has to be at work elsewhere before the
+	// budget of its step lets the next one be moved.
+	vacateMs = 3000
+	// lateCycles is the number of times to vacate a VM and take its machine down that are left when a wave no longer leaves a pool
+	// the machines in use that it would keep otherwise.
+	lateCycles = 2
 )
 
 // minVacatingVMs is the number of VMs of each pool that are vacated at any time while machines of the pool are due, also
@@ -28,6 +34,9 @@
 // planWaves queues the upkeep orders that are possible now, and returns the VMs that must be vacated for further ones.
 func (c *Controller) planWaves(now int64) []string {
 	var vacate []string
+	for _, m := range c.machines {
+		m.due = false
+	}
 	for i := range c.view.Waves {
 		vacate = append(vacate, c.planWave(&c.view.Waves[i], now)...)
 	}
@@ -46,7 +55,8 @@
 			continue
 		}
 		m := c.machines[id]
-		if _, ordered := c.view.Upkeeps[key]; ordered && m != nil && m.order == nil && m.upkeepWave == 0 {
+		_, ordered := c.view.Upkeeps[key]
+		if ordered && m != nil && m.order == nil && m.upkeepWave == 0 {
 			// An earlier machine controller ordered it, and the order may still be in progress or was refused. Sent
 			// again under this controller's fence number, the order is executed now or was executed already. The VM
 			// may have been used again since.
@@ -61,17 +71,22 @@
 			if !m.pending && m.upkeepWave == 0 && now >= m.retryAt && now >= c.cfg.StartAtMs && c.interruptsNoWork(m) && c.quota.take() {
 				c.queueOrder(m, *m.order, now) // the reply was lost, so the order is sent again
 			}
-			vacate = c.appendVacated(vacate, m)
-		case m.State == pools.MachineBusy && m.targetPool == "":
+			vacate = c.appendTakenDown(vacate, m)
+		case m.State == pools.MachineBusy && m.targetPool == "" && (ordered || !m.moving()):
 			down++ // possibly in its upkeep
 		default:
+			m.due = true
 			due = append(due, m)
 		}
 	}
-	sort.Slice(due, func(a, b int) bool { return c.upkeepBefore(due[a], due[b]) })
+	c.updateProgress(w, due, down, now)
 	return append(vacate, c.orderUpkeeps(w, due, down, now)...)
 }
 
+// moving reports whether a machine that is listed as busy is being moved by this controller. Moves need not be counted as upkeeps: on
+// days with turns of demand more machines of a wave are on their way than may be down at once.
+func (m *machine) moving() bool { return m.movedAt > 0 && m.Pool == m.order.Spec }
+
 // appendVacated adds the VM of a machine that is about to be taken down to the VMs to vacate, which get no new work.
 // Otherwise the pool's owner could start a persistent item there while the order waits or is in progress.
 func (c *Controller) appendVacated(vacate []string, m *machine) []string {
@@ -81,28 +96,65 @@
 	return append(vacate, m.VM)
 }
 
-// upkeepBefore sorts machines for upkeep: those with the lowest cost first.
-func (c *Controller) upkeepBefore(a, b *machine) bool {
-	costA, costB := c.upkeepCost(a), c.upkeepCost(b)
-	if costA != costB {
-		return costA < costB
+// appendTakenDown does the same for a machine whose upkeep is ordered. The list may show before the owner notices it that the VM has
+// ended: items that it starts there until then are found to be lost seconds later, and count against the budgets of their steps.
+func (c *Controller) appendTakenDown(vacate []string, m *machine) []string {
+	if m.upkeepWave > 0 && m.order != nil && m.order.VM != "" && m.State != pools.MachineUp && !c.isSparePool(m.Pool) {
+		return append(vacate, m.order.VM)
 	}
-	return a.ID < b.ID
+	return c.appendVacated(vacate, m)
 }
 
-// upkeepCost ranks a machine by the work that its upkeep interrupts, from 0 for none.
-func (c *Controller) upkeepCost(m *machine) int {
-	switch {
-	case c.isSparePool(m.Pool):
-		return 0
-	case m.offeredSince > 0 || c.isVacated(m):
-		return 1
-	default:
-		if c.isVacating(m) {
-			return 2
+// orderUpkeeps queues upkeep orders while the wave allows more, and returns the VMs to vacate. VMs that are being vacated go on
+// before all others: their items would come back, perhaps just as the machine is taken down, and would count against the budget of
+// their step until they are found to be lost. VMs in use come next, at the pace that their pool needs, as they take longest.
+// Machines that interrupt no work take the other places.
+func (c *Controller) orderUpkeeps(w *pools.Wave, due []*machine, down int, now int64) []string {
+	o := c.newUpkeepOrders(w, due, down, now)
+	var idle, inUse []*machine
+	for _, m := range due {
+		switch {
+		case m.State != pools.MachineUp || m.targetPool != "":
+		case c.isVacating(m) && !c.isSparePool(m.Pool):
+			o.goOn(m)
+		case c.interruptsNoWork(m):
+			idle = append(idle, m)
+		default:
+			inUse = append(inUse, m)
 		}
-		return 3
 	}
+	sort.Slice(inUse, func(a, b int) bool { return inUseBefore(inUse[a], inUse[b]) })
+	for _, m := range inUse {
+		if o.begun[m.Pool] < o.pace[m.Pool] {
+			o.begin(m, true)
+		}
+	}
+	sort.Slice(idle, func(a, b int) bool { return c.idleBefore(idle[a], idle[b]) })
+	for _, m := range idle {
+		o.takeIdle(m)
+	}
+	for _, m := range inUse {
+		if o.down+o.vacating < o.downLimit && !o.has(m) {
+			o.begin(m, false)
+		}
+	}
+	return o.vacate
+}
+
+// inUseBefore sorts machines whose VMs are in use: those that were down and have just come back first, as little runs there yet.
+func inUseBefore(a, b *machine) bool {
+	if a.recoveredAt != b.recoveredAt {
+		return a.recoveredAt > b.recoveredAt
+	}
+	return a.ID < b.ID
+}
+
+// idleBefore sorts machines that interrupt no work: those that are switched off first.
+func (c *Controller) idleBefore(a, b *machine) bool {
+	if x, y := c.isSparePool(a.Pool), c.isSparePool(b.Pool); x != y {
+		return x
+	}
+	return a.ID < b.ID
 }
 
 // isVacating reports whether the VM of a machine is being vacated, as of the last call of Plan.
@@ -111,48 +163,6 @@
 	return found
 }
 
-// orderUpkeeps queues upkeep orders while the wave allows more, and returns the VMs to vacate next.
-func (c *Controller) orderUpkeeps(w *pools.Wave, due []*machine, down int, now int64) []string {
-	downLimit := c.maxDownNow(w, len(due)+down, now)
-	ordersLeft := c.maxWaveOrders(w, len(due)+down, now)
-	var vacate, vacated []string // VMs to vacate next, and those of machines that may go down now
-	out, vacating := map[string]int{}, map[string]int{}
-	for _, m := range c.machines {
-		if m.upkeepWave > 0 {
-			out[m.Pool]++
-		}
-	}
-	maxDown := max(w.MaxDown, 1)
-	for _, m := range due {
-		downOrVacating := down + len(vacate)
-		if downOrVacating >= maxDown {
-			break
-		}
-		switch {
-		case m.State != pools.MachineUp || m.targetPool != "":
-		case c.interruptsNoWork(m):
-			if downOrVacating >= downLimit && !c.isVacated(m) {
-				continue
-			}
-			vacated = c.appendVacated(vacated, m)
-			if now < c.cfg.StartAtMs || !c.canOrder(m, now) || ordersLeft == 0 || !c.quota.take() {
-				continue
-			}
-			ordersLeft--
-			down++
-			out[m.Pool]++
-			c.queueOrder(m, pools.Order{Kind: pools.Upkeep, VM: m.VM, Item: m.ID, Run: w.Number, Fence: c.cfg.Epoch}, now)
-		case downOrVacating >= downLimit && vacating[m.Pool] >= minVacatingVMs && !c.isVacating(m):
-			// A VM that is being vacated goes on: its items would come back, and have to be moved again later.
-		case out[m.Pool] == 0 || (out[m.Pool]+1)*maxOutDivisor <= c.machineCount(m.Pool):
-			out[m.Pool]++
-			vacating[m.Pool]++
-			vacate = append(vacate, m.VM)
-		}
-	}
-	return append(vacate, vacated...)
-}
-
 // maxWaveOrders returns how many upkeeps of a wave may be ordered now: all that remain while no pool has too few
 // machines, otherwise the waves' share of the rate limit, or more if the wave needs it to end in time.
 func (c *Controller) maxWaveOrders(w *pools.Wave, remaining int, now int64) int {
