owner: Show the machines that a wave has left

sassafrasvalve_wave_machines_left and sassafrasvalve_wave_machines_planned are gauges by wave, while this process is the machine controller. A wave that falls behind its plan was visible only at its end.

Tests: io/node passes with -race; io/owner passes in three runs alone with -race. TestOwnDelayIsNotAVMsSilence failed once beside simulations on all cores, by wall-clock time.

--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -84,6 +85,7 @@
 		MoveMs: c.cfg.MoveMs, UpkeepMs: c.cfg.UpkeepMs,
 	})
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	r.addGauges()
 	defer r.wg.Wait()
 	defer r.cancel()
 	go r.listLoop()
@@ -116,6 +118,7 @@
 	controller *assign.Controller
 	machines   []pools.Machine
 	listedAtMs int64 // local ms at which the read of machines began
+	progress   []assign.WaveProgress
 }
 
 // loop runs ticks until ctx ends, then returns true. It returns false if a tick fails.
@@ -147,6 +150,7 @@
 	records, err := r.controller.TakeRecords()
 	events := r.controller.TakeEvents()
 	fenced := r.controller.Fenced()
+	r.progress = r.controller.WaveProgress()
 	r.mu.Unlock()
 	if fenced {
 		r.log.Info("machine controller ownership lost: the platform has seen a higher fence number")
@@ -231,6 +235,26 @@
 	}
 }
 
+// addGauges registers the machines of each wave that are left, and those that should be left. They have no series while this process
+// is not the machine controller.
+func (r *controllerRun) addGauges() {
+	add := func(name string, value func(p *assign.WaveProgress) int) {
+		r.cfg.Stats.Gauges(name, func(set func(labels stats.Labels, value float64)) {
+			if r.ctx.Err() != nil {
+				return
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			for i := range r.progress {
+				p := &r.progress[i]
+				set(stats.Labels{{Name: "wave", Value: strconv.Itoa(p.Wave)}}, float64(value(p)))
+			}
+		})
+	}
+	add("sassafrasvalve_wave_machines_left", func(p *assign.WaveProgress) int { return p.Left })
+	add("sassafrasvalve_wave_machines_planned", func(p *assign.WaveProgress) int { return p.Planned })
+}
+
 // reportWaves reports for each wave whether the upkeep of all its machines is done.
 func (r *controllerRun) reportWaves(waves []pools.Wave, upkeeps map[jobs.Upkeep]bool) {
 	for i := range waves {
