--- a/core/shard/unknown.go
+++ b/core/shard/unknown.go
@@ -47,7 +47,7 @@
 func (e *Engine) measureUnknown(now int64) unknownUse {
 	var u unknownUse
 	p := &e.initialPolls
-	recent := now-e.createdAt < earlierLeaseMs
+	recent := now-e.createdAt < e.bounds.earlierLeaseMs
 	if !p.pending && !recent {
 		return u
 	}
--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -54,6 +55,8 @@
 	ShardEpochs func() map[int]int64
 	SettleMs    int64   // time without orders after the takeover from a silent machine controller
 	OrdersPerS  float64 // orders per second that the platform accepts, 0 for no limit
+	MoveMs      int64   // time that a move takes, 0 for assign.DefaultMoveMs
+	UpkeepMs    int64   // time that an upkeep takes, 0 for assign.DefaultUpkeepMs
 	Stats       *stats.Stats
 }
 
@@ -84,8 +87,10 @@
 	}
 	r.controller = assign.New(assign.Config{
 		Epoch: o.Epoch(), StartAtMs: start, OrdersPerS: c.cfg.OrdersPerS, JoinMs: o.cfg.Directory.JoinMs(),
+		MoveMs: c.cfg.MoveMs, UpkeepMs: c.cfg.UpkeepMs,
 	})
 	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	r.addGauges()
 	defer r.wg.Wait()
 	defer r.cancel()
 	r.allocator = quota.NewAllocator(quota.AllocatorConfig{Epoch: o.Epoch()})
@@ -122,6 +127,7 @@
 	controller *assign.Controller
 	machines   []pools.Machine
 	listedAtMs int64 // local ms at which the read of machines began
+	progress   []assign.WaveProgress
 
 	allocatorMu sync.Mutex // guards the following
 	allocator   *quota.Allocator
@@ -159,6 +165,7 @@
 	records, err := r.controller.TakeRecords()
 	events := r.controller.TakeEvents()
 	fenced := r.controller.Fenced()
+	r.progress = r.controller.WaveProgress()
 	r.mu.Unlock()
 	if fenced {
 		r.log.Info("machine controller ownership lost: the platform has seen a higher fence number")
@@ -243,6 +250,26 @@
 	}
 }
 
+// addGauges registers the machines of each wave that are left, and those that should be left. They have no series while this process
+// is not the machine controller.
+func (r *controllerRun) addGauges() {
+	add := func(name string, value func(p *assign.WaveProgress) int) {
+		r.cfg.Stats.Gauges(name, func(set func(labels stats.Labels, value float64)) {
+			if r.ctx.Err() != nil {
+				return
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			for i := range r.progress {
+				p := &r.progress[i]
+				set(stats.Labels{{Name: "wave", Value: strconv.Itoa(p.Wave)}}, float64(value(p)))
+			}
+		})
+	}
+	add("sassafrasvalve_wave_machines_left", func(p *assign.WaveProgress) int { return p.Left })
+	add("sassafrasvalve_wave_machines_planned", func(p *assign.WaveProgress) int { return p.Planned })
+}
+
 // reportWaves reports for each wave whether the upkeep of all its machines is done.
 func (r *controllerRun) reportWaves(waves []pools.Wave, upkeeps map[jobs.Upkeep]bool) {
 	for i := range waves {
