--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -192,16 +192,13 @@
 		return g
 	}
 	for name, acc := range a.accounts {
-		l := a.limitOf(name).min(toLimit(r.Accounts[name].Limit))
-		if !l.hasLimit() {
-			continue
-		}
 		if a.undivided(name, now) {
 			if _, found := r.Accounts[name]; found {
 				g.Accounts[name] = Allowance{Keep: true}
 			}
 			continue
 		}
+		l := a.limitOf(name)
 		allowance, soon := a.grant(acc, self, l, now)
 		if allowance != nil {
 			g.Accounts[name] = *allowance
@@ -282,8 +279,8 @@
 	most := limit.sub(others).max(vector{})
 	allowance := acc.targets[self].min(most)
 	for r := range allowance {
-		if limit[r] == unlimited {
-			allowance[r] = 0
+		if limit[r] == unlimited { // the holder may still have a limit
+			allowance[r] = p.want[r]
 		}
 	}
 	if p.held.below(allowance) {
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -33,8 +33,10 @@
 
 // held is the allowance of a shard for one account.
 type held struct {
-	max, limit vector // the limit from which max was computed
-	extra      bool
+	max     vector
+	limit   vector // from which max was computed
+	version int64  // of the allocator's configuration
+	extra   bool
 }
 
 // Holder holds the allowances of one owner of a shard. It starts with none.
@@ -44,8 +46,8 @@
 	limited bool // the configuration has an account with a limit
 	fresh   bool
 	held    map[string]held
-	// since has the version of the configuration by which a resource of an account without a limit got one, after the first
-	// version. An allocator with an older one does not know what is running from before.
+	// since has the version of the configuration by which a limit of an account fell last, after the first version. Grants of
+	// an allocator with an older one do not reckon with what is running from before.
 	since   map[string]int64
 	first   int64             // version of the first configuration
 	unknown vector            // for each account
@@ -85,7 +87,7 @@
 	for i := range c.Accounts.All() {
 		acc := &c.Accounts.All()[i]
 		h.limited = h.limited || acc.Max != jobs.Amount{}
-		if earlier != nil && newlyLimited(limitIn(earlier, acc.Name), toLimit(acc.Max)) {
+		if earlier != nil && toLimit(acc.Max).below(limitIn(earlier, acc.Name)) {
 			h.since[acc.Name] = c.Version
 		}
 	}
@@ -125,13 +127,19 @@
 		return h.catalog != nil
 	}
 	a, found := h.held[account]
-	if !found || !h.fresh || h.expired || limit.below(a.limit) {
+	if !found || !h.fresh || h.expired || h.void(account, a, limit) {
 		return false
 	}
 	use := toVector(used).add(h.unknown).add(h.hidden[account])
 	return use.add(toVector(item)).within(a.max, limit) || a.extra && use.within(a.max, limit)
 }
 
+// void reports whether the limit of an account has fallen since its allowance was computed. The limit of an allocator with a later
+// configuration may be higher than that of the holder.
+func (h *Holder) void(account string, a held, limit vector) bool {
+	return a.version < h.since[account] || a.version <= h.catalog.Version && limit.below(a.limit)
+}
+
 // Due reports whether the holder is to send a report. It is called often, also to notice that the allocator is silent.
 func (h *Holder) Due(now int64, uses map[string]Use) bool {
 	h.expired = h.expiresAt != 0 && now >= h.expiresAt
@@ -156,7 +164,7 @@
 		}
 		interval = min(interval, activeMs)
 		a, found := h.held[name]
-		if u.Want != u.Used && (!found || limit.below(a.limit) || !toVector(u.Want).add(toVector(u.Unknown)).add(h.unknown).within(a.max, limit)) {
+		if u.Want != u.Used && (!found || h.void(name, a, limit) || !toVector(u.Want).add(toVector(u.Unknown)).add(h.unknown).within(a.max, limit)) {
 			return true
 		}
 	}
@@ -183,28 +191,25 @@
 		if u.Unknown != (jobs.Amount{}) {
 			h.hidden[name] = toVector(u.Unknown)
 		}
-		if limit := h.limit(name); u != (Use{}) && limit.hasLimit() {
-			r.Accounts[name] = h.reportAccount(name, u, limit)
+		if u != (Use{}) && h.limit(name).hasLimit() {
+			r.Accounts[name] = h.reportAccount(name, u)
 		}
 	}
 	for name := range h.held {
 		if _, found := r.Accounts[name]; !found {
-			r.Accounts[name] = h.reportAccount(name, Use{}, h.limit(name))
+			r.Accounts[name] = h.reportAccount(name, Use{})
 		}
 	}
 	return r
 }
 
 // reportAccount returns the part of a report for an account with a limit.
-func (h *Holder) reportAccount(name string, u Use, limit vector) AccountReport {
-	a, found := h.held[name]
+func (h *Holder) reportAccount(name string, u Use) AccountReport {
+	a := h.held[name]
 	p := AccountReport{Held: a.max.amount(), Used: u.Used, Unknown: u.Unknown, Item: u.Item, Extra: a.extra}
 	if u.Want != u.Used {
 		p.Want = u.Want
 	}
-	if !found || limit.below(a.limit) {
-		p.Limit = limit.limitAmount()
-	}
 	return p
 }
 
@@ -230,7 +235,7 @@
 	}
 	for name, a := range g.Accounts {
 		if !a.Keep && h.limit(name).hasLimit() && g.Version >= max(h.first, h.since[name]) {
-			h.held[name] = held{max: toVector(a.Max), limit: toLimit(a.Limit), extra: a.Extra}
+			h.held[name] = held{max: toVector(a.Max), limit: toLimit(a.Limit), version: g.Version, extra: a.Extra}
 		}
 	}
 	return true
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -28,10 +28,7 @@
 	Unknown jobs.Amount `json:",omitzero"`
 	Want    jobs.Amount `json:",omitzero"` // zero if it equals Used
 	Item    jobs.Amount `json:",omitzero"`
-	// Limit is the owner's limit if it is below that of the last grant. The allocator then divides this limit, as nothing
-	// would start under a higher one.
-	Limit jobs.Amount `json:",omitzero"`
-	Extra bool        `json:",omitempty"` // holds the right to the extra item
+	Extra   bool        `json:",omitempty"` // holds the right to the extra item
 }
 
 // Grant answers a report. An account that it leaves out gets nothing. The zero Grant is never applied.
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -330,8 +330,10 @@
 		}
 	}
 	wait := func(t *rapid.T) {
-		drawOwner(t).waiting[rapid.SampledFrom(modelNames).Draw(t, "account")] = vector{
-			rapid.Int64Range(0, 4).Draw(t, "cpu"), rapid.Int64Range(0, 4).Draw(t, "mem"),
+		o, name := drawOwner(t), rapid.SampledFrom(modelNames).Draw(t, "account")
+		o.waiting[name] = vector{} // an idle allowance may move
+		if rapid.Bool().Draw(t, "waits") {
+			o.waiting[name] = vector{rapid.Int64Range(0, 4).Draw(t, "cpu"), rapid.Int64Range(0, 4).Draw(t, "mem")}
 		}
 	}
 	end := func(t *rapid.T) {
