quota: Excuse silence while the allocator answered nothing

Shards counted as nothing 25 s after their last report, also if the allocator itself handled none, for example during an outage of the log. The first shard that reported then got the whole limit, while the items of the others ran on.

quota: Keep the right to the extra item while its item is recorded

A report between the plan and the record of an item withdrew the right, so that the item was released again whenever an append took longer than the interval of reports.

--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -16,6 +16,9 @@
 	// waitingMs is the age of a report from which the turn of a shard for the extra item is passed over. A shard that waits
 	// for an allowance reports each 50 ms, and 250 ms after a lost report.
 	waitingMs = 500
+	// recordMs is the age of the right to the extra item up to which an item that was planned by it may still start. It allows for a
+	// slow append of the item's record.
+	recordMs = 1000
 	// spreadMs is the time after the last use of an account for which shards without use get parts of its limit. It is longer
 	// than the 16 s in which each pool has its peak phase. Without it, reports would grow with the idle accounts.
 	spreadMs = 20_000
@@ -85,7 +88,8 @@
 	cfg        AllocatorConfig
 	catalog    *jobs.Catalog
 	fresh      bool
-	superseded bool // a higher epoch was seen
+	superseded bool  // a higher epoch was seen
+	handledAt  int64 // time of the newest report of any shard
 	limits     map[string]limit
 	sources    []*source
 	index      map[int]int // of sources by shard
@@ -184,6 +188,7 @@
 	s.epoch, s.reported, s.seq, s.version = r.Epoch, r.Epoch, r.Seq, r.Version
 	s.confirmed, s.reportAt, s.silentAt, s.unknown = r.Allocator == a.cfg.Epoch, now, now+silentMs, toVector(r.Unknown)
 	self := a.index[r.Shard]
+	a.excuseSilence(now)
 	a.forgetSilent(now)
 	a.store(self, r, now)
 	g := Grant{Shard: r.Shard, Owner: r.Epoch, Seq: r.Seq, Epoch: a.cfg.Epoch, Version: a.version(), Accounts: map[string]Allowance{}}
@@ -241,6 +246,19 @@
 	}
 }
 
+// excuseSilence gives the shards more time after a pause in which no report at all was handled: the allocator stood still, or its
+// ownership was not confirmed, for example during an outage of the log. The items of the shards may have run on.
+func (a *Allocator) excuseSilence(now int64) {
+	if pause := now - a.handledAt; a.handledAt != 0 && pause > recentMs {
+		for _, s := range a.sources {
+			if !s.silent(a.handledAt) && s.silentAt != now+silentMs {
+				s.silentAt += pause
+			}
+		}
+	}
+	a.handledAt = now
+}
+
 // forgetSilent drops what silent shards held.
 func (a *Allocator) forgetSilent(now int64) {
 	for i, s := range a.sources {
@@ -308,6 +326,10 @@
 // used it for waitingMs, if others need it.
 func (a *Allocator) mayExceed(acc *account, self int, allowance, limit vector, now int64) bool {
 	p := &acc.parts[self]
+	// An item that exceeds the allowance by this right may wait for its record yet. It starts only while the right lasts.
+	if p.extra && !p.use.within(allowance, limit) && now < p.extraAt+recordMs {
+		return true
+	}
 	if !p.unmet(allowance, limit) {
 		return false
 	}
