--- a/core/shard/share_demand.go
+++ b/core/shard/share_demand.go
@@ -65,18 +65,17 @@
 	for _, name := range names {
 		weights += e.accountWeight(name)
 	}
-	perWeight := float64(int64(largest)*vmCPU) * targetUsePercent / 100 / weights
+	perWeight := 0.0
+	if weights > 0 {
+		perWeight = float64(int64(largest)*vmCPU) * targetUsePercent / 100 / weights
+	}
 	// The whole demand includes a forecast, which is attributed to the accounts in proportion.
 	scale := float64(d.batchCPU) / float64(s.demand.total)
 	within := float64(s.demand.unowned) * scale
 	for _, name := range names {
-		share := float64(s.accounts[name].demand) * scale
-		if weights > 0 {
-			share = min(share, e.accountWeight(name)*perWeight)
-		}
-		within += share
+		within += min(float64(s.accounts[name].demand)*scale, e.accountWeight(name)*perWeight)
 	}
-	vms := max(floor, int((int64(within)*100/targetUsePercent+d.persistentCPU+vmCPU-1)/vmCPU))
+	vms := max(floor, 1, int((int64(within)*100/targetUsePercent+d.persistentCPU+vmCPU-1)/vmCPU)) // 0 stands for all
 	if e.demand.heldVMs > 0 {
 		vms = max(vms, s.demand.vms) // as the held demand
 	}
