--- a/io/owner/admit.go
+++ b/io/owner/admit.go
@@ -29,6 +29,13 @@
 // appendAdmitted appends the records of a job if the job is admitted.
 func (o *Owner) appendAdmitted(ctx context.Context, r *poolRun, records []jobs.Record, load *shard.Load) StoreResult {
 	if retryAfterMs, ok := r.admission.Admit(load, clock.BootMs()); !ok {
+		// Another entry may have appended the job directly, as this owner did not answer an earlier attempt.
+		switch {
+		case r.jobLog.CatchUp(ctx) != nil:
+			return StoreResult{Owner: true, Verdict: retry.NotRun}
+		case r.isStored(records):
+			return StoreResult{Owner: true, Verdict: retry.Ran}
+		}
 		return StoreResult{Owner: true, Verdict: retry.NotRun, RetryAfterMs: retryAfterMs}
 	}
 	s := o.awaitAppend(ctx, records)
--- a/io/owner/admit_test.go
+++ b/io/owner/admit_test.go
@@ -19,6 +19,7 @@
 type admitCase struct {
 	Name                  string
 	Stored, Load, Refused bool
+	Direct                bool // another entry has just appended the job, and the owner has not read it
 }
 
 // TestRefusedJobsAreNotAppended guards against the answer that a job is refused although it is stored and runs, and against a job that
@@ -45,13 +46,7 @@
 		assert.Assert(t, time.Now().Before(until), "the shard is not taken over")
 	}
 	handIn := func(n int, withLoad bool) StoreResult {
-		j := &jobs.Job{
-			ID: fmt.Sprintf("%016x", n), Queue: "q", Account: "a", AcceptedMs: time.Now().UnixMilli(),
-			Steps: []jobs.Step{{Count: 5, CPU: 1000, MemMB: 10, EstimateMs: 1000}},
-		}
-		value, err := j.MarshalMsg(nil)
-		assert.NilError(t, err)
-		rec := jobs.Record{Key: jobs.JobKey(j.ID), Value: value}
+		j, rec := admitJob(n), jobRecord(t, n)
 		if !withLoad {
 			return r.o.AppendRecords(ctx, []jobs.Record{rec})
 		}
@@ -73,6 +68,11 @@
 			if c.Stored {
 				id = n - 1
 			}
+			if c.Direct {
+				l.mu.Lock()
+				l.records = append(l.records, jobRecord(t, id))
+				l.mu.Unlock()
+			}
 			s := handIn(id, c.Load)
 			if !c.Refused {
 				assert.Equal(t, s, StoreResult{Owner: true, Verdict: retry.Ran})
@@ -87,3 +87,20 @@
 	r.cancel()
 	<-ended
 }
+
+// admitJob returns a job of the account.
+func admitJob(n int) *jobs.Job {
+	return &jobs.Job{
+		ID: fmt.Sprintf("%016x", n), Queue: "q", Account: "a", AcceptedMs: time.Now().UnixMilli(),
+		Steps: []jobs.Step{{Count: 5, CPU: 1000, MemMB: 10, EstimateMs: 1000}},
+	}
+}
+
+// jobRecord returns the record of a job of the account.
+func jobRecord(t *testing.T, n int) jobs.Record {
+	t.Helper()
+	j := admitJob(n)
+	value, err := j.MarshalMsg(nil)
+	assert.NilError(t, err)
+	return jobs.Record{Key: jobs.JobKey(j.ID), Value: value}
+}
