--- a/io/owner/accounts.go
+++ b/io/owner/accounts.go
@@ -58,25 +58,42 @@
 	return stats.Labels{{Name: "account", Value: account}, {Name: "pool", Value: pool}, {Name: "state", Value: state}}
 }
 
+// sums returns the accounts of each pool by their labels. Accounts that share a label are summed up, since a series that is set twice
+// keeps its first value.
+func (s *AccountStates) sums(st *stats.Stats) map[[2]string]*AccountState {
+	sums := map[[2]string]*AccountState{}
+	s.visit(func(pool string, a *AccountState) {
+		key := [2]string{pool, st.AccountLabel(a.Account)}
+		sum := sums[key]
+		if sum == nil {
+			sum = &AccountState{Account: key[1]}
+			sums[key] = sum
+		}
+		sum.Running, sum.Waiting, sum.AtLimit = sum.Running+a.Running, sum.Waiting+a.Waiting, sum.AtLimit+a.AtLimit
+		sum.Used.CPU, sum.Used.MemMB = sum.Used.CPU+a.Used.CPU, sum.Used.MemMB+a.Used.MemMB
+		sum.Allowance.CPU, sum.Allowance.MemMB = sum.Allowance.CPU+a.Allowance.CPU, sum.Allowance.MemMB+a.Allowance.MemMB
+	})
+	return sums
+}
+
 // AddGauges registers the gauges of the accounts.
 func (s *AccountStates) AddGauges(st *stats.Stats) {
 	st.Gauges("sassafrasvalve_account_items", func(set func(stats.Labels, float64)) {
-		s.visit(func(pool string, a *AccountState) {
-			name := st.AccountLabel(a.Account)
-			set(itemLabels(name, pool, "running"), float64(a.Running))
-			set(itemLabels(name, pool, "waiting"), float64(a.Waiting))
-			set(itemLabels(name, pool, "at-limit"), float64(a.AtLimit))
-		})
+		for key, a := range s.sums(st) {
+			set(itemLabels(key[1], key[0], "running"), float64(a.Running))
+			set(itemLabels(key[1], key[0], "waiting"), float64(a.Waiting))
+			set(itemLabels(key[1], key[0], "at-limit"), float64(a.AtLimit))
+		}
 	})
 	resources := func(name string, of func(a *AccountState) jobs.Amount) {
 		st.Gauges(name, func(set func(stats.Labels, float64)) {
-			s.visit(func(pool string, a *AccountState) {
-				labels := stats.Labels{{Name: "account", Value: st.AccountLabel(a.Account)}, {Name: "pool", Value: pool}, {Name: "resource", Value: "cpu"}}
+			for key, a := range s.sums(st) {
+				labels := stats.Labels{{Name: "account", Value: key[1]}, {Name: "pool", Value: key[0]}, {Name: "resource", Value: "cpu"}}
 				set(labels, float64(of(a).CPU))
 				labels = slices.Clone(labels)
 				labels[2].Value = "memMB"
 				set(labels, float64(of(a).MemMB))
-			})
+			}
 		})
 	}
 	resources("sassafrasvalve_account_used", func(a *AccountState) jobs.Amount { return a.Used })
