owner: Report what an earlier owner may have started

The report after a takeover left out the items that an earlier owner may have started without recording them, as the report's amount for any account now holds strangers only. The allocator gave that part of the limit to other shards. The engine hands MayStart amounts that include it, so the holder does not add it there.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -29,6 +29,8 @@
 	// Allocator is the highest epoch of the machine controller's shard in the log when this owner claimed its shard. Grants of
 	// lower epochs are ignored.
 	Allocator int64
+	// UsedHoldsUnknown is true if the amounts handed to MayStart include Use.Unknown.
+	UsedHoldsUnknown bool
 }
 
 // held is the allowance of a shard for one account.
@@ -180,7 +182,7 @@
 	}
 	clear(h.hidden)
 	for name, u := range uses {
-		if u.Unknown != (jobs.Amount{}) {
+		if u.Unknown != (jobs.Amount{}) && !h.cfg.UsedHoldsUnknown {
 			h.hidden[name] = toVector(u.Unknown)
 		}
 		if limit := h.limit(name); u != (Use{}) && limit.hasLimit() {
--- a/io/owner/allowance.go
+++ b/io/owner/allowance.go
@@ -38,10 +38,12 @@
 
 // newPoolAllowances returns the allowances of a new owner of a shard, which holds none.
 func newPoolAllowances(a Allocation, o *Owner) *poolAllowances {
-	return &poolAllowances{quota.NewHolder(quota.HolderConfig{Shard: o.cfg.Part, Epoch: o.Epoch(), Allocator: a.AllocatorEpoch()})}
+	return &poolAllowances{quota.NewHolder(quota.HolderConfig{
+		Shard: o.cfg.Part, Epoch: o.Epoch(), Allocator: a.AllocatorEpoch(), UsedHoldsUnknown: true,
+	})}
 }
 
-// MayStart implements shard.Allowances. used includes what may run without the engine's knowledge, so the holder is not told of that.
+// MayStart implements shard.Allowances. used includes what may run without the engine's knowledge.
 func (a *poolAllowances) MayStart(account string, used, item jobs.Amount) bool {
 	return a.holder.MayStart(account, used, item)
 }
@@ -51,11 +53,14 @@
 	return a.holder.Room(account, used, shard.NoLimit)
 }
 
-// usesOf returns the accounts' use of a shard for a report.
-func usesOf(uses map[string]shard.AccountUse) map[string]quota.Use {
+// usesOf returns the accounts' use of a shard for a report that has the use by strangers apart.
+func usesOf(uses map[string]shard.AccountUse, strangers jobs.Amount) map[string]quota.Use {
 	list := make(map[string]quota.Use, len(uses))
 	for name, u := range uses {
-		list[name] = quota.Use{Used: u.Used, Want: u.Want, Item: u.Item}
+		unknown := jobs.Amount{
+			CPU: max(u.Unknown.CPU-strangers.CPU, 0), MemMB: max(u.Unknown.MemMB-strangers.MemMB, 0), GPU: max(u.Unknown.GPU-strangers.GPU, 0),
+		}
+		list[name] = quota.Use{Used: u.Used, Unknown: unknown, Want: u.Want, Item: u.Item}
 	}
 	return list
 }
@@ -97,11 +102,11 @@
 	now := clock.BootMs()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	uses := usesOf(r.engine.AccountUses(now))
+	strangers := r.engine.StrangerUse(now)
+	uses := usesOf(r.engine.AccountUses(now), strangers)
 	if !r.allowances.holder.Due(now, uses) {
 		return quota.Report{}, false
 	}
-	strangers := r.engine.StrangerUse(now)
 	report := r.allowances.holder.Report(uses, now)
 	report.Unknown = strangers
 	return report, true
