quota, owner, node: Count shards with an owner however long they are silent

Change: the allocator is told which shards have an owner by the log, and counts these on. A shard without one is forgotten after 25 s, as before.

Test: TestShardWithAnOwnerCountsOn.

--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -40,10 +40,12 @@
 	unknown   vector // for each account
 	reportAt  int64  // time of the newest report, 0 if there is none
 	silentAt  int64  // time at which the shard counts as nothing unless it reports
+	owned     bool   // it has an owner, by the log
 }
 
-// silent reports whether a shard counts as nothing.
-func (s *source) silent(now int64) bool { return now >= s.silentAt }
+// silent reports whether a shard counts as nothing. One whose owner is known to be in office counts on: its items run although its
+// reports don't arrive.
+func (s *source) silent(now int64) bool { return !s.owned && now >= s.silentAt }
 
 // part is what one shard holds and uses of an account.
 type part struct {
@@ -130,6 +132,16 @@
 	a.limits = limits
 }
 
+// SetOwned sets which shards have an owner by the log.
+func (a *Allocator) SetOwned(owned map[int]bool, now int64) {
+	for i, s := range a.sources {
+		was := s.owned
+		if s.owned = owned[s.shard]; was && !s.owned {
+			a.sources[i].silentAt = max(s.silentAt, now+silentMs)
+		}
+	}
+}
+
 // newlyLimited reports whether a resource that had no limit has one.
 func newlyLimited(old, l vector) bool {
 	for r := range l {
--- a/core/quota/review_test.go
+++ b/core/quota/exchange_test.go
@@ -96,3 +96,19 @@
 		}
 	}
 }
+
+// TestShardWithAnOwnerCountsOn guards against an account that runs twice its limit, as a shard whose owner is only cut off from the
+// allocator counts as nothing after a time, and another shard gets its part.
+func TestShardWithAnOwnerCountsOn(t *testing.T) {
+	for _, owned := range []bool{true, false} {
+		a, holders := newExchange(2, 10)
+		now := exchanges(a, holders, []int64{0, 10}, []int64{0, 10}, 1, 0)
+		one := jobs.Amount{CPU: 1}
+		for until := now + 2*silentMs; now < until; now += 300 {
+			a.SetOwned(map[int]bool{0: true, 1: owned}, now)
+			h := holders[0] // the other one is silent
+			h.Apply(a.Handle(h.Report(map[string]Use{"a": {Want: jobs.Amount{CPU: 10}, Item: one}}, now), now))
+		}
+		assert.Equal(t, holders[0].MayStart("a", jobs.Amount{CPU: 2}, one), !owned)
+	}
+}
--- a/io/node/allowance.go
+++ b/io/node/allowance.go
@@ -71,13 +71,13 @@
 	return c != nil && age <= jobapi.MaxConfigAgeMs(n.cfg.Times.ConfigMs)
 }
 
-// shardEpochs returns the epochs of the owners of all shards of pools that have or had an owner.
-func (n *Node) shardEpochs() map[int]int64 {
-	epochs := map[int]int64{}
+// shardOwners returns the epochs of the owners of all shards of pools that have or had an owner, and which of them have one now.
+func (n *Node) shardOwners() (epochs map[int]int64, owned map[int]bool) {
+	epochs, owned = map[int]int64{}, map[int]bool{}
 	for _, part := range n.shards.Parts() {
-		if e := n.directory.Shard(part).Claim.Epoch; e > 0 {
-			epochs[part] = e
+		if c := n.directory.Shard(part).Claim; c.Epoch > 0 {
+			epochs[part], owned[part] = c.Epoch, c.Owner != ""
 		}
 	}
-	return epochs
+	return epochs, owned
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -326,7 +326,7 @@
 	if service == controllerShard {
 		return owner.NewControllerRunner(owner.ControllerConfig{
 			Cloud: n.cloud, Waves: n.waves.list, Demands: n.demands, Upkeeps: n.directory.Upkeeps,
-			Accounts: n.accounts, ShardEpochs: n.shardEpochs, ReportWave: n.waves.reportStatus,
+			Accounts: n.accounts, ShardOwners: n.shardOwners, ReportWave: n.waves.reportStatus,
 			SettleMs: n.cfg.Times.LeaseMs, OrdersPerS: n.cfg.Cloud.CallsPerS, MoveMs: n.cfg.Times.MoveMs, UpkeepMs: n.cfg.Times.UpkeepMs, Stats: n.stats,
 		})
 	}
--- a/io/owner/allowance.go
+++ b/io/owner/allowance.go
@@ -140,6 +140,8 @@
 	c.allocatorMu.Lock()
 	defer c.allocatorMu.Unlock()
 	catalog, fresh := c.cfg.Accounts()
-	c.allocator.SetConfig(catalog, c.cfg.ShardEpochs(), fresh && c.caughtUp, now)
+	epochs, owned := c.cfg.ShardOwners()
+	c.allocator.SetConfig(catalog, epochs, fresh && c.caughtUp, now)
+	c.allocator.SetOwned(owned, now)
 	return c.allocator.Handle(report, now)
 }
--- a/io/owner/controller.go
+++ b/io/owner/controller.go
@@ -51,8 +51,8 @@
 	ReportWave func(wave int, complete bool) // called for each wave in each tick
 	// Accounts returns the configuration and whether it is certainly in force.
 	Accounts func() (c *jobs.Catalog, fresh bool)
-	// ShardEpochs returns the epochs of the owners of all shards that have or had one.
-	ShardEpochs func() map[int]int64
+	// ShardOwners returns the epochs of the owners of all shards that have or had one, and which of them have one now.
+	ShardOwners func() (epochs map[int]int64, owned map[int]bool)
 	SettleMs    int64   // time without orders after the takeover from a silent machine controller
 	OrdersPerS  float64 // orders per second that the platform accepts, 0 for no limit
 	MoveMs      int64   // time that a move takes, 0 for assign.DefaultMoveMs
