--- a/core/shard/late.go
+++ b/core/shard/late.go
@@ -88,7 +88,7 @@
 func (e *Engine) updateLate(now int64) {
 	e.dropLate(func(l *lateStart) bool {
 		v := e.vms[l.vm]
-		return now >= l.until && (v != nil && v.polled && !v.silent && v.answeredSentAt >= l.until || now >= l.leaseOverAt(v))
+		return now >= l.until && (v != nil && v.polled && !v.silent && v.answeredSentAt >= l.until || now >= l.leaseOverAt(v, e.bounds.maxSlowLeaseMs))
 	})
 }
 
