quota: Spread most of what is left by what the shards want

Change: three eighths of what an account leaves go to shards by what they want, beside the half that is spread evenly; an eighth stays with the allocator.

Figures: tests of core/quota pass with the same bounds (1,000 ms until an idle allowance is elsewhere).

--- a/core/quota/divide.go
+++ b/core/quota/divide.go
@@ -14,8 +14,9 @@
 
 // divide sets the targets of an account: what each shard would have if all allowances could change at once. Each keeps what it
 // uses. Waiting items get the rest in equal numbers, then in equal amounts, up to what the shards want. Half of what is left is
-// spread evenly. The other half stays with the allocator, where the next report that wants it gets it at once; taking an allowance
-// back from an idle shard needs two of that shard's reports. A shard without a recent report keeps all that it is counted at.
+// spread evenly, and three eighths by what the shards want, so that a peak phase that has begun goes on while there is no allocator. The
+// last eighth stays with the allocator, where the next report that wants it gets it at once; taking an allowance back needs two
+// reports of the shard. A shard without a recent report keeps all that it is counted at.
 func (a *Allocator) divide(acc *account, limit vector, now int64) {
 	acc.targets = append(acc.targets[:0], make([]vector, len(acc.parts))...)
 	rest, heard := limit, int64(0)
@@ -43,15 +44,29 @@
 	if now >= acc.idleAt {
 		return
 	}
+	var wanted vector
 	for i := range acc.parts {
 		if a.sources[i].heard(recentMs, now) {
-			for r := range rest {
-				acc.targets[i][r] += rest[r] / (2 * heard)
+			wanted = wanted.add(acc.parts[i].want)
+		}
+	}
+	for i := range acc.parts {
+		if !a.sources[i].heard(recentMs, now) {
+			continue
+		}
+		for r := range rest {
+			acc.targets[i][r] += rest[r] / (2 * heard)
+			if limit[r] != unlimited && wanted[r] > 0 {
+				part := float64(acc.parts[i].want[r]) / float64(wanted[r])
+				acc.targets[i][r] += int64(float64(rest[r]) * wantPart * part)
 			}
 		}
 	}
 }
 
+// wantPart is the part of what is left that is spread by what the shards want.
+const wantPart = 3.0 / 8
+
 // waitingItems returns the number of items of the size of the next one that a shard waits for, 0 if the size is not known.
 func (p *part) waitingItems(limit vector) int64 {
 	n := int64(0)
