assign: Vacate VMs in use no faster than a wave needs

While no pool lacks machines a wave vacated up to a quarter of a pool.

Change: also then VMs in use are vacated at the pace that the wave needs to end in time, with its margin, for all of the pool's VMs in use.

--- a/core/assign/upkeep.go
+++ b/core/assign/upkeep.go
@@ -18,6 +18,7 @@
 	vacating   int            // VMs to vacate that are still in use
 	waiting    int            // vacated VMs whose order is not sent yet
 	pace       map[string]int // VMs in use of each pool that are vacated at a time, for the pool to end in time
+	steady     map[string]int // the same if none of them will be offered by its pool
 	begun      map[string]int // those that are being vacated
 	out        map[string]int // VMs of each pool that are being vacated or were in use before the upkeep of their machine
 	late       map[string]bool
@@ -29,7 +30,7 @@
 	remaining := len(due) + down
 	o := &upkeepOrders{
 		c: c, wave: w, now: now, maxDown: max(w.MaxDown, 1), downLimit: c.maxDownNow(w, remaining, now),
-		ordersLeft: c.maxWaveOrders(w, remaining, now), down: down, pace: map[string]int{}, begun: map[string]int{}, out: map[string]int{},
+		ordersLeft: c.maxWaveOrders(w, remaining, now), down: down, pace: map[string]int{}, steady: map[string]int{}, begun: map[string]int{}, out: map[string]int{},
 		late: map[string]bool{},
 	}
 	for _, m := range c.machines {
@@ -45,6 +46,7 @@
 	}
 	for pool, n := range lasting {
 		o.pace[pool], o.late[pool] = c.vacatePace(w, pool, n, now)
+		o.steady[pool] = c.vacateRate(w, n, now)
 	}
 	return o
 }
@@ -65,8 +67,14 @@
 	if !late {
 		n = min(n, p.Report.Min) // the others will be offered between two peaks of the demand
 	}
-	leftMs = max(leftMs, cycleMs)
-	return max(minVacatingVMs, int((int64(n)*cycleMs*waveMarginPercent/100+leftMs-1)/leftMs)), late
+	return c.vacateRate(w, n, now), late
+}
+
+// vacateRate returns how many of n VMs in use have to be vacated at a time for a wave to end in time.
+func (c *Controller) vacateRate(w *pools.Wave, n int, now int64) int {
+	cycleMs := vacateMs + c.cfg.UpkeepMs
+	leftMs := max(w.DueMs-now-waveReserveMs, cycleMs)
+	return max(minVacatingVMs, int((int64(n)*cycleMs*waveMarginPercent/100+leftMs-1)/leftMs))
 }
 
 // goOn continues the vacating of a VM, and orders its upkeep once it is vacated.
--- a/core/assign/wave.go
+++ b/core/assign/wave.go
@@ -134,7 +134,10 @@
 		o.takeIdle(m)
 	}
 	for _, m := range inUse {
-		if o.down+o.vacating < o.downLimit && !o.has(m) {
+		// While no pool lacks machines, VMs are vacated at the pace that all of the pool need, and not faster: they are missing in the peak of
+		// the demand that may follow.
+		beyond := w.DueMs == 0 || o.late[m.Pool] || o.begun[m.Pool] < o.steady[m.Pool]
+		if beyond && o.down+o.vacating < o.downLimit && !o.has(m) {
 			o.begin(m, false)
 		}
 	}
