--- a/core/shard/account.go
+++ b/core/shard/account.go
@@ -257,9 +257,9 @@
 	return smallest
 }
 
-// StrangerUse returns what any account may use in this shard in addition, also one without jobs here: VMs have listed runs of jobs that
+// OrphanUse returns what any account may use in this shard in addition, also one without jobs here: VMs have listed runs of jobs that
 // had ended before the takeover.
-func (e *Engine) StrangerUse(now int64) jobs.Amount {
+func (e *Engine) OrphanUse(now int64) jobs.Amount {
 	u := e.measureUnknown(now)
-	return within(u.strangers)
+	return within(u.orphans)
 }
--- a/core/shard/late.go
+++ b/core/shard/late.go
@@ -52,7 +52,7 @@
 		j := e.jobs[id]
 		switch {
 		case j == nil:
-			v.strangerRuns++
+			v.orphanRuns++
 			return
 		case key.Step >= len(j.Steps):
 			return
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -177,7 +177,7 @@
 // items whose run is missing for certain are released. While the VM has further ends to list, none is: the run may be among them.
 func (e *Engine) reconcileRuns(v *vm, reply *pools.PollReply, sentAt, now int64) {
 	e.pollNum++
-	v.unknownRuns, v.strangerRuns = 0, 0
+	v.unknownRuns, v.orphanRuns = 0, 0
 	for i := range reply.Running {
 		r := &reply.Running[i]
 		it := v.runs[r.Item]
--- a/core/shard/unknown.go
+++ b/core/shard/unknown.go
@@ -12,10 +12,10 @@
 	incomplete bool                        // there may be more of these VMs
 	own        map[*accountUse]jobs.Amount // what is counted on these VMs
 	idle       map[*accountUse]jobs.Amount // inherited items that are not counted
-	// strangers is the capacity of the VMs that have listed runs of jobs which had ended before the takeover. Nothing tells to which
+	// orphans is the capacity of the VMs that have listed runs of jobs which had ended before the takeover. Nothing tells to which
 	// account these belong.
-	strangers jobs.Amount
-	strange   map[*accountUse]jobs.Amount // what is counted there
+	orphans      jobs.Amount
+	countedThere map[*accountUse]jobs.Amount // what is counted there
 }
 
 // of returns what an account may use beside what is counted.
@@ -24,7 +24,7 @@
 	if !u.incomplete {
 		started = least(started, within(plus(u.unpolled, u.own[a], -1)))
 	}
-	return within(plus(within(plus(u.strangers, u.strange[a], -1)), started, 1))
+	return within(plus(within(plus(u.orphans, u.countedThere[a], -1)), started, 1))
 }
 
 // least returns the lower amount of each resource.
@@ -51,15 +51,15 @@
 	if !p.pending && !recent {
 		return u
 	}
-	u.own, u.strange = map[*accountUse]jobs.Amount{}, map[*accountUse]jobs.Amount{}
+	u.own, u.countedThere = map[*accountUse]jobs.Amount{}, map[*accountUse]jobs.Amount{}
 	u.incomplete = p.pending && p.vms == nil
 	var largest jobs.Amount
 	for _, v := range e.vms {
 		c := v.capacity()
 		largest = jobs.Amount{CPU: max(largest.CPU, c.CPU), MemMB: max(largest.MemMB, c.MemMB), GPU: max(largest.GPU, c.GPU)}
 		switch {
-		case recent && v.strangerRuns > 0:
-			addVM(&u.strangers, u.strange, v)
+		case recent && v.orphanRuns > 0:
+			addVM(&u.orphans, u.countedThere, v)
 		case p.pending && p.vms[v.ID]:
 			addVM(&u.unpolled, u.own, v)
 		}
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -45,7 +45,7 @@
 	recentFailures    [8]bool // ring of the newest outcomes of runs, true for a failure or a stall
 	outcomeCount      int     // number of recorded outcomes, which determines the write position of the ring
 	unknownRuns       int     // runs listed in the last poll that belong to no item here
-	strangerRuns      int     // those of them that belong to no job here
+	orphanRuns        int     // those of them that belong to no job here
 
 	runs                        map[string]*item
 	usedCPU, usedMemMB, usedGPU int64 // used by attached items; CPU in thousandths of a core
@@ -114,7 +114,7 @@
 	v.polled, v.allEndsListed, v.moreEnds, v.silent, v.silentSince = false, false, false, false, 0
 	v.clockMs, v.clockReadAt, v.leaseEndMs, v.earlierLeaseUntil = 0, 0, 0, 0
 	v.seenSeq, v.ackedSeq, v.listedSeq, v.lastPollAt, v.suspectUntil, v.noCapacityUntil, v.unknownRuns = 0, 0, 0, 0, 0, 0, 0
-	v.recentFailures, v.heldAcks, v.strangerRuns = [8]bool{}, nil, 0
+	v.recentFailures, v.heldAcks, v.orphanRuns = [8]bool{}, nil, 0
 }
 
 // estimateClock returns the present reading of the VM's clock, extrapolated from its last reply.
--- a/io/owner/allowance.go
+++ b/io/owner/allowance.go
@@ -53,12 +53,12 @@
 	return a.holder.Room(account, used, shard.NoLimit)
 }
 
-// usesOf returns the accounts' use of a shard for a report that has the use by strangers apart.
-func usesOf(uses map[string]shard.AccountUse, strangers jobs.Amount) map[string]quota.Use {
+// usesOf returns the accounts' use of a shard for a report in which the use by orphaned runs is separate.
+func usesOf(uses map[string]shard.AccountUse, orphans jobs.Amount) map[string]quota.Use {
 	list := make(map[string]quota.Use, len(uses))
 	for name, u := range uses {
 		unknown := jobs.Amount{
-			CPU: max(u.Unknown.CPU-strangers.CPU, 0), MemMB: max(u.Unknown.MemMB-strangers.MemMB, 0), GPU: max(u.Unknown.GPU-strangers.GPU, 0),
+			CPU: max(u.Unknown.CPU-orphans.CPU, 0), MemMB: max(u.Unknown.MemMB-orphans.MemMB, 0), GPU: max(u.Unknown.GPU-orphans.GPU, 0),
 		}
 		list[name] = quota.Use{Used: u.Used, Unknown: unknown, Want: u.Want, Item: u.Item}
 	}
@@ -102,13 +102,13 @@
 	now := clock.BootMs()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	strangers := r.engine.StrangerUse(now)
-	uses := usesOf(r.engine.AccountUses(now), strangers)
+	orphans := r.engine.OrphanUse(now)
+	uses := usesOf(r.engine.AccountUses(now), orphans)
 	if !r.allowances.holder.Due(now, uses) {
 		return quota.Report{}, false
 	}
 	report := r.allowances.holder.Report(uses, now)
-	report.Unknown = strangers
+	report.Unknown = orphans
 	return report, true
 }
 
