--- a/review/cases3/worker.go
+++ b/review/cases3/worker.go
@@ -54,6 +54,8 @@
 	highest    map[string]int // highest number of a stopped or ended run, by work item
 	reportedAt time.Time
 	gone       bool
+	dark       bool              // its machine is down, and nobody gets a response
+	leaveLate  func(*order) bool // reports whether a start is left unanswered, to be carried out later; nil for none
 }
 
 // addMachine adds a machine to a pool. A machine of a spare pool is off. The caller does not hold mu.
@@ -80,8 +82,28 @@
 // boot starts a new worker on a machine. The caller holds mu.
 func (w *world) boot(m *machine) error {
 	w.workerCount++
-	id := fmt.Sprintf("i-%s-%02d", strings.TrimPrefix(m.id, "m-"), w.workerCount)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return w.begin(m, fmt.Sprintf("i-%s-%02d", strings.TrimPrefix(m.id, "m-"), w.workerCount), "127.0.0.1:0")
+}
+
+// restart takes a machine down silently for a time. Its worker starts again under its id and address, and knows nothing of before. The
+// caller does not hold mu.
+func (w *world) restart(m *machine, down time.Duration) error {
+	w.mu.Lock()
+	v := m.worker
+	v.dark = true
+	w.note("worker %s crashes with %d runs", v.id, len(v.runs))
+	w.mu.Unlock()
+	time.Sleep(down)
+	_ = v.server.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v.gone = true
+	return w.begin(m, v.id, v.addr)
+}
+
+// begin starts a lifetime of a worker. The caller holds mu.
+func (w *world) begin(m *machine, id, addr string) error {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
@@ -171,8 +193,11 @@
 			return
 		}
 		v.w.mu.Lock()
-		if v.gone {
+		if late := v.leaveLate != nil && r.URL.Path == "/run-start" && v.leaveLate(o); v.gone || v.dark || late {
 			v.w.mu.Unlock()
+			if !v.gone {
+				<-r.Context().Done()
+			}
 			panic(http.ErrAbortHandler)
 		}
 		now := time.Now()
@@ -231,6 +256,9 @@
 	if cpu > v.m.cpu || mem > v.m.mem || gpu > v.m.gpu {
 		return http.StatusConflict, "room"
 	}
+	if at, ok := v.w.noted[o.Task]; ok {
+		v.w.breaks("TWICE: %s run %d starts at %s, %.1f s after its end as done was taken note of", o.Task, o.Run, v.id, now.Sub(at).Seconds())
+	}
 	r := &run{task: o.Task, number: o.Run, step: st, startedAt: now}
 	v.runs[o.Task] = r
 	if j.StartedAt.IsZero() {
@@ -304,6 +332,9 @@
 
 // advance ends the runs that are due. The caller holds mu.
 func (v *worker) advance(now time.Time) {
+	if v.dark {
+		return
+	}
 	tasks := make([]string, 0, len(v.runs))
 	for t := range v.runs {
 		tasks = append(tasks, t)
@@ -355,7 +386,12 @@
 	defer v.w.mu.Unlock()
 	first := true
 	for {
-		if v.gone {
+		if v.dark {
+			v.w.mu.Unlock()
+			<-r.Context().Done()
+			v.w.mu.Lock()
+		}
+		if v.gone || v.dark {
 			panic(http.ErrAbortHandler)
 		}
 		now := time.Now()
@@ -370,6 +406,9 @@
 		}
 		if first {
 			for len(v.ended) > 0 && v.ended[0][0].(int64) <= o.Ack {
+				if v.ended[0][3] == "done" {
+					v.w.noted[v.ended[0][1].(string)] = now
+				}
 				v.ended = v.ended[1:]
 			}
 		}
--- a/review/cases3/world.go
+++ b/review/cases3/world.go
@@ -48,8 +48,9 @@
 	version     int
 	jobs        map[string]*job
 	workerCount int
-	ends        map[string]int // ends of runs by how
-	broken      []string       // what broke the rule of the case
+	ends        map[string]int       // ends of runs by how
+	noted       map[string]time.Time // when an end as done was taken note of, by work item
+	broken      []string             // what broke the rule of the case
 	fenceCheck  bool
 }
 
@@ -95,7 +96,7 @@
 	}
 	w := &world{
 		dir: dir, record: f, started: time.Now(), log: plat.NewLog(), stopped: make(chan struct{}), jobs: map[string]*job{},
-		ends: map[string]int{}, nextPort: rand.IntN(portCount),
+		ends: map[string]int{}, noted: map[string]time.Time{}, nextPort: rand.IntN(portCount),
 	}
 	if w.store, err = w.serve(w.log.Handler()); err != nil {
 		return nil, err
@@ -189,7 +190,7 @@
 			}
 			if v := m.worker; v != nil {
 				v.advance(now)
-				if now.Sub(v.reportedAt) >= heartbeatMs*time.Millisecond {
+				if !v.dark && now.Sub(v.reportedAt) >= heartbeatMs*time.Millisecond {
 					w.announce(v)
 				}
 			}
