jobapi: Log which shards a queue length leaves out

The entry now logs the counts of the shards that answered and the shards that did not, for each answer that leaves one out.

--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -418,12 +418,23 @@
 // not answer. Jobs in another shard whose owner does not answer are not counted.
 func (a *API) QueueLength(ctx context.Context, q *jobs.Queue) (int, error) {
 	sum := 0
+	counts := map[int]int{}
+	var silent []int
 	for _, part := range a.cfg.Shards.Parts() {
 		n, authoritative := a.cfg.Owners.QueueLength(ctx, part, q.Name)
+		if authoritative {
+			counts[part] = n
+		} else {
+			silent = append(silent, part)
+		}
 		if first, ok := a.cfg.Shards.Part(q.Service); !authoritative && ok && part == first {
 			return 0, unavailable("the owner of the queue's shard does not answer at present")
 		}
 		sum += n
 	}
+	if len(silent) > 0 {
+		a.cfg.Log.Info("queue length counted without some shards", zap.String("queue", q.Name), zap.Int("length", sum),
+			zap.Any("counts", counts), zap.Ints("silent", silent))
+	}
 	return sum, nil
 }
