jobs: Count the waiting jobs of a queue that was renamed

Callers saw: a queue that the operator gives another name, with the same host, prefix and service, is answered with a length of 0 at all entries while its jobs wait, with no failure at all.

Cause: an owner counted jobs whose Queue is the queue's present name, while the route, by which callers know the queue and by which the shards of its jobs are recorded, was not stored with the job.

Change: a job record holds the route that it was submitted to, and an owner counts the jobs that were submitted under the queue's name or its route. Records and calls of earlier versions have no route and are counted by name. The table keeps the counts by queue as it applies records, so that the count no longer walks all jobs under the lock of the job log.

--- a/core/jobs/catalog.go
+++ b/core/jobs/catalog.go
@@ -21,6 +21,21 @@
 // it another name or service.
 func (q *Queue) Route() string { return q.Host + q.Prefix }
 
+// ID returns the name and the route of the queue.
+func (q *Queue) ID() QueueID { return QueueID{Name: q.Name, Route: q.Route()} }
+
+// QueueID identifies a queue across configurations. The operator may give a queue another name or another route, so a job belongs to
+// a queue if it was submitted under one of the two.
+type QueueID struct {
+	Name  string
+	Route string // as returned by Queue.Route; empty if it is unknown
+}
+
+// has reports whether a job that was submitted to the queue id belongs to the queue.
+func (q QueueID) has(id QueueID) bool {
+	return q.Name == id.Name || q.Route != "" && q.Route == id.Route
+}
+
 // Pool holds the settings of the VM pool of a service.
 type Pool struct {
 	Service          string
--- a/core/jobs/codec_gen.go
+++ b/core/jobs/codec_gen.go
@@ -786,13 +786,17 @@
 func (z *Job) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
-	if z.Account == "" {
+	if z.Route == "" {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.Account == "" {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -839,6 +843,11 @@
 		o = append(o, 0xa1, 0x63)
 		o = msgp.AppendBool(o, z.PolicyChecked)
 		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendString(o, z.Route)
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "u"
 			o = append(o, 0xa1, 0x75)
 			o = msgp.AppendString(o, z.Account)
@@ -952,6 +961,12 @@
 				err = msgp.WrapError(err, "PolicyChecked")
 				return
 			}
+		case "r":
+			z.Route, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Route")
+				return
+			}
 		case "u":
 			z.Account, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -976,7 +991,7 @@
 	for za0001 := range z.Steps {
 		s += z.Steps[za0001].Msgsize()
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Account)
+	s += 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(z.Account)
 	return
 }
 
@@ -1772,9 +1787,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StoredJob) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "Job"
-	o = append(o, 0x84, 0xa3, 0x4a, 0x6f, 0x62)
+	o = append(o, 0x85, 0xa3, 0x4a, 0x6f, 0x62)
 	if z.Job == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -1794,6 +1809,9 @@
 	// string "Cancelled"
 	o = append(o, 0xa9, 0x43, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Cancelled)
+	// string "CancelledBy"
+	o = append(o, 0xab, 0x43, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64, 0x42, 0x79)
+	o = msgp.AppendString(o, z.CancelledBy)
 	// string "Excluded"
 	o = append(o, 0xa8, 0x45, 0x78, 0x63, 0x6c, 0x75, 0x64, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Excluded)
@@ -1851,6 +1869,12 @@
 				err = msgp.WrapError(err, "Cancelled")
 				return
 			}
+		case "CancelledBy":
+			z.CancelledBy, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CancelledBy")
+				return
+			}
 		case "Excluded":
 			z.Excluded, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1877,7 +1901,7 @@
 	} else {
 		s += z.Job.Msgsize()
 	}
-	s += 9 + z.Progress.Msgsize() + 10 + msgp.BoolSize + 9 + msgp.BoolSize
+	s += 9 + z.Progress.Msgsize() + 10 + msgp.BoolSize + 12 + msgp.StringPrefixSize + len(z.CancelledBy) + 9 + msgp.BoolSize
 	return
 }
 
--- a/core/jobs/codec_test.go
+++ b/core/jobs/codec_test.go
@@ -79,6 +79,6 @@
 			_, _ = table.Apply(rec) // an error is allowed, a panic is not
 			_ = dir.Apply(rec)
 		}
-		table.QueueLength("q")
+		table.QueueLength(QueueID{Name: "q"})
 	})
 }
--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -22,6 +22,8 @@
 	// earlier versions have neither.
 	MaxAttempts   int  `msg:"m"`
 	PolicyChecked bool `msg:"c"`
+	// Route is the route that it was submitted to, as Queue.Route returns it. Records of earlier versions have none.
+	Route string `msg:"r,omitempty"`
 	// Account is the name of the client account whose key the job was submitted with. It is empty for a job of a public queue, and
 	// in a deployment without accounts.
 	Account string `msg:"u,omitempty"`
--- a/core/jobs/table.go
+++ b/core/jobs/table.go
@@ -51,11 +51,14 @@
 
 // JobTable holds the jobs of one shard, folded from its partition. It is not safe for concurrent use.
 type JobTable struct {
-	Jobs map[string]*StoredJob // by job ID
+	Jobs    map[string]*StoredJob // by job ID
+	waiting map[QueueID]int       // jobs that have not started, by the queue that they were submitted to
 }
 
 // NewJobTable returns an empty table.
-func NewJobTable() *JobTable { return &JobTable{Jobs: map[string]*StoredJob{}} }
+func NewJobTable() *JobTable {
+	return &JobTable{Jobs: map[string]*StoredJob{}, waiting: map[QueueID]int{}}
+}
 
 // Change is the effect of one record on a JobTable.
 type Change struct {
@@ -76,6 +79,8 @@
 	if r.Key[0] == keyPart {
 		return Change{}, t.applyPart(id, r.Value)
 	}
+	q, waits := t.waitsIn(id)
+	defer func() { t.updateWaiting(id, q, waits) }()
 	if len(r.Value) == 0 {
 		t.deleteRecord(r.Key[0], id)
 		return Change{}, nil
@@ -229,12 +234,35 @@
 	return s
 }
 
-// QueueLength returns the number of jobs of a queue that have not started.
-func (t *JobTable) QueueLength(queue string) int {
+// waitsIn returns the queue to which a job that has not started was submitted. It returns false for other jobs.
+func (t *JobTable) waitsIn(id string) (QueueID, bool) {
+	s := t.Jobs[id]
+	if s == nil || s.Job == nil || s.State() != Queued {
+		return QueueID{}, false
+	}
+	return QueueID{Name: s.Job.Queue, Route: s.Job.Route}, true
+}
+
+// updateWaiting counts a job after a record of it was applied. before is the queue in which it waited until then, if it did.
+func (t *JobTable) updateWaiting(id string, before QueueID, waited bool) {
+	after, waits := t.waitsIn(id)
+	if waits {
+		t.waiting[after]++
+	}
+	if !waited {
+		return
+	}
+	if t.waiting[before]--; t.waiting[before] == 0 {
+		delete(t.waiting, before)
+	}
+}
+
+// QueueLength returns the number of jobs of a queue that have not started. Its cost does not depend on the number of jobs.
+func (t *JobTable) QueueLength(q QueueID) int {
 	n := 0
-	for _, s := range t.Jobs {
-		if s.Job != nil && s.Job.Queue == queue && s.State() == Queued {
-			n++
+	for id, count := range t.waiting {
+		if q.has(id) {
+			n += count
 		}
 	}
 	return n
--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -77,7 +77,7 @@
 	ExcludeJob(ctx context.Context, part int, id string) (found, known bool)
 	// QueueLength asks the owner of a shard for the number of jobs of a queue that have not started.
 	// authoritative is false if no owner could answer.
-	QueueLength(ctx context.Context, part int, queue string) (n int, authoritative bool)
+	QueueLength(ctx context.Context, part int, q jobs.QueueID) (n int, authoritative bool)
 }
 
 // Config holds the dependencies and settings of an API.
@@ -421,7 +421,7 @@
 	counts := map[int]int{}
 	var silent []int
 	for _, part := range a.cfg.Shards.Parts() {
-		n, authoritative := a.cfg.Owners.QueueLength(ctx, part, q.Name)
+		n, authoritative := a.cfg.Owners.QueueLength(ctx, part, q.ID())
 		if authoritative {
 			counts[part] = n
 		} else {
--- a/io/jobapi/moved_test.go
+++ b/io/jobapi/moved_test.go
@@ -69,7 +69,7 @@
 	return false, true
 }
 
-func (o *movedOwners) QueueLength(context.Context, int, string) (int, bool) { return 0, true }
+func (o *movedOwners) QueueLength(context.Context, int, jobs.QueueID) (int, bool) { return 0, true }
 
 // Part returns the shard of the queue's present service.
 func (o *movedOwners) Part(string) (int, bool) { return newShard, true }
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -86,9 +86,13 @@
 // waitingRequest asks for the number of jobs of a queue that have not started.
 type waitingRequest struct {
 	Part  int
-	Queue string
+	Queue string // its name
+	Route string // empty in calls of earlier versions
 }
 
+// queue returns the queue that is asked for.
+func (q *waitingRequest) queue() jobs.QueueID { return jobs.QueueID{Name: q.Queue, Route: q.Route} }
+
 // waitingAnswer is the answer to a waitingRequest.
 type waitingAnswer struct {
 	Sure bool // the answer is authoritative
@@ -171,7 +175,7 @@
 		defer cancel()
 		return o.excludeLocal(ctx, req.Part, req.ID)
 	})
-	handle(s, methodWaiting, func(_ context.Context, req waitingRequest) any { return o.localQueueLength(req.Part, req.Queue) })
+	handle(s, methodWaiting, func(_ context.Context, req waitingRequest) any { return o.localQueueLength(req.Part, req.queue()) })
 	handle(s, methodAllowance, func(_ context.Context, req allowanceRequest) any { return o.localAllowance(req.Part, req.Report) })
 	handle(s, relay.MethodOffer, func(_ context.Context, req relay.Offer) any { return o.relaySet.Offer(req) })
 	handle(s, methodOwns, func(_ context.Context, req ownsRequest) any {
@@ -313,21 +317,21 @@
 
 // QueueLength asks the owner of a shard for the number of jobs of a queue that have not started. authoritative is false
 // if no owner could answer.
-func (o *shardOwners) QueueLength(ctx context.Context, part int, queue string) (n int, authoritative bool) {
+func (o *shardOwners) QueueLength(ctx context.Context, part int, q jobs.QueueID) (n int, authoritative bool) {
 	a := askOwner(ctx, o, ownerCall{
-		Part: part, Method: methodWaiting, Params: waitingRequest{Part: part, Queue: queue},
-		Deadline: time.Now().Add(queryTimeout), Subject: zap.String("queue", queue),
-	}, func() waitingAnswer { return o.localQueueLength(part, queue) })
+		Part: part, Method: methodWaiting, Params: waitingRequest{Part: part, Queue: q.Name, Route: q.Route},
+		Deadline: time.Now().Add(queryTimeout), Subject: zap.String("queue", q.Name),
+	}, func() waitingAnswer { return o.localQueueLength(part, q) })
 	return a.N, a.Sure
 }
 
 // localQueueLength returns the number of jobs of a queue that have not started if this process owns the shard.
-func (o *shardOwners) localQueueLength(part int, queue string) waitingAnswer {
+func (o *shardOwners) localQueueLength(part int, q jobs.QueueID) waitingAnswer {
 	own := o.find(part)
 	if own == nil {
 		return waitingAnswer{}
 	}
-	n, authoritative := own.QueueLength(queue)
+	n, authoritative := own.QueueLength(q)
 	return waitingAnswer{N: n, Sure: authoritative}
 }
 
--- a/io/owner/pending.go
+++ b/io/owner/pending.go
@@ -180,12 +180,12 @@
 
 // QueueLength returns the number of jobs of a queue that have not started. It returns false if the answer is not
 // authoritative.
-func (o *Owner) QueueLength(queue string) (int, bool) {
+func (o *Owner) QueueLength(q jobs.QueueID) (int, bool) {
 	r := o.run.Load()
 	if r == nil || !o.OwnershipConfirmed() {
 		return 0, false
 	}
-	return r.jobLog.QueueLength(queue), true
+	return r.jobLog.QueueLength(q), true
 }
 
 // answerAll sends the same result to the callers of all pending records of a list.
--- a/io/tail/joblog.go
+++ b/io/tail/joblog.go
@@ -105,8 +105,8 @@
 }
 
 // QueueLength returns the number of jobs of a queue that have not started.
-func (l *JobLog) QueueLength(queue string) int {
+func (l *JobLog) QueueLength(q jobs.QueueID) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.table.QueueLength(queue)
+	return l.table.QueueLength(q)
 }
