--- a/core/jobs/codec.go
+++ b/core/jobs/codec.go
@@ -6,7 +6,7 @@
 // the process. An occurrence of a job has at most 10,000 items, of which few are open at once, and a fleet has some
 // thousand VMs.
 //msgp:limit arrays:262144 maps:262144
-//msgp:ignore Amount KeyDigest Account Accounts Access Catalog Queue Pool
+//msgp:ignore Amount KeyDigest Account Accounts Access Catalog Queue QueueID Pool
 
 import (
 	"fmt"
@@ -23,13 +23,14 @@
 	keyExclude  = 'x'
 )
 
-// Key prefixes in the owners' partition. The shard number follows keyClaim, keyDemand and keyRoute.
+// Key prefixes in the owners' partition. The shard number follows keyClaim, keyDemand, keyRoute and keyName.
 const (
 	keyClaim  = 'h'
 	keyDemand = 'n'
 	keyVacate = 'v'
 	keyUpkeep = 'u'
 	keyRoute  = 'r'
+	keyName   = 'w'
 )
 
 // ClaimKey returns the key of the claim of a shard.
@@ -80,13 +81,21 @@
 // ExcludeKey returns the key of the exclusion of a job.
 func ExcludeKey(id string) string { return string(keyExclude) + id }
 
-// maxRouteBytes bounds the part of a route that is in a key, which has at most 255 bytes. Routes that differ only after that
-// count as one.
+// maxRouteBytes bounds the part of a route or of a queue's name that is in a key, which has at most 255 bytes. Routes and names that
+// differ only after that count as one.
 const maxRouteBytes = 200
 
+// cutRoute returns the part of a route or of a queue's name that is in a key.
+func cutRoute(s string) string { return s[:min(len(s), maxRouteBytes)] }
+
 // RouteRecord returns the record that jobs of a route may be stored in a shard.
 func RouteRecord(route string, shard int) Record {
-	return Record{Key: string(keyRoute) + strconv.Itoa(shard) + "/" + route[:min(len(route), maxRouteBytes)], Value: []byte{1}}
+	return Record{Key: string(keyRoute) + strconv.Itoa(shard) + "/" + cutRoute(route), Value: []byte{1}}
+}
+
+// NameRecord returns the record that jobs of the queue with a name may be stored in a shard.
+func NameRecord(name string, shard int) Record {
+	return Record{Key: string(keyName) + strconv.Itoa(shard) + "/" + cutRoute(name), Value: []byte{1}}
 }
 
 // CancelRecord returns the record that cancels a job of a client account, or of any if the account is empty. A job of another account
--- a/core/jobs/directory.go
+++ b/core/jobs/directory.go
@@ -18,13 +18,14 @@
 type Directory struct {
 	Shards  map[int]*Shard
 	Vacate  VacateRequest
-	Upkeeps map[Upkeep]bool // ordered upkeep; the value is true once it is done
-	routes  map[string][]int
+	Upkeeps map[Upkeep]bool  // ordered upkeep; the value is true once it is done
+	routes  map[string][]int // shards in which jobs may be stored, by route
+	names   map[string][]int // the same by the name of the queue
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{Shards: map[int]*Shard{}, Upkeeps: map[Upkeep]bool{}, routes: map[string][]int{}}
+	return &Directory{Shards: map[int]*Shard{}, Upkeeps: map[Upkeep]bool{}, routes: map[string][]int{}, names: map[string][]int{}}
 }
 
 // Apply folds one record. A record that cannot be decoded has no effect and returns an error.
@@ -53,27 +54,44 @@
 		d.Upkeeps[u] = d.Upkeeps[u] || rec.Value[0] == upkeepDone
 		return nil
 	case keyRoute:
-		return d.applyRoute(rest)
+		return addShard(d.routes, rest)
+	case keyName:
+		return addShard(d.names, rest)
 	default:
 		return fmt.Errorf("unknown record key %q", rec.Key)
 	}
 }
 
-func (d *Directory) applyRoute(key string) error {
-	number, route, _ := strings.Cut(key, "/")
+// addShard adds the shard in the key of a route or name record, without its prefix, to the shards of the route or name.
+func addShard(shards map[string][]int, key string) error {
+	number, name, _ := strings.Cut(key, "/")
 	shard, err := parseShard(number)
 	if err != nil {
 		return err
 	}
-	if !slices.Contains(d.routes[route], shard) {
-		d.routes[route] = append(d.routes[route], shard)
+	if !slices.Contains(shards[name], shard) {
+		shards[name] = append(shards[name], shard)
 	}
 	return nil
 }
 
 // RouteShards returns the shards in which jobs of a route may be stored.
-func (d *Directory) RouteShards(route string) []int {
-	return slices.Clone(d.routes[route[:min(len(route), maxRouteBytes)]])
+func (d *Directory) RouteShards(route string) []int { return slices.Clone(d.routes[cutRoute(route)]) }
+
+// HasName reports whether it is recorded that jobs of the queue with a name may be stored in a shard.
+func (d *Directory) HasName(name string, shard int) bool {
+	return slices.Contains(d.names[cutRoute(name)], shard)
+}
+
+// QueueShards returns the shards in which jobs of a queue may be stored: those of its route, and those of its name.
+func (d *Directory) QueueShards(q QueueID) []int {
+	list := d.RouteShards(q.Route)
+	for _, shard := range d.names[cutRoute(q.Name)] {
+		if !slices.Contains(list, shard) {
+			list = append(list, shard)
+		}
+	}
+	return list
 }
 
 func (d *Directory) applyClaim(shard string, value []byte) error {
--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -15,6 +15,7 @@
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/shard"
+	"sassafrasvalve/core/tally"
 	"sassafrasvalve/io/owner"
 	"sassafrasvalve/platform"
 )
@@ -63,6 +64,9 @@
 	// RouteShards returns the shards in which jobs of a queue's route may be stored: part, and those to which an earlier
 	// configuration sent the route. Afterwards part is one of the route's shards for all entries.
 	RouteShards(ctx context.Context, q *jobs.Queue, part int) ([]int, error)
+	// QueueShards returns the shards in which jobs of a queue may be stored, as they are known without a call of the log, and the
+	// local time in ms up to which the list is complete.
+	QueueShards(q jobs.QueueID) (shards []int, asOfMs int64)
 }
 
 // Owners calls the owners of shards.
@@ -75,9 +79,12 @@
 	// ExcludeJob makes a shard refuse a job from now on, unless the shard has it. It returns whether the shard has the job,
 	// and false for known if no owner could answer.
 	ExcludeJob(ctx context.Context, part int, id string) (found, known bool)
-	// QueueLength asks the owner of a shard for the number of jobs of a queue that have not started.
-	// authoritative is false if no owner could answer.
-	QueueLength(ctx context.Context, part int, q jobs.QueueID) (n int, authoritative bool)
+	// QueueLength asks the owner of a shard for the number of jobs of a queue that have not started. The answer is zero if no owner
+	// could answer.
+	QueueLength(ctx context.Context, part int, q jobs.QueueID) owner.LengthAnswer
+	// NextOwnerMs returns the time in ms after which a shard whose owner does not answer should have another one, or 0 if that is
+	// not known.
+	NextOwnerMs(part int) int64
 }
 
 // Config holds the dependencies and settings of an API.
@@ -98,12 +105,15 @@
 type API struct {
 	cfg Config
 
-	mu     sync.Mutex
-	direct map[int]*directWriter // by shard
+	mu      sync.Mutex            // guards the following
+	direct  map[int]*directWriter // by shard
+	lengths *tally.Recent
 }
 
 // New returns a job API.
-func New(cfg Config) *API { return &API{cfg: cfg, direct: map[int]*directWriter{}} }
+func New(cfg Config) *API {
+	return &API{cfg: cfg, direct: map[int]*directWriter{}, lengths: tally.NewRecent()}
+}
 
 // MaxConfigAgeMs returns the age in ms above which a configuration must no longer be used, given the time in ms within
 // which a new one must be in force. Zero or less means the default of that time.
@@ -244,17 +254,10 @@
 // The verdict is Ran if the record is stored, NotRun if it never will be, and MayHaveRun if that is not known. With a load, the
 // record is that of a job that the owner may refuse; refusedMs is then the time after which the caller should return, otherwise 0.
 func (a *API) store(ctx context.Context, part int, rec jobs.Record, load *shard.Load) (v retry.Verdict, refusedMs int64) {
-	limit := time.Now().Add(maxStoreTime)
-	if dl, ok := ctx.Deadline(); ok {
-		left := time.Until(dl)
-		if left < minStoreTime || ctx.Err() != nil {
-			return retry.NotRun, 0
-		}
-		if dl = dl.Add(-min(replyReserve, left/replyReserveDivisor)); dl.Before(limit) {
-			limit = dl
-		}
+	if dl, ok := ctx.Deadline(); ok && (time.Until(dl) < minStoreTime || ctx.Err() != nil) {
+		return retry.NotRun, 0
 	}
-	ctx, cancel := context.WithDeadline(ctx, limit)
+	ctx, cancel := withReplyReserve(ctx, time.Now().Add(maxStoreTime))
 	defer cancel()
 	s := a.storeAtOwner(ctx, part, rec, load)
 	if s.Owner && s.Verdict != retry.MayHaveRun {
@@ -270,6 +273,16 @@
 	return a.directWriter(part).Append(ctx, rec, verdict), 0
 }
 
+// withReplyReserve returns ctx limited to a deadline, and to the caller's own less the time that is reserved for the latency of the reply.
+func withReplyReserve(ctx context.Context, limit time.Time) (context.Context, context.CancelFunc) {
+	if dl, ok := ctx.Deadline(); ok {
+		if dl = dl.Add(-min(replyReserve, time.Until(dl)/replyReserveDivisor)); dl.Before(limit) {
+			limit = dl
+		}
+	}
+	return context.WithDeadline(ctx, limit)
+}
+
 // directWriter returns the writer of records to a shard whose owner does not answer.
 func (a *API) directWriter(part int) *directWriter {
 	a.mu.Lock()
@@ -412,29 +425,3 @@
 	}
 	return shards, nil
 }
-
-// QueueLength returns the number of jobs of a queue that have not started, over all shards, since an earlier configuration
-// may have routed the queue to another service. It returns a *platform.Refusal if the owner of the queue's own shard does
-// not answer. Jobs in another shard whose owner does not answer are not counted.
-func (a *API) QueueLength(ctx context.Context, q *jobs.Queue) (int, error) {
-	sum := 0
-	counts := map[int]int{}
-	var silent []int
-	for _, part := range a.cfg.Shards.Parts() {
-		n, authoritative := a.cfg.Owners.QueueLength(ctx, part, q.ID())
-		if authoritative {
-			counts[part] = n
-		} else {
-			silent = append(silent, part)
-		}
-		if first, ok := a.cfg.Shards.Part(q.Service); !authoritative && ok && part == first {
-			return 0, unavailable("the owner of the queue's shard does not answer at present")
-		}
-		sum += n
-	}
-	if len(silent) > 0 {
-		a.cfg.Log.Info("queue length counted without some shards", zap.String("queue", q.Name), zap.Int("length", sum),
-			zap.Any("counts", counts), zap.Ints("silent", silent))
-	}
-	return sum, nil
-}
--- a/io/jobapi/api_test.go
+++ b/io/jobapi/api_test.go
@@ -42,7 +42,10 @@
 }
 
 // oneShard maps all services to shard 0.
-type oneShard struct{ Shards }
+type oneShard struct {
+	Shards
+	Routes
+}
 
 func (oneShard) Part(string) (int, bool) { return 0, true }
 
--- a/io/jobapi/moved_test.go
+++ b/io/jobapi/moved_test.go
@@ -69,7 +69,13 @@
 	return false, true
 }
 
-func (o *movedOwners) QueueLength(context.Context, int, jobs.QueueID) (int, bool) { return 0, true }
+func (o *movedOwners) QueueLength(context.Context, int, jobs.QueueID) owner.LengthAnswer {
+	return owner.LengthAnswer{}
+}
+
+func (o *movedOwners) NextOwnerMs(int) int64 { return 0 }
+
+func (o *movedOwners) QueueShards(jobs.QueueID) ([]int, int64) { return nil, 0 }
 
 // Part returns the shard of the queue's present service.
 func (o *movedOwners) Part(string) (int, bool) { return newShard, true }
--- a/io/jobapi/refuse_test.go
+++ b/io/jobapi/refuse_test.go
@@ -36,6 +36,7 @@
 // refusingOwners are the owners of the shards in a case.
 type refusingOwners struct {
 	Owners
+	Routes
 	c    *refuseCase
 	load *shard.Load
 }
--- a/io/node/owners.go
+++ b/io/node/owners.go
@@ -93,12 +93,6 @@
 // queue returns the queue that is asked for.
 func (q *waitingRequest) queue() jobs.QueueID { return jobs.QueueID{Name: q.Queue, Route: q.Route} }
 
-// waitingAnswer is the answer to a waitingRequest.
-type waitingAnswer struct {
-	Sure bool // the answer is authoritative
-	N    int
-}
-
 // excludeRequest asks the owner of a shard to refuse a job from now on, unless the shard has it.
 type excludeRequest struct {
 	Part int
@@ -315,24 +309,31 @@
 	return excludeAnswer{Known: known, Found: found}
 }
 
-// QueueLength asks the owner of a shard for the number of jobs of a queue that have not started. authoritative is false
-// if no owner could answer.
-func (o *shardOwners) QueueLength(ctx context.Context, part int, q jobs.QueueID) (n int, authoritative bool) {
-	a := askOwner(ctx, o, ownerCall{
+// QueueLength asks the owner of a shard for the number of jobs of a queue that have not started. The answer is zero if no owner
+// could answer.
+func (o *shardOwners) QueueLength(ctx context.Context, part int, q jobs.QueueID) owner.LengthAnswer {
+	return askOwner(ctx, o, ownerCall{
 		Part: part, Method: methodWaiting, Params: waitingRequest{Part: part, Queue: q.Name, Route: q.Route},
 		Deadline: time.Now().Add(queryTimeout), Subject: zap.String("queue", q.Name),
-	}, func() waitingAnswer { return o.localQueueLength(part, q) })
-	return a.N, a.Sure
+	}, func() owner.LengthAnswer { return o.localQueueLength(part, q) })
 }
 
 // localQueueLength returns the number of jobs of a queue that have not started if this process owns the shard.
-func (o *shardOwners) localQueueLength(part int, q jobs.QueueID) waitingAnswer {
+func (o *shardOwners) localQueueLength(part int, q jobs.QueueID) owner.LengthAnswer {
+	own := o.find(part)
+	if own == nil {
+		return owner.LengthAnswer{}
+	}
+	return own.QueueLength(q)
+}
+
+// NextOwnerMs returns the time in ms after which a shard whose owner does not answer should have another one, or 0 if that is not known.
+func (o *shardOwners) NextOwnerMs(part int) int64 {
 	own := o.find(part)
 	if own == nil {
-		return waitingAnswer{}
+		return 0
 	}
-	n, authoritative := own.QueueLength(q)
-	return waitingAnswer{N: n, Sure: authoritative}
+	return own.NextOwnerMs()
 }
 
 // recordDemand keeps a demand report if it is newer than the last one received for the service.
--- a/io/node/routes.go
+++ b/io/node/routes.go
@@ -24,7 +24,8 @@
 
 // routeShards knows in which shards jobs of a route may be stored. A configuration may send a route to another service, and so
 // to another shard, and a process that starts later reads the newest configuration only. So a shard is recorded in the
-// owners' partition, which all entries follow, before the first job of the route is stored there.
+// owners' partition, which all entries follow, before the first job of the route is stored there. It is recorded for the name of
+// the queue as well, as the operator may also give the queue another route.
 type routeShards struct {
 	store     *platform.Store
 	directory *tail.Directory
@@ -37,9 +38,8 @@
 func (r *routeShards) RouteShards(ctx context.Context, q *jobs.Queue, part int) ([]int, error) {
 	route := q.Route()
 	list := r.directory.RouteShards(route)
-	if !slices.Contains(list, part) {
-		rec := jobs.RouteRecord(route, part)
-		if err := r.recordOnce(ctx, rec); err != nil {
+	if !slices.Contains(list, part) || !r.directory.HasName(q.Name, part) {
+		if err := r.recordOnce(ctx, []jobs.Record{jobs.RouteRecord(route, part), jobs.NameRecord(q.Name, part)}); err != nil {
 			r.log.Warn("record of a route's shard not stored", zap.String("queue", q.Name), zap.Int("shard", part), zap.Error(err))
 			return nil, err
 		}
@@ -51,9 +51,15 @@
 	return list, nil
 }
 
-// recordOnce records a shard of a route. Callers that come at the same time share one append.
-func (r *routeShards) recordOnce(ctx context.Context, rec jobs.Record) error {
-	recorded := r.records.DoChan(rec.Key, func() (any, error) { return nil, r.record(context.WithoutCancel(ctx), rec) })
+// QueueShards returns the shards in which jobs of a queue may be stored, and the local time in ms up to which the list is complete.
+func (r *routeShards) QueueShards(q jobs.QueueID) (shards []int, asOfMs int64) {
+	return r.directory.QueueShards(q)
+}
+
+// recordOnce records a shard of a route and of a queue's name. Callers that come at the same time share one append.
+func (r *routeShards) recordOnce(ctx context.Context, records []jobs.Record) error {
+	key := records[0].Key + " " + records[1].Key
+	recorded := r.records.DoChan(key, func() (any, error) { return nil, r.record(context.WithoutCancel(ctx), records) })
 	select {
 	case res := <-recorded:
 		return res.Err
@@ -62,11 +68,11 @@
 	}
 }
 
-// record appends a record of a route's shard and reads the owners' partition to its end, which shows the shards that other
+// record appends records of a route's shard and reads the owners' partition to its end, which shows the shards that other
 // entries recorded before.
-func (r *routeShards) record(ctx context.Context, rec jobs.Record) error {
+func (r *routeShards) record(ctx context.Context, records []jobs.Record) error {
 	res, err := r.store.Append(platform.AppendRequest{
-		Topic: platform.TopicOwners, At: -1, Records: []jobs.Record{rec}, Deadline: time.Now().Add(routeAppendTimeout),
+		Topic: platform.TopicOwners, At: -1, Records: records, Deadline: time.Now().Add(routeAppendTimeout),
 	})
 	if err != nil {
 		return err
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -139,6 +139,9 @@
 	claimRequest chan struct{}
 	claimAfter   time.Time // earliest time of the next claim, so that other processes claim first
 
+	// claimableAtMs is the local ms at which this process may be able to claim the shard, 0 if that is not known.
+	claimableAtMs atomic.Int64
+
 	// The following belong to the loop.
 	claimsSeen       int     // number of claim records of the shard at the last check, renewals included
 	renewedAtMs      int64   // local ms at which the last renewal was seen; 0 counts the owner's silence anew
@@ -213,6 +216,36 @@
 // claimReason returns the reason for which the shard may be claimed now, or "" if it may not be claimed. It probes a
 // silent owner if a probe is due.
 func (o *Owner) claimReason() string {
+	reason := o.checkClaim()
+	now := clock.BootMs()
+	switch silentMs := now - o.renewedAtMs; {
+	case o.renewedAtMs == 0:
+		o.claimableAtMs.Store(0)
+	case reason != "":
+		o.claimableAtMs.Store(now)
+	case silentMs < probeAfterMs: // the first probe shows an owner that is gone
+		o.claimableAtMs.Store(o.renewedAtMs + probeAfterMs)
+	default:
+		o.claimableAtMs.Store(o.renewedAtMs + o.lapseMs())
+	}
+	return reason
+}
+
+// takeoverMs is the usual time in ms from the moment at which a shard may be claimed until its new owner has read its records.
+const takeoverMs = 500
+
+// NextOwnerMs returns the time in ms after which the shard should have another owner if the present one does not answer, or 0 if
+// that is not known.
+func (o *Owner) NextOwnerMs() int64 {
+	at := o.claimableAtMs.Load()
+	if at == 0 {
+		return 0
+	}
+	return max(at-clock.BootMs(), 0) + takeoverMs
+}
+
+// checkClaim does what claimReason says.
+func (o *Owner) checkClaim() string {
 	v, s := o.cfg.Directory.Position(), o.cfg.Directory.Shard(o.cfg.Part)
 	now := clock.BootMs()
 	if v.Failed || v.NextOffset < 0 {
--- a/io/owner/pending.go
+++ b/io/owner/pending.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/shard"
@@ -178,14 +179,30 @@
 	return found, true
 }
 
-// QueueLength returns the number of jobs of a queue that have not started. It returns false if the answer is not
-// authoritative.
-func (o *Owner) QueueLength(q jobs.QueueID) (int, bool) {
+// LengthAnswer is an owner's answer to a query for the length of a queue. It is passed between entries; those of earlier versions send
+// Sure and N only.
+type LengthAnswer struct {
+	Sure bool // the process certainly owns the shard
+	N    int  // jobs of the queue in this shard that have not started
+	// AgeMs is the time in ms since the end of the shard's records was read. Jobs that another entry appended later may be left out.
+	AgeMs int64 `json:",omitempty"`
+	// Shards are all shards in which jobs of the queue may be stored, as this process read them ShardsAgeMs ago.
+	Shards      []int `json:",omitempty"`
+	ShardsAgeMs int64 `json:",omitempty"`
+}
+
+// QueueLength returns the number of jobs of a queue that have not started.
+func (o *Owner) QueueLength(q jobs.QueueID) LengthAnswer {
 	r := o.run.Load()
 	if r == nil || !o.OwnershipConfirmed() {
-		return 0, false
-	}
-	return r.jobLog.QueueLength(q), true
+		return LengthAnswer{}
+	}
+	readAtMs := r.jobLog.Position().ReadAtMs
+	shards, shardsAsOfMs := o.cfg.Directory.QueueShards(q)
+	a := LengthAnswer{Sure: true, N: r.jobLog.QueueLength(q), Shards: shards}
+	now := clock.BootMs() // taken last, so that a suspension before it counts
+	a.AgeMs, a.ShardsAgeMs = now-readAtMs, now-shardsAsOfMs
+	return a
 }
 
 // answerAll sends the same result to the callers of all pending records of a list.
--- a/io/tail/directory.go
+++ b/io/tail/directory.go
@@ -122,6 +122,21 @@
 	return d.fold.RouteShards(route)
 }
 
+// HasName reports whether it is recorded that jobs of the queue with a name may be stored in a shard.
+func (d *Directory) HasName(name string, shard int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fold.HasName(name, shard)
+}
+
+// QueueShards returns the shards in which jobs of a queue may be stored, and the local time in ms up to which the list is complete. That
+// time is 0 before the partition was read.
+func (d *Directory) QueueShards(q jobs.QueueID) (shards []int, asOfMs int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fold.QueueShards(q), d.readAtMs
+}
+
 // Upkeeps returns the recorded upkeeps; the value is true for those that are done.
 func (d *Directory) Upkeeps() map[jobs.Upkeep]bool {
 	d.mu.Lock()
