jobapi: Ask the recorded shards of a queue for a job

Callers saw, in the test: an accepted job is answered with 410, and a cancel with 200 that reaches only some shards, at an entry whose map of shards lacks the shard that holds the job. The map is read every 2 to 4 s; a queue that is sent to a new service and away again within that time has its jobs in such a shard.

Cause: API.find asked the shards of the map, though the owners' partition names the shards of a queue and is read more often, and it gave its final answer without asking how old either was.

Change: it asks the recorded shards of the queue, too. Unless those were read within 2 s, no answer is 410, and no cancel that only the recorded shards can confirm is acknowledged.

Evidence: three cases of TestJobsOfAMovedQueue; the two queries failed before with 410 in place of 200 and of 503. The case of the cancel came with the change and was not run before it.

--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
 	"sassafrasvalve/core/shard"
@@ -307,8 +308,18 @@
 	Part int // shard
 }
 
+// knownShards returns the shards in which jobs of a queue may be stored, and false if there may be others that this entry has not read
+// yet.
+func (a *API) knownShards(q *jobs.Queue) (shards []int, complete bool) {
+	shards, asOfMs := a.cfg.Routes.QueueShards(q.ID())
+	return shards, clock.BootMs()-asOfMs <= tally.MaxAgeMs
+}
+
+// errShardsUnknown refuses a request whose answer depends on shards that this entry may not know.
+var errShardsUnknown = unavailable("the shards of the queue's jobs are not known at present")
+
 // find asks the owners for a job. It asks the owner of the queue's service first, then the others, since a new configuration may have
-// moved the queue to another service after the job was accepted.
+// moved the queue to another service after the job was accepted. The map may lack a shard that was added since it was read.
 func (a *API) find(ctx context.Context, access *jobs.Access, id string) (foundJob, error) {
 	first, err := a.part(access.Queue)
 	if err != nil {
@@ -324,11 +335,13 @@
 	case !ans.Sure: // asking the other owners would only add to their load while this shard has no owner
 		return none, unavailable("the owner of the job's shard does not answer at present")
 	}
-	sure := true
-	for _, part := range a.cfg.Shards.Parts() {
-		if part == first {
+	known, sure := a.knownShards(access.Queue)
+	asked := map[int]bool{first: true}
+	for _, part := range append(known, a.cfg.Shards.Parts()...) {
+		if asked[part] {
 			continue
 		}
+		asked[part] = true
 		ans := a.cfg.Owners.JobState(ctx, part, id)
 		switch {
 		case ans.Known && !access.Allows(ans.Account):
@@ -375,10 +388,13 @@
 		if len(parts) == 0 {
 			return err
 		}
-	case err != nil:
+	default:
 		if parts, err = a.shardsOf(ctx, q); err != nil {
 			return err
 		}
+		if _, complete := a.knownShards(q); !complete {
+			return errShardsUnknown // the cancellation might not reach the shard of the job
+		}
 	}
 	for _, part := range parts {
 		startedAt := time.Now()
--- a/io/jobapi/length.go
+++ b/io/jobapi/length.go
@@ -114,7 +114,7 @@
 	case result == lengthRecent:
 		return l.N, nil
 	case l.Outdated:
-		return 0, unavailable("the shards of the queue's jobs are not known at present")
+		return 0, errShardsUnknown
 	}
 	return 0, &platform.Refusal{
 		Status: http.StatusServiceUnavailable, RetryAfter: max(time.Duration(nextOwnerMs)*time.Millisecond, retryAfter),
--- a/io/jobapi/moved_test.go
+++ b/io/jobapi/moved_test.go
@@ -12,8 +12,10 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"sassafrasvalve/core/clock"
 	"sassafrasvalve/core/jobs"
 	"sassafrasvalve/core/retry"
+	"sassafrasvalve/core/tally"
 	"sassafrasvalve/io/owner"
 	"sassafrasvalve/io/stats"
 	"sassafrasvalve/platform"
@@ -31,7 +33,10 @@
 // movedCase is one case of testdata/moved.toml.
 type movedCase struct {
 	Name     string
-	Cancel   bool  // the job is cancelled; otherwise it is handed in
+	Cancel   bool  // the job is cancelled
+	Query    bool  // the state of the job is asked for; without Cancel and Query the job is handed in
+	Unmapped []int // shards that the entry has not read in the map yet
+	Outdated bool  // the entry has not read for long in which shards the queue's jobs may be
 	Has      []int // shards that have the job
 	Arriving []int // shards that store it between the query for it and its exclusion
 	Silent   []int // shards whose owners do not answer
@@ -75,13 +80,21 @@
 
 func (o *movedOwners) NextOwnerMs(int) int64 { return 0 }
 
-func (o *movedOwners) QueueShards(jobs.QueueID) ([]int, int64) { return nil, 0 }
+// QueueShards returns the queue's earlier shard and the present one.
+func (o *movedOwners) QueueShards(jobs.QueueID) ([]int, int64) {
+	if o.c.Outdated {
+		return nil, clock.BootMs() - 2*tally.MaxAgeMs
+	}
+	return []int{oldShard, newShard}, clock.BootMs()
+}
 
 // Part returns the shard of the queue's present service.
 func (o *movedOwners) Part(string) (int, bool) { return newShard, true }
 
-// Parts returns all shards, with one that the queue never had.
-func (o *movedOwners) Parts() []int { return []int{0, oldShard, newShard} }
+// Parts returns the shards that the entry knows, with one that the queue never had.
+func (o *movedOwners) Parts() []int {
+	return slices.DeleteFunc([]int{0, oldShard, newShard}, func(part int) bool { return slices.Contains(o.c.Unmapped, part) })
+}
 
 // RouteShards returns the queue's earlier shard and the present one.
 func (o *movedOwners) RouteShards(context.Context, *jobs.Queue, int) ([]int, error) {
@@ -91,7 +104,8 @@
 	return []int{oldShard, newShard}, nil
 }
 
-// TestJobsOfAMovedQueue guards against a job that runs twice, as its request is repeated after a configuration has sent its
+// TestJobsOfAMovedQueue guards against an accepted job that is answered with 410, as its shard is not known to the entry, against a job
+// that runs twice, as its request is repeated after a configuration has sent its
 // queue to another service, against a cancel that is acknowledged but reaches only the queue's new shard, and against a job that
 // runs although its cancel was answered with 410, because it was on its way into the log.
 func TestJobsOfAMovedQueue(t *testing.T) {
@@ -105,9 +119,12 @@
 			api := New(Config{Owners: o, Store: noStore{}, Shards: o, Routes: o, Log: zap.NewNop(), Stats: stats.New()})
 			access := &jobs.Access{Queue: &jobs.Queue{Name: "q", Service: "s", Host: "h", Prefix: "/p/"}}
 			var err error
-			if c.Cancel {
+			switch {
+			case c.Cancel:
 				err = api.Cancel(t.Context(), access, movedJob)
-			} else {
+			case c.Query:
+				_, err = api.JobState(t.Context(), access, movedJob)
+			default:
 				err = api.Submit(t.Context(), access, &jobs.Job{ID: movedJob})
 			}
 			status := http.StatusOK
