node: Give the allocator all shards that have an owner

What happened, in the test: the allocator of the accounts' allowances waits for the report of each shard that has or had an owner, but took these from the map of shards. A shard that the process had not read there yet (the map is read every 2 to 4 s) counted as one without items, so that a new machine controller could give out again what the shard's owner had granted from an earlier one.

Change: the owners come from the claims in the owners' partition, which the allocator's process has read up to its own claim.

Evidence: TestShardOwnersIncludeUnmappedShards failed before; the owner of shard 2 was missing.

--- a/io/node/allowance.go
+++ b/io/node/allowance.go
@@ -71,13 +71,16 @@
 	return c != nil && age <= jobapi.MaxConfigAgeMs(n.cfg.Times.ConfigMs)
 }
 
-// shardOwners returns the epochs of the owners of all shards of pools that have or had an owner, and which of them have one now.
+// shardOwners returns the epochs of the owners of all shards of pools that have or had an owner, and which of them have one now. It goes
+// by the claims, as this process may not have read a new shard in the map yet.
 func (n *Node) shardOwners() (epochs map[int]int64, owned map[int]bool) {
 	epochs, owned = map[int]int64{}, map[int]bool{}
-	for _, part := range n.shards.Parts() {
-		if c := n.directory.Shard(part).Claim; c.Epoch > 0 {
-			epochs[part], owned[part] = c.Epoch, c.Owner != ""
+	controller, mapped := n.shards.Part(controllerShard)
+	for part, c := range n.directory.Claims() {
+		if mapped && part == controller {
+			continue
 		}
+		epochs[part], owned[part] = c.Epoch, c.Owner != ""
 	}
 	return epochs, owned
 }
--- a/io/tail/directory.go
+++ b/io/tail/directory.go
@@ -86,6 +86,19 @@
 	return jobs.Shard{}
 }
 
+// Claims returns the newest claim of each shard that has or had an owner.
+func (d *Directory) Claims() map[int]jobs.Claim {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	claims := make(map[int]jobs.Claim, len(d.fold.Shards))
+	for part, s := range d.fold.Shards {
+		if s.Claim.Epoch > 0 {
+			claims[part] = s.Claim
+		}
+	}
+	return claims
+}
+
 // JoinMs returns the time in milliseconds that a move of a machine takes, as the machine controller measured it, or 0 if
 // it is unknown.
 func (d *Directory) JoinMs() int64 {
