assign: Leave a pool without a report the machines that it has

What happened, in the test: while the other pools want more machines than there are, a pool whose demand report the machine controller has not read got a share of none, and its owner was told to keep one VM of 60.

Change: such a pool has no share; what it has is left out of what the others divide.

Evidence: TestPoolWithoutReportKeepsItsMachines failed before with a limit of 1.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -69,6 +69,9 @@
 	Pool   string // name of the pool, as in pools.Machine.Pool
 	Spare  bool   // the spare pool: its machines are switched off and cost nothing
 	Report jobs.DemandReport
+	// Unreported is set if no owner of the pool has reported yet, as far as the controller's process has read. The pool keeps the
+	// machines that it has.
+	Unreported bool
 }
 
 // View holds the inputs of a machine controller at one time.
--- a/core/assign/share.go
+++ b/core/assign/share.go
@@ -21,8 +21,8 @@
 // divideMachines returns the number of machines that each pool may have while the pools together want more than there
 // are, and nil otherwise. What a pool needs for its persistent items comes first. The rest is divided by what the pools
 // want beyond that, so that no kind of work goes without while another has all it asks for. Work beyond the shares of its
-// accounts gets what all work within the shares leaves.
-func (c *Controller) divideMachines() map[string]int {
+// accounts gets what all work within the shares leaves. A pool without a report keeps the machines that it has, and has no share.
+func (c *Controller) divideMachines(have map[string]int) map[string]int {
 	available, wanted := c.countAvailable(), 0
 	shares := map[string]int{}
 	for i := range c.view.Pools {
@@ -30,6 +30,11 @@
 		if p.Spare {
 			continue
 		}
+		if p.Unreported {
+			wanted += have[p.Pool]
+			available -= have[p.Pool]
+			continue
+		}
 		wanted += max(p.Report.Want, p.Report.Min)
 		shares[p.Pool] = p.Report.Min
 		available -= p.Report.Min
@@ -104,7 +109,7 @@
 // updateLimits divides the machines, and has the shares of the pools that hold more than theirs recorded, so that their
 // owners give machines up.
 func (c *Controller) updateLimits(have map[string]int) {
-	c.shares = c.divideMachines()
+	c.shares = c.divideMachines(have)
 	var limits []jobs.PoolLimit
 	for _, pool := range slices.Sorted(maps.Keys(c.shares)) {
 		share := c.shares[pool]
--- a/core/assign/share_test.go
+++ b/core/assign/share_test.go
@@ -134,3 +134,19 @@
 		assert.Equal(t, o.Spec, "turn", "the pool within its shares comes first")
 	}
 }
+
+// TestPoolWithoutReportKeepsItsMachines guards against a pool that loses its machines because its demand is not known, which looks like
+// a demand of zero, while other pools want more than there are.
+func TestPoolWithoutReportKeepsItsMachines(t *testing.T) {
+	c, d := New(Config{Epoch: 1, OrdersPerS: 100}), jobs.NewDirectory()
+	v := busyFleet([]PoolDemand{
+		{Pool: "search", Report: jobs.DemandReport{Want: 150, Urgent: testUrgent}}, {Pool: "unknown", Unreported: true},
+	}, []int{40, 60})
+	for now := int64(10_000); now < 20_000; now += 100 {
+		v.ListedAtMs = now
+		assert.Equal(t, len(c.Plan(v, now)), 0, "no machine is ordered away")
+		recordedLimits(t, c, d)
+		assert.Equal(t, d.Vacate.Limit("unknown"), 0, "no limit")
+		assert.Equal(t, len(d.Vacate.VMs), 0)
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -367,6 +367,7 @@
 		if part, ok := n.shards.Part(p.Pool); ok {
 			p.Report = n.peers.newestDemand(p.Pool, n.directory.Shard(part).Demand)
 		}
+		p.Unreported = p.Report.Epoch == 0
 		list = append(list, p)
 	}
 	return list
