soak: Check the length of a queue that is moved and renamed

The queue is moved more often, and gets another name, which the stand-in did not do. After the faults each entry must give the exact length.

--- a/fake/plat/plat.go
+++ b/fake/plat/plat.go
@@ -37,6 +37,7 @@
 	SecondService = "till"
 	Off           = "off"
 	Queue         = "holds"
+	RenamedQueue  = "bookings"
 	Host          = "desk.example"
 	Prefix        = "/holds/"
 )
@@ -79,6 +80,7 @@
 	cloud      string
 	version    int    // of the configuration
 	service    string // to which the configuration sends the queue
+	queue      string // name of the queue in the configuration
 	accounts   []Account
 	keys       map[string]Key    // all keys that a version has had, by their text
 	jobAccount map[string]string // account by job
@@ -111,7 +113,7 @@
 	p := &Platform{
 		cfg: cfg, Log: NewLog(), startedAt: time.Now(), startedJobs: map[string]time.Time{},
 		steps: map[string][]jobs.Step{}, poison: map[string]*poisonItem{}, crashes: map[string]int{}, starts: map[string][]*start{}, polled: map[*pool.VM]int64{}, stopped: make(chan struct{}),
-		service: Service, keys: map[string]Key{}, jobAccount: map[string]string{},
+		service: Service, queue: Queue, keys: map[string]Key{}, jobAccount: map[string]string{},
 	}
 	for _, a := range cfg.Accounts {
 		a.Keys = slices.Clone(a.Keys) // they change with each version
@@ -197,6 +199,18 @@
 	p.configure()
 }
 
+// RenameQueue appends a configuration that gives the queue its other name. Callers use the same host and prefix.
+func (p *Platform) RenameQueue() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue == Queue {
+		p.queue = RenamedQueue
+	} else {
+		p.queue = Queue
+	}
+	p.configure()
+}
+
 // ExpireEntries removes the entries of all VMs from the log, as an outage does, and stops their reports until RenewEntry is
 // called for each machine.
 func (p *Platform) ExpireEntries() {
@@ -236,7 +250,7 @@
 	config := map[string]any{
 		"version": p.version,
 		"routes": []any{map[string]any{
-			"name": Queue, "host": Host, "prefix": Prefix, "service": p.service, "attempts": 4, "stretch": 1.6, "slo_ms": 600,
+			"name": p.queue, "host": Host, "prefix": Prefix, "service": p.service, "attempts": 4, "stretch": 1.6, "slo_ms": 600,
 		}},
 		"services": services,
 		"limits":   map[string]any{"header_bytes": 16384, "body_bytes": 262144},
--- a/system/soak/fault_test.go
+++ b/system/soak/fault_test.go
@@ -28,6 +28,7 @@
 		s.injectVMFault()
 	}
 	s.injectAccountFault()
+	s.lengths.injectFault()
 	switch s.rng.IntN(8) {
 	case 0:
 		s.logEvent("kill %s", e.name)
--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -69,6 +69,7 @@
 	cancels   sync.WaitGroup
 	events    []string  // the injected faults in order, for failure messages
 	accounts  *accounts // nil for a seed without client accounts
+	lengths   *lengths  // nil for a seed without queries for the queue's length
 }
 
 // listVMProxies returns the proxies of all VM lifetimes until now.
@@ -183,6 +184,9 @@
 		p.Close()
 	}()
 	defer s.logProblems()
+	s.lengths = newLengths(s, seed)
+	s.lengths.start()
+	defer s.lengths.stop()
 	accepted, poison, refused := s.submitJobs()
 	s.clearFaults()
 	calm := time.Now().Add(calmAfter)
@@ -195,6 +199,8 @@
 	}
 	s.checkCancelled(calm)
 	s.checkAccounts(calm)
+	s.lengths.stop()
+	s.lengths.check()
 	violations := s.plat.Violations()
 	assert.Equal(t, len(violations), 0, "seed %d: %v: %s", seed, violations, strings.Join(s.events, "; "))
 	t.Logf("seed %d: %d accepted, %d with a poison item, %d refused, %d faults", seed, len(accepted), len(poison), len(refused), len(s.events))
