wire, platform: Reset connections whose call is given up

Cause: a call without an answer is given up after its time and its connection closed; the kernel delivers what was written before the close for as long as it takes.

--- a/io/peer/remote.go
+++ b/io/peer/remote.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
 
 	"sassafrasvalve/io/wire"
 )
@@ -220,6 +221,9 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(sendBufferBytes) // after a failure the kernel's default applies, which is larger
 	}
+	if err := wire.ResetOnClose(conn); err != nil {
+		r.cfg.Log.Warn("calls that are given up may still reach the peer", zap.String("addr", r.addr), zap.Error(err))
+	}
 	c := &clientConn{}
 	m := newMeter(r.cfg.Stats, func(string) bool { return true }) // this process chooses the methods that it calls
 	st := newStream(conn, limits{size: r.cfg.MaxMessage, message: messageTimeout, write: writeTimeout}, m)
--- a/io/relay/channel.go
+++ b/io/relay/channel.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasvalve/core/clock"
+	"sassafrasvalve/io/wire"
 )
 
 // Intervals and limits of the owner's side.
@@ -169,8 +170,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := conn.Write([]byte{FirstByte}); err != nil {
-		_ = conn.Close()
+	err = wire.ResetOnClose(conn)
+	if err == nil {
+		_, err = conn.Write([]byte{FirstByte})
+	}
+	if err != nil {
+		_ = conn.Close() // the error of the connection is returned
 		return nil, err
 	}
 	return conn, nil
