shard: Use offered VMs again for items that fit on no other

Cause: the demand is a sum of CPU and memory over all items, and the VMs beyond it are offered; nothing compared a single item with what the kept VMs have free, but for closed VMs.

Change: for the job of which nothing has run for 1 s for want of room, while most of the pool's CPU is free, offered VMs with room are used again, and otherwise the pool wants more VMs, a few at a time. An item larger than any VM of the pool is logged and explained.

Ruled out: withdrawing offers at once (at the rise of each turn items wait for some 100 ms, and the demand follows by itself).

--- a/core/shard/closed.go
+++ b/core/shard/closed.go
@@ -6,12 +6,6 @@
 )
 
 const (
-	// maxNoRoomMs is how long nothing of a job may run as its next items fit on no open VM, before closed VMs are opened for it.
-	// Work may stand still for 3 s beside free room, which includes the start itself.
-	maxNoRoomMs = 1000
-	// idlePercent is the percentage of the pool's CPU in use below which closed VMs are opened for such a job. Above it the job
-	// waits as others do in a pool that has less than it wants.
-	idlePercent = 50
 	// estimateMargin is how many times its estimate an item on a closed VM may take without delaying the end of the VM's last run:
 	// estimates are rough, and an item far from its data takes longer.
 	estimateMargin = 2
@@ -60,7 +54,7 @@
 func (e *Engine) closeVMs(busy []*vm, n int, now int64) {
 	closed := map[*vm]bool{}
 	if n <= 0 {
-		e.demand.noRoomSince = nil
+		e.demand.noRoomOpen = nil
 	} else {
 		busyMs := make(map[*vm]int64, len(busy))
 		for _, v := range busy {
@@ -102,18 +96,18 @@
 		}
 	}
 	if usedCPU*100 >= cpu*idlePercent {
-		e.demand.noRoomSince = nil
+		e.demand.noRoomOpen = nil
 		return nil
 	}
-	j, group := e.jobWithoutRoom(open, now)
+	j, group := e.jobWithoutRoom(&e.demand.noRoomOpen, open, now)
 	if j == nil {
 		return nil
 	}
-	missing := len(group) - countRoom(j, group, open)
+	missing := len(group) - e.countRoom(j, group, open)
 	toOpen := map[*vm]*job{}
 	for _, v := range slices.Backward(chosen) {
 		if missing > 0 && v.takesStarts(now) && (guarded || v.unknownRuns == 0) {
-			if n := v.roomFor(j, group[0], missing); n > 0 {
+			if n := e.roomOn(v, j, group[0], missing); n > 0 {
 				toOpen[v] = j
 				missing -= n
 			}
@@ -124,58 +118,3 @@
 	}
 	return toOpen
 }
-
-// jobWithoutRoom returns the job of which for the longest time, over maxNoRoomMs, nothing runs and the next items have no room on
-// a list of VMs, with these items.
-func (e *Engine) jobWithoutRoom(list []*vm, now int64) (*job, []*item) {
-	since := map[*job]int64{}
-	var longest *job
-	var group []*item
-	for _, j := range e.jobs {
-		g := e.groupWithoutRoom(j, list, now)
-		if len(g) == 0 {
-			continue
-		}
-		since[j] = cmp.Or(e.demand.noRoomSince[j], now)
-		if now-since[j] < maxNoRoomMs {
-			continue
-		}
-		if longest == nil || cmp.Or(cmp.Compare(since[j], since[longest]), cmp.Compare(j.ID, longest.ID)) < 0 {
-			longest, group = j, g
-		}
-	}
-	e.demand.noRoomSince = since
-	return longest, group
-}
-
-// groupWithoutRoom returns the next items of a job that have to start together, if nothing of the job runs and they have no room
-// on a list of VMs. Items that the account of the job may not start need none.
-func (e *Engine) groupWithoutRoom(j *job, list []*vm, now int64) []*item {
-	if j.state.Final() || j.Persistent() || j.inherited && e.initialPolls.pending {
-		return nil
-	}
-	ready := j.readyItems(now)
-	if len(ready) == 0 || j.activeCount() > 0 {
-		return nil
-	}
-	group := sameStep(ready)
-	if !group[0].stepDef.Gang {
-		group = group[:1]
-	}
-	if countRoom(j, group, list) >= len(group) || !e.mayStart(j, group...) {
-		return nil
-	}
-	return group
-}
-
-// countRoom returns for how many items of a group a list of VMs has room.
-func countRoom(j *job, group []*item, list []*vm) int {
-	n := 0
-	for _, v := range list {
-		if n >= len(group) {
-			break
-		}
-		n += v.roomFor(j, group[0], len(group)-n)
-	}
-	return n
-}
--- a/core/shard/closed_test.go
+++ b/core/shard/closed_test.go
@@ -22,12 +22,16 @@
 	VM      []caseVM
 	Wait    []caseJob
 	Offered []string // VMs that are offered at the end
-	Counts  *Counts  // some of the counts at the end
+	// WantAtLeast and WantAtMost bound the VMs that the pool wants at the end, unless they are 0.
+	WantAtLeast, WantAtMost int
+	TooLarge                []string // jobs that were said to fit on no VM
+	Counts                  *Counts  // some of the counts at the end
 }
 
 // caseVM is a VM with runs.
 type caseVM struct {
 	ID  string
+	GPU int64
 	Run []caseJob
 }
 
@@ -35,7 +39,8 @@
 type caseJob struct {
 	SubmitMs, EstimateMs, LastsMs int64
 	Count                         int // 1 if it is 0
-	CPU                           int64
+	CPU, GPU                      int64
+	MemMB                         int64 // 100 if it is 0
 	Gang                          bool
 	StartsByMs                    int64    // time by which its items have started, 0 if none may start
 	Starts                        int      // items that start, 0 for all of them
@@ -45,14 +50,17 @@
 // stored returns the job with an ID. Its items require a label if that is not empty.
 func (c *caseJob) stored(id, label string) *jobs.StoredJob {
 	return &jobs.StoredJob{Job: &jobs.Job{ID: id, Queue: "q", Steps: []jobs.Step{{
-		Count: max(c.Count, 1), CPU: c.CPU, MemMB: 100, EstimateMs: c.EstimateMs, Gang: c.Gang, Label: label,
+		Count: max(c.Count, 1), CPU: c.CPU, MemMB: cmp.Or(c.MemMB, 100), GPU: c.GPU, EstimateMs: c.EstimateMs, Gang: c.Gang, Label: label,
 	}}}}
 }
 
 // TestClosedVMs guards against work that stands still beside free room. A pool closed VMs for new work as other pools lacked
 // machines; long runs kept them for 20 s and more, and items that needed more than the open VMs had free did not start.
-func TestClosedVMs(t *testing.T) {
-	data, err := os.ReadFile("testdata/closed.toml")
+func TestClosedVMs(t *testing.T) { playClosedCases(t, "testdata/closed.toml") }
+
+// playClosedCases plays the cases of a file.
+func playClosedCases(t *testing.T, path string) {
+	data, err := os.ReadFile(path)
 	assert.NilError(t, err)
 	var script struct{ Case []closedCase }
 	assert.NilError(t, toml.Unmarshal(data, &script))
@@ -77,7 +85,7 @@
 	}}, 0)
 	p := &closedPlay{c: c, sim: newSimPool(e), lasts: map[string]*caseJob{}, begun: map[string]int64{}}
 	for _, v := range c.VM {
-		p.vms = append(p.vms, pools.VM{ID: v.ID, Service: "s", Addr: v.ID, CPU: 32_000, MemMB: 100_000, Labels: []string{"vm-" + v.ID}})
+		p.vms = append(p.vms, pools.VM{ID: v.ID, Service: "s", Addr: v.ID, CPU: 32_000, MemMB: 100_000, GPU: v.GPU, Labels: []string{"vm-" + v.ID}})
 	}
 	e.SetVMs(p.vms, 0)
 	p.sim.pollAll()
@@ -153,6 +161,16 @@
 	if len(p.c.Offered) > 0 {
 		assert.DeepEqual(t, offered, p.c.Offered)
 	}
+	want := p.sim.e.DemandReport().Want
+	assert.Assert(t, p.c.WantAtLeast == 0 || want >= p.c.WantAtLeast, "%d VMs are wanted", want)
+	assert.Assert(t, p.c.WantAtMost == 0 || want <= p.c.WantAtMost, "%d VMs are wanted", want)
+	var tooLarge []string
+	for _, ev := range p.sim.e.TakeEvents() {
+		if ev.Name == "no vm fits" {
+			tooLarge = append(tooLarge, ev.JobID)
+		}
+	}
+	assert.DeepEqual(t, tooLarge, p.c.TooLarge)
 	if want := p.c.Counts; want != nil {
 		got := p.sim.e.Counts(p.sim.now)
 		assert.DeepEqual(t, Counts{
--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -79,12 +79,15 @@
 	report             jobs.DemandReport
 	reportedAt         int64
 	wantedVMs          int
-	lastConfirmed      int            // wantedVMs at the last fresh confirmation
-	heldVMs            int            // lower bound of wantedVMs after a time without confirmation, 0 for none
-	heldUntil          int64          // end of that bound
-	joinMs             int64          // time that a VM takes to join the pool, 0 if unknown
-	limitVMs           int            // VMs that the pool should keep at most, 0 for no limit
-	noRoomSince        map[*job]int64 // since when nothing of a job runs, as its next items fit on no open VM, while VMs are closed
+	lastConfirmed      int   // wantedVMs at the last fresh confirmation
+	heldVMs            int   // lower bound of wantedVMs after a time without confirmation, 0 for none
+	heldUntil          int64 // end of that bound
+	joinMs             int64 // time that a VM takes to join the pool, 0 if unknown
+	limitVMs           int   // VMs that the pool should keep at most, 0 for no limit
+	// noRoomOpen holds the jobs of which nothing runs, as their next items fit on no open VM, while VMs are closed; noRoom those whose
+	// next items fit on no VM that is not offered.
+	noRoomOpen, noRoom map[*job]roomWait
+	roomVMs            int // VMs that the pool needs for the items of noRoom, 0 if its own suffice
 }
 
 // addCPUSample adds a sample of the requested CPU, in thousandths of a core. It returns the rise within slopeWindowMs,
@@ -135,7 +138,7 @@
 	if waitMs > maxCapacityWaitMs {
 		floor += e.countVMsToVacate() + int(min((waitMs-maxCapacityWaitMs)/extraVMWaitMs, maxExtraVMs))
 	}
-	wanted := max(floor, int((d.batchCPU*100/targetUsePercent+d.persistentCPU+vmCPU-1)/vmCPU))
+	wanted := max(floor, int((d.batchCPU*100/targetUsePercent+d.persistentCPU+vmCPU-1)/vmCPU), e.demand.roomVMs)
 	e.demand.wantedVMs = max(e.addWantedSample(wanted, now), e.updateHeldDemand(now))
 	e.updateShareDemand(d, floor, vmCPU, now)
 	e.updateOffers(floor, now)
@@ -371,6 +374,7 @@
 	sort.Slice(offered, func(a, b int) bool { return offered[a].ID < offered[b].ID })
 	kept := e.vmsForLabels(e.waitingLabels())
 	e.keepForOpenStarts(kept)
+	forRoom := e.vmsForRoom(offered, now)
 	for _, v := range free {
 		if notOffered > needed && !kept[v] {
 			v.offered = true
@@ -379,10 +383,15 @@
 		}
 	}
 	for _, v := range offered {
-		if notOffered < needed || kept[v] {
+		j := forRoom[v]
+		if notOffered < needed || kept[v] || j != nil {
 			v.offered = false
 			v.offerWithdrawnAt = now
-			e.addEvent(Event{VM: v.ID, Name: "use offered vm again", N: e.demand.wantedVMs})
+			ev := Event{VM: v.ID, Name: "use offered vm again", N: e.demand.wantedVMs}
+			if j != nil {
+				ev.JobID, ev.Reason = j.ID, "its items fit on no other"
+			}
+			e.addEvent(ev)
 			notOffered++
 		}
 	}
--- a/core/shard/explain.go
+++ b/core/shard/explain.go
@@ -39,6 +39,8 @@
 		return "waits: account at its limit"
 	case open:
 		return "waits: an earlier start may still be executed"
+	case j.tooLarge:
+		return "waits: larger than any VM of the pool"
 	default:
 		return "waits: no room on any VM in use"
 	}
--- a/core/shard/job.go
+++ b/core/shard/job.go
@@ -118,6 +118,7 @@
 	arrivedAt    int64
 	wallOffsetMs int64 // Unix time minus local time, at arrival
 	begun        bool  // an item was started
+	tooLarge     bool  // its next items fit on no VM of the pool, also on an empty one
 	inherited    bool  // loaded at a takeover from an owner that may have started items without recording them
 	chainMs      int64 // sum of the estimates on the longest chain of dependent steps
 	tailMs       []int64
