shard, owner: Start a gang whole or not at all

Cause: the queue of orders of a VM held 256; the orders beyond it counted as not executed, and the engine released these members alone while the others had started.

Change: the queue grows with its orders. A gang of more than 2,000 items is refused with 400 at the door.

Ruled out: only a larger queue (a refusal by a VM, a limit or an allowance leaves the same part started).

--- a/core/jobs/job.go
+++ b/core/jobs/job.go
@@ -93,6 +93,7 @@
 	MaxSpecBytes   = 4000   // limit of the platform
 	MaxSteps       = 256    // keeps a progress record well below the size limit of a log record
 	MaxItems       = 10_000 // work items of one occurrence
+	MaxGangItems   = 2000   // work items of a gang: more cannot be started within the time for which they wait for each other
 	MaxOccurrences = 100_000
 	MaxMilliCPU    = 1 << 30 // thousandths of a core; also limits the memory in MB and the GPUs of a step
 	MaxEstimateMs  = 1 << 38 // some years, so that sums over the steps of a job stay within the range of int64
@@ -125,6 +126,16 @@
 	return nil
 }
 
+// CheckGangs validates the gangs of a new job. It returns an error for the first that is wider than MaxGangItems.
+func (j *Job) CheckGangs() error {
+	for i := range j.Steps {
+		if s := &j.Steps[i]; s.Gang && s.Count > MaxGangItems {
+			return fmt.Errorf("step %d is a gang of %d work items, above %d", i, s.Count, MaxGangItems)
+		}
+	}
+	return nil
+}
+
 // check validates the step with index i of its job.
 func (s *Step) check(i int) error {
 	if s.Count < 1 || s.Count > MaxItems {
--- a/core/shard/demand.go
+++ b/core/shard/demand.go
@@ -251,8 +251,8 @@
 		if !s.Fill {
 			d.persistentCPU += int64(s.Count) * s.CPU
 		}
-		if s.MaxPerVM > 0 {
-			d.spreadVMs = max(d.spreadVMs, (s.Count+s.MaxPerVM-1)/s.MaxPerVM)
+		if most := maxPerVM(s); most > 0 {
+			d.spreadVMs = max(d.spreadVMs, (s.Count+most-1)/most)
 		}
 	}
 }
--- a/core/shard/job_kinds_test.go
+++ b/core/shard/job_kinds_test.go
@@ -18,6 +18,8 @@
 	ends    map[string][]pools.RunEnd
 	started []pools.Order
 	stopped []pools.Order
+	// refuse returns the reply to a start that the VM does not execute, and false for one that it does; nil executes all.
+	refuse func(o pools.Order) (pools.ReplyKind, bool)
 }
 
 // simTickMs is the time between two calls of tick.
@@ -37,6 +39,12 @@
 	for _, o := range sim.e.TakeOrders() {
 		switch o.Kind {
 		case pools.Start:
+			if sim.refuse != nil {
+				if kind, refused := sim.refuse(o); refused {
+					sim.e.HandleOrderReply(o, pools.Reply{Kind: kind}, sim.now)
+					continue
+				}
+			}
 			sim.started = append(sim.started, o)
 			if sim.runs[o.VM] == nil {
 				sim.runs[o.VM] = map[string]pools.RunStatus{}
--- a/core/shard/place.go
+++ b/core/shard/place.go
@@ -375,7 +375,8 @@
 	if s.Label != "" && !v.HasLabel(s.Label) {
 		return false
 	}
-	if s.MaxPerVM <= 0 {
+	most := maxPerVM(s)
+	if most <= 0 {
 		return true
 	}
 	n := 0
@@ -384,7 +385,7 @@
 			n++
 		}
 	}
-	return n < s.MaxPerVM
+	return n < most
 }
 
 // placementCost returns the cost of running an item on a VM, in thousandths of the VM's CPU.
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -136,6 +136,7 @@
 		}
 		if it.job.state.Final() || it.done || !s.vm.takesStarts(now) || !e.mayStart(it.job, it) {
 			e.release(it, now)
+			e.abandonGang(it, now)
 			continue
 		}
 		orders = append(orders, e.startOrder(s, now))
@@ -249,6 +250,7 @@
 		it.notBefore = max(it.notBefore, now+refusedRepeatMs)
 	}
 	e.release(it, now)
+	e.abandonGang(it, now)
 }
 
 // replyNames holds the descriptions in logs of replies to starts that were not executed.
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -222,14 +222,17 @@
 	case it.runSpent: // the VM has refused a repeat, and does not list the end of the run
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start refused", Reason: replyNames[pools.StaleRun], N: it.run})
 		e.release(it, now)
+		e.abandonGang(it, now)
 	case !it.vm.Draining && !it.vm.vacate && !it.done && !it.job.state.Final() && it.repeats < maxRepeats && e.mayStart(it.job, it):
 		e.repeatStart(it, now)
 	case !it.stepDef.Persistent:
 		e.stop(it, "start unanswered", now)
+		e.abandonGang(it, now)
 	case it.vm.clockMs > it.startDeadlineMs:
 		e.addEvent(Event{JobID: it.job.ID, VM: it.vm.ID, Name: "start refused", Reason: "unanswered and not seen", N: it.run})
 		it.runSpent = true
 		e.release(it, now)
+		e.abandonGang(it, now)
 	}
 }
 
@@ -419,30 +422,6 @@
 	}
 }
 
-// endingTogether returns the items that end together with it: the item itself, or its gang.
-func (j *job) endingTogether(it *item) []*item {
-	if !it.stepDef.Gang {
-		return []*item{it}
-	}
-	list := make([]*item, 0, it.stepDef.Count)
-	for i := range it.stepDef.Count {
-		if m := j.items[jobs.Item{K: it.K, Step: it.Step, Index: i}]; m != nil {
-			list = append(list, m)
-		}
-	}
-	return list
-}
-
-// stopGang stops the other members of a gang after one has ended.
-func (e *Engine) stopGang(j *job, it *item, now int64) {
-	for _, m := range j.endingTogether(it) {
-		m.checkpoint = it.checkpoint
-		if m.vm != nil && m.phase != planned {
-			e.stop(m, "gang member ended", now)
-		}
-	}
-}
-
 // recordFailure counts a failed run, and fails the job once the attempts of its queue are used up. Each run is counted
 // once: its end may be listed again to a new owner, and the ends from several VMs arrive in any order.
 func (e *Engine) recordFailure(j *job, it *item, v *vm, run int, now int64) {
--- a/core/shard/room.go
+++ b/core/shard/room.go
@@ -77,8 +77,8 @@
 	}
 	j.tooLarge = false
 	w := e.demand.noRoom[j]
-	extra := min((missing+perVM-1)/perVM, 1+int((now-w.since-maxNoRoomMs)/extraVMWaitMs), maxExtraVMs)
-	e.demand.roomVMs = w.vms + extra
+	extra := min(int((now-w.since-maxNoRoomMs)/extraVMWaitMs), maxExtraVMs)
+	e.demand.roomVMs = w.vms + (missing+perVM-1)/perVM + extra
 }
 
 // mostOnEmptyVM returns the number of items like one of a job, at most most, for which a VM of the pool would have room if it ran nothing.
--- a/core/shard/vm.go
+++ b/core/shard/vm.go
@@ -186,8 +186,8 @@
 	}
 	s := it.stepDef
 	n := int64(most)
-	if s.MaxPerVM > 0 {
-		n = min(n, int64(s.MaxPerVM))
+	if most := maxPerVM(s); most > 0 {
+		n = min(n, int64(most))
 	}
 	if s.CPU > 0 && !s.Fill {
 		n = min(n, (v.CPU-v.usedCPU)/s.CPU)
--- a/io/jobapi/api.go
+++ b/io/jobapi/api.go
@@ -172,6 +172,9 @@
 // Submit stores a job. A nil error means that the job is accepted.
 func (a *API) Submit(ctx context.Context, access *jobs.Access, j *jobs.Job) error {
 	q := access.Queue
+	if err := j.CheckGangs(); err != nil {
+		return &platform.Refusal{Status: http.StatusBadRequest, Reason: "the job cannot be run: " + err.Error()}
+	}
 	j.Account = access.Account
 	part, err := a.part(q)
 	if err != nil {
--- a/io/owner/queue_test.go
+++ b/io/owner/queue_test.go
@@ -93,7 +93,7 @@
 	vm := &heldVM{starts: make(chan pools.Order, len(orders)), answer: make(chan struct{})}
 	s := &vmSession{
 		r:  &poolRun{cfg: PoolConfig{Stats: stats.New()}, engine: e, wake: make(chan struct{}, 1), timeStart: func(time.Duration) {}},
-		id: "a", client: vm, orders: make(chan pools.Order, len(orders)),
+		id: "a", client: vm, orders: newOrderQueue(),
 	}
 	s.ctx, s.cancel = context.WithCancel(t.Context())
 	s.r.wg.Add(1)
@@ -103,7 +103,7 @@
 
 // startsSent ends a session once its queue is empty, and returns how many starts the VM got that were not received yet.
 func (s *vmSession) startsSent(vm *heldVM) int {
-	for len(s.orders) > 0 {
+	for s.orders.len() > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	s.close()
--- a/io/owner/session.go
+++ b/io/owner/session.go
@@ -35,8 +35,6 @@
 	endsRecordedTimeout = 60 * time.Millisecond
 	// heldEndsPause is the pause after a poll of a VM whose recorded ends are not acknowledged yet. It replies to polls at once.
 	heldEndsPause = 100 * time.Millisecond
-	// maxQueuedOrders bounds the orders that wait for one VM.
-	maxQueuedOrders = 256
 )
 
 // vmSession sends the orders and polls of one epoch to one VM.
@@ -45,7 +43,7 @@
 	id           string
 	addr         string
 	client       VMClient
-	orders       chan pools.Order
+	orders       *orderQueue
 	endsRecorded chan struct{} // signalled when run ends were recorded; its capacity is 1
 	lagged       bool          // the last poll failed because this process was late; used by pollLoop only
 	pollRequest  chan struct{} // signalled when a poll would resolve an item at once; its capacity is 1
@@ -57,7 +55,7 @@
 func newVMSession(r *poolRun, v pools.VM, client VMClient) *vmSession {
 	s := &vmSession{
 		r: r, id: v.ID, addr: v.Addr, client: client,
-		orders: make(chan pools.Order, maxQueuedOrders), endsRecorded: make(chan struct{}, 1), pollRequest: make(chan struct{}, 1),
+		orders: newOrderQueue(), endsRecorded: make(chan struct{}, 1), pollRequest: make(chan struct{}, 1),
 	}
 	s.ctx, s.cancel = context.WithCancel(r.ctx)
 	r.wg.Add(1)
@@ -69,14 +67,7 @@
 func (s *vmSession) close() { s.cancel() }
 
 // push queues an order. It returns false if too many wait.
-func (s *vmSession) push(o pools.Order) bool {
-	select {
-	case s.orders <- o:
-		return true
-	default:
-		return false
-	}
-}
+func (s *vmSession) push(o pools.Order) bool { return s.orders.push(o) }
 
 // notifyEndsRecorded ends the wait for recorded run ends, so that the next poll is sent.
 func (s *vmSession) notifyEndsRecorded() {
@@ -98,9 +89,10 @@
 			return
 		case <-s.pollRequest:
 			s.pollNow()
-		case o := <-s.orders:
+		case <-s.orders.wake:
+			o, waited := s.orders.pop()
 			switch {
-			case s.dropIfObsolete(o):
+			case !waited, s.dropIfObsolete(o):
 			case async != nil && s.sendAsync(async, o):
 			case s.handleReply(o, s.sendOrder(o)):
 				s.pollNow()
