shard: Drop occurrences that are over at each tick

Cause: an occurrence that is over was dropped only by the end that makes its last item done, and not while an item of it is on a VM. The first end of a gang makes all members done, the others leave their VMs later, and nothing dropped the occurrence then; its 2,000 items count as open, so no further one is opened, also by the next owner.

Change: each tick drops the occurrences that are over before it opens those that are due.

--- a/core/shard/job_kinds_test.go
+++ b/core/shard/job_kinds_test.go
@@ -20,6 +20,7 @@
 	stopped []pools.Order
 	// refuse returns the reply to a start that the VM does not execute, and false for one that it does; nil executes all.
 	refuse func(o pools.Order) (pools.ReplyKind, bool)
+	stored func(b *Batch) // called with each batch that is stored, unless it is nil
 }
 
 // simTickMs is the time between two calls of tick.
@@ -60,6 +61,9 @@
 		sim.e.HandleOrderReply(o, pools.Reply{Kind: pools.Done}, sim.now)
 	}
 	if b, err := sim.e.NextBatch(); err == nil && b != nil {
+		if sim.stored != nil {
+			sim.stored(b)
+		}
 		sim.e.HandleBatchStored(b, sim.now)
 	}
 	sim.pollAll()
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -61,6 +61,7 @@
 	}
 	for _, j := range e.jobs {
 		if j.Times > 0 && !j.state.Final() {
+			j.trimOccurrences() // the last item of one that is over may have left its VM since
 			j.openDueOccurrences(wall, e.cfg.MaxEarlyStartMs)
 		}
 	}
