shard: Complete a job whose items are all recorded as done

What happened, in the test: a job of over 512 items is recorded in parts. Its owner ends after it has recorded the last parts and before the record with the state; the next owner loads all items as done and the job as running, its ends are listed again and mark nothing, and the job is shown as running for good (LOST).

Change: a job that is loaded with all items done is complete.

Evidence: TestJobWithAllItemsDoneIsComplete failed before, once and with a schedule.

--- a/core/shard/engine.go
+++ b/core/shard/engine.go
@@ -255,7 +255,9 @@
 	j.recountRemaining()
 	if stored.Cancelled {
 		e.Cancel(id, now)
+		return
 	}
+	e.completeIfDone(j, now) // an earlier owner has recorded the last ends, but not the state that follows from them
 }
 
 // restoreItem restores the recorded state of one item that an earlier owner started.
--- a/core/shard/occurrence_test.go
+++ b/core/shard/occurrence_test.go
@@ -100,3 +100,33 @@
 	p.sim.e = e
 	p.sim.pollAll()
 }
+
+// TestJobWithAllItemsDoneIsComplete guards against a job that is shown as running for good: its owner ended after it had recorded the last
+// parts of a wide job, and before the record with its state. The ends are listed again, and mark nothing that is not done already.
+func TestJobWithAllItemsDoneIsComplete(t *testing.T) {
+	for name, times := range map[string]int{"once": 0, "with a schedule": 2} {
+		t.Run(name, func(t *testing.T) {
+			stored := &jobs.StoredJob{
+				Job:      &jobs.Job{ID: "j", Queue: "q", Times: times, Steps: []jobs.Step{{Count: jobs.ItemsPerRecord + 1, CPU: 10, MemMB: 1, EstimateMs: 5}}},
+				Progress: jobs.Progress{Rev: 3, State: jobs.Running, Base: max(times-1, 0)}, Parts: map[int]*jobs.Progress{1: {}},
+			}
+			for i := range jobs.ItemsPerRecord + 1 {
+				stored.Parts[1].Items = append(stored.Parts[1].Items, jobs.ItemState{K: stored.Progress.Base, Index: i, Run: 1, Done: true})
+			}
+			sim := newSimPool(newPolledEngine(2, 1000, 1000))
+			table := jobs.NewJobTable()
+			sim.stored = func(b *Batch) {
+				for _, r := range b.Records {
+					_, err := table.Apply(r)
+					assert.NilError(t, err)
+				}
+			}
+			sim.e.LoadJob("j", stored, 0, 0)
+			for range 100 {
+				sim.tick(0)
+			}
+			state, _ := table.Find("j")
+			assert.Equal(t, state, jobs.Complete)
+		})
+	}
+}
--- a/core/shard/poll.go
+++ b/core/shard/poll.go
@@ -415,11 +415,18 @@
 	}
 	e.markDirty(j)
 	j.trimOccurrences()
-	if j.complete() {
-		j.state = jobs.Complete
-		e.addEvent(Event{JobID: j.ID, Name: "job complete", Reason: "ms since it was handed in", N: int(now - j.arrivedAt)})
-		e.stopJob(j, now)
+	e.completeIfDone(j, now)
+}
+
+// completeIfDone ends a job of which all items are done.
+func (e *Engine) completeIfDone(j *job, now int64) {
+	if !j.complete() {
+		return
 	}
+	j.state = jobs.Complete
+	e.markDirty(j)
+	e.addEvent(Event{JobID: j.ID, Name: "job complete", Reason: "ms since it was handed in", N: int(now - j.arrivedAt)})
+	e.stopJob(j, now)
 }
 
 // recordFailure counts a failed run, and fails the job once the attempts of its queue are used up. Each run is counted
