--- a/system/soak/length_test.go
+++ b/system/soak/length_test.go
@@ -1,11 +1,9 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -90,13 +88,11 @@
 // submitLoop submits a job that waits for good at one entry after the other, until ctx ends.
 func (l *lengths) submitLoop(ctx context.Context) {
 	step := jobs.Step{Count: 1, CPU: 1000, MemMB: 100, EstimateMs: 100, Label: missingLabel}
-	body := map[string]any{"spec": "x", "steps": []any{
-		map[string]any{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 100, "required_label": missingLabel},
-	}}
+	body := fmt.Appendf(nil, `{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100,"required_label":%q}]}`, missingLabel)
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%016x", 0xc000+n)
 		l.s.plat.SetSteps(id, []jobs.Step{step})
-		status, _ := l.call(l.s.entries[n%len(l.s.entries)], http.MethodPost, plat.Prefix+id, body)
+		status, _ := l.s.entries[n%len(l.s.entries)].send(l.client, http.MethodPost, plat.Prefix+id, nil, body)
 		l.mu.Lock()
 		switch {
 		case status == http.StatusOK:
@@ -132,7 +128,7 @@
 
 // ask returns the queue's length by an entry, and the status of the answer.
 func (l *lengths) ask(e *process) (n, status int) {
-	status, text := l.call(e, http.MethodGet, plat.Prefix, nil)
+	status, text := e.send(l.client, http.MethodGet, plat.Prefix, nil, nil)
 	var answer struct{ Waiting *int }
 	if status != http.StatusOK {
 		return 0, status
@@ -143,29 +139,6 @@
 	return *answer.Waiting, status
 }
 
-// call sends a request on an open connection if there is one. It returns 0 and the error if there is no answer.
-func (l *lengths) call(e *process, method, path string, body any) (int, string) {
-	b, err := json.Marshal(body)
-	if err != nil {
-		return 0, err.Error()
-	}
-	req, err := http.NewRequest(method, "http://"+e.front+path, bytes.NewReader(b))
-	if err != nil {
-		return 0, err.Error()
-	}
-	req.Host = plat.Host
-	res, err := l.client.Do(req)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer res.Body.Close()
-	text, err := io.ReadAll(res.Body)
-	if err != nil {
-		return 0, err.Error()
-	}
-	return res.StatusCode, string(text)
-}
-
 // injectFault moves the queue to the other service or gives it another name.
 func (l *lengths) injectFault() {
 	if l == nil || l.rng.IntN(lengthFaultEvery) != 0 {
--- a/system/soak/process_test.go
+++ b/system/soak/process_test.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -151,3 +154,26 @@
 	e.awaitExit()
 	e.store.close()
 }
+
+// send sends a request with headers Authorization to the program. It returns the status and the body, or 0 and the error if there is no
+// answer.
+func (e *process) send(client *http.Client, method, path string, auth []string, body []byte) (int, string) {
+	req, err := http.NewRequest(method, "http://"+e.front+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Host = plat.Host
+	for _, a := range auth {
+		req.Header.Add("Authorization", a)
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return res.StatusCode, string(text)
+}
--- a/system/soak/soak_test.go
+++ b/system/soak/soak_test.go
@@ -3,10 +3,8 @@
 package soak
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -100,22 +98,7 @@
 func (s *soak) send(e *process, method, path string, auth []string, body any) (int, string) {
 	b, err := json.Marshal(body)
 	assert.NilError(s.t, err)
-	req, err := http.NewRequest(method, "http://"+e.front+path, bytes.NewReader(b))
-	assert.NilError(s.t, err)
-	req.Host = plat.Host
-	for _, a := range auth {
-		req.Header.Add("Authorization", a)
-	}
-	res, err := s.client.Do(req)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer res.Body.Close()
-	text, err := io.ReadAll(res.Body)
-	if err != nil {
-		return 0, err.Error()
-	}
-	return res.StatusCode, string(text)
+	return e.send(s.client, method, path, auth, b)
 }
 
 // submit submits a job with random steps at a random entry. It returns the status, or 0 if there is no answer.
