shard: Let an item that no VM can take hold up no other

Found by reading: of the jobs without room only the one that has waited longest is served, and an item that is larger than any VM of the pool, or needs a GPU that none has, stays that one for good; the jobs behind it got no offered VM.

Change: such jobs are left out of the choice, for offered and for closed VMs.

Evidence: the case "an item that no VM can take holds up no other" of TestRoomForSingleItems failed before. The play takes its events once, as the message of one check emptied them before the next.

--- a/core/shard/closed_test.go
+++ b/core/shard/closed_test.go
@@ -149,8 +149,9 @@
 		}
 		p.tick()
 	}
+	events := p.sim.e.TakeEvents()
 	for i := range p.c.Wait {
-		p.checkStarts(t, i)
+		p.checkStarts(t, i, events)
 	}
 	var offered []string
 	for _, v := range p.sim.e.vmsByID() {
@@ -165,7 +166,7 @@
 	assert.Assert(t, p.c.WantAtLeast == 0 || want >= p.c.WantAtLeast, "%d VMs are wanted", want)
 	assert.Assert(t, p.c.WantAtMost == 0 || want <= p.c.WantAtMost, "%d VMs are wanted", want)
 	var tooLarge []string
-	for _, ev := range p.sim.e.TakeEvents() {
+	for _, ev := range events {
 		if ev.Name == "no vm fits" {
 			tooLarge = append(tooLarge, ev.JobID)
 		}
@@ -181,7 +182,7 @@
 }
 
 // checkStarts checks the starts of job i of the case.
-func (p *closedPlay) checkStarts(t *testing.T, i int) {
+func (p *closedPlay) checkStarts(t *testing.T, i int, events []Event) {
 	t.Helper()
 	j := &p.c.Wait[i]
 	n := 0
@@ -196,7 +197,7 @@
 		n++
 	}
 	if j.StartsByMs > 0 {
-		assert.Equal(t, n, cmp.Or(j.Starts, j.Count, 1), "items of job %d that have started; events: %v", i, p.sim.e.TakeEvents())
+		assert.Equal(t, n, cmp.Or(j.Starts, j.Count, 1), "items of job %d that have started; events: %v", i, events)
 	}
 }
 
--- a/core/shard/room.go
+++ b/core/shard/room.go
@@ -63,24 +63,26 @@
 }
 
 // wantRoom sets the number of VMs that the pool needs for items like one of a job for which it has no room. It grows while they wait, as
-// the VMs that come may not suit them. An item that is larger than each VM of the pool is logged.
+// the VMs that come may not suit them.
 func (e *Engine) wantRoom(j *job, it *item, missing int, now int64) {
-	perVM := e.mostOnEmptyVM(j, it, missing)
-	if perVM == 0 {
-		if !j.tooLarge {
-			s := it.stepDef
-			e.addEvent(Event{JobID: j.ID, Name: "no vm fits", Reason: fmt.Sprintf(
-				"step %d requests cpu %d, mem_mb %d, gpu %d, label %q", it.Step, s.CPU, s.MemMB, s.GPU, s.Label)})
-		}
-		j.tooLarge = true
-		return
-	}
-	j.tooLarge = false
-	w := e.demand.noRoom[j]
+	w, perVM := e.demand.noRoom[j], max(e.mostOnEmptyVM(j, it, missing), 1)
 	extra := min(int((now-w.since-maxNoRoomMs)/extraVMWaitMs), maxExtraVMs)
 	e.demand.roomVMs = w.vms + (missing+perVM-1)/perVM + extra
 }
 
+// fitsEmptyVM reports whether a VM of the pool would have room for an item of a job if it ran nothing. It logs the first time that none
+// would.
+func (e *Engine) fitsEmptyVM(j *job, it *item) bool {
+	fits := e.mostOnEmptyVM(j, it, 1) > 0
+	if !fits && !j.tooLarge {
+		s := it.stepDef
+		e.addEvent(Event{JobID: j.ID, Name: "no vm fits", Reason: fmt.Sprintf(
+			"step %d requests cpu %d, mem_mb %d, gpu %d, label %q", it.Step, s.CPU, s.MemMB, s.GPU, s.Label)})
+	}
+	j.tooLarge = !fits
+	return fits
+}
+
 // mostOnEmptyVM returns the number of items like one of a job, at most most, for which a VM of the pool would have room if it ran nothing.
 func (e *Engine) mostOnEmptyVM(j *job, it *item, most int) int {
 	n := 0
@@ -103,7 +105,7 @@
 }
 
 // jobWithoutRoom returns the job of which for the longest time, over maxNoRoomMs, nothing runs and the next items have no room on
-// a list of VMs, with these items. It updates the jobs that wait so.
+// a list of VMs, with these items. It leaves out jobs whose items fit on no VM of the pool, and updates the jobs that wait so.
 func (e *Engine) jobWithoutRoom(waits *map[*job]roomWait, list []*vm, now int64) (*job, []*item) {
 	next := map[*job]roomWait{}
 	var longest *job
@@ -118,7 +120,7 @@
 			w = roomWait{since: now, vms: len(list)}
 		}
 		next[j] = w
-		if now-w.since < maxNoRoomMs {
+		if now-w.since < maxNoRoomMs || !e.fitsEmptyVM(j, g[0]) {
 			continue
 		}
 		if longest == nil || cmp.Or(cmp.Compare(w.since, next[longest].since), cmp.Compare(j.ID, longest.ID)) < 0 {
