--- a/core/shard/closed.go
+++ b/core/shard/closed.go
@@ -84,18 +84,8 @@
 // time, if that is over maxNoRoomMs and most of the pool's CPU is free. Those that will be empty last cost other pools least.
 // chosen holds the closed VMs, those that will be empty first first.
 func (e *Engine) vmsToOpen(chosen []*vm, closed map[*vm]bool, now int64) map[*vm]*job {
-	var open []*vm
-	var cpu, usedCPU int64
-	guarded := e.capacityEnforced()
-	for _, v := range e.vmsByID() {
-		if v.offered || v.takesStarts(now) { // an offered VM is the pool's until another one takes it
-			cpu, usedCPU = cpu+v.CPU, usedCPU+v.usedCPU
-		}
-		if v.takesStarts(now) && !closed[v] && (guarded || v.unknownRuns == 0) {
-			open = append(open, v)
-		}
-	}
-	if usedCPU*100 >= cpu*idlePercent {
+	open, idle := e.vmsInUse(closed, now)
+	if !idle {
 		e.demand.noRoomOpen = nil
 		return nil
 	}
@@ -103,6 +93,7 @@
 	if j == nil {
 		return nil
 	}
+	guarded := e.capacityEnforced()
 	missing := len(group) - e.countRoom(j, group, open)
 	toOpen := map[*vm]*job{}
 	for _, v := range slices.Backward(chosen) {
--- a/core/shard/room.go
+++ b/core/shard/room.go
@@ -25,19 +25,8 @@
 // free. The demand is a sum over all items, so the VMs that it keeps may all have less free than a single item requests.
 func (e *Engine) vmsForRoom(offered []*vm, now int64) map[*vm]*job {
 	e.demand.roomVMs = 0
-	var inUse []*vm
-	var cpu, usedCPU int64
-	guarded := e.capacityEnforced()
-	for _, v := range e.vmsByID() {
-		if !v.offered && !v.takesStarts(now) {
-			continue
-		}
-		cpu, usedCPU = cpu+v.CPU, usedCPU+v.usedCPU
-		if !v.offered && (guarded || v.unknownRuns == 0) {
-			inUse = append(inUse, v)
-		}
-	}
-	if usedCPU*100 >= cpu*idlePercent {
+	inUse, idle := e.vmsInUse(nil, now)
+	if !idle {
 		e.demand.noRoom = nil
 		return nil
 	}
@@ -62,6 +51,23 @@
 	return needed
 }
 
+// vmsInUse returns the VMs that take new work, sorted by ID, without the closed ones, and whether most of the pool's CPU is free. An offered
+// VM is the pool's until another one takes it.
+func (e *Engine) vmsInUse(closed map[*vm]bool, now int64) (list []*vm, idle bool) {
+	var cpu, usedCPU int64
+	guarded := e.capacityEnforced()
+	for _, v := range e.vmsByID() {
+		takesStarts := v.takesStarts(now)
+		if v.offered || takesStarts {
+			cpu, usedCPU = cpu+v.CPU, usedCPU+v.usedCPU
+		}
+		if takesStarts && !closed[v] && (guarded || v.unknownRuns == 0) {
+			list = append(list, v)
+		}
+	}
+	return list, usedCPU*100 < cpu*idlePercent
+}
+
 // wantRoom sets the number of VMs that the pool needs for items like one of a job for which it has no room. It grows while they wait, as
 // the VMs that come may not suit them.
 func (e *Engine) wantRoom(j *job, it *item, missing int, now int64) {
