--- a/core/shard/gang.go
+++ b/core/shard/gang.go
@@ -6,7 +6,7 @@
 	// gangRetryMs is the pause before a gang starts again of which a member was refused.
 	gangRetryMs = 500
 	// maxGangItemsPerVM is the number of members of a gang that start on one VM. The orders to a VM are sent one after the other, each
-	// takes 5 to 10 ms, and a VM refuses those that are older than startTimeoutMs.
+	// takes some milliseconds, and a VM refuses those that are older than startTimeoutMs.
 	maxGangItemsPerVM = 128
 )
 
